Serve a four-stage pipeline through real processes

Cause: the project starts empty; every later promise needs a path from the caller to the targets that real processes can break. Ruled out: a single scheduler goroutine for all traffic, because traffic must not wait for the control goroutine; schedulers are guarded per pool instead. Before: nothing ran.

--- /dev/null
+++ b/io/cli/cli.go
@@ -0,0 +1,83 @@
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+
+	"github.com/go-logr/logr"
+	"github.com/go-logr/logr/funcr"
+	"github.com/jessevdk/go-flags"
+)
+
+// Exit codes of the program.
+const (
+	exitOK     = 0
+	exitFailed = 1
+	exitUsage  = 2
+)
+
+// errMistakes marks errors that end with the exit code for wrong input.
+var errMistakes = errors.New("mistakes were found")
+
+// environment is what subcommands need from the process.
+type environment struct {
+	ctx context.Context
+	in  io.Reader
+	out io.Writer
+	err io.Writer
+}
+
+// log returns a logger that writes one JSON object a line.
+func (e *environment) log() logr.Logger {
+	return funcr.NewJSON(func(line string) { _, _ = fmt.Fprintln(e.err, line) }, funcr.Options{LogTimestamp: true})
+}
+
+// Run runs the program with the given arguments and returns its exit code.
+func Run(ctx context.Context, arguments []string, in io.Reader, out, errOut io.Writer) int {
+	e := &environment{ctx: ctx, in: in, out: out, err: errOut}
+	parser := flags.NewNamedParser("sassafrasward", flags.HelpFlag|flags.PassDoubleDash)
+	parser.LongDescription = "Serving system for multi-stage model pipelines. Exit codes: 0 success, 1 failure, 2 wrong arguments or input."
+	for _, c := range commands(e) {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.run); err != nil {
+			_, _ = fmt.Fprintln(errOut, err)
+			return exitUsage
+		}
+	}
+	_, err := parser.ParseArgs(arguments)
+	return e.exit(err)
+}
+
+func (e *environment) exit(err error) int {
+	var wrong *flags.Error
+	switch {
+	case err == nil:
+		return exitOK
+	case errors.As(err, &wrong) && wrong.Type == flags.ErrHelp:
+		_, _ = fmt.Fprintln(e.out, err)
+		return exitOK
+	case errors.As(err, &wrong), errors.Is(err, errMistakes):
+		_, _ = fmt.Fprintln(e.err, err)
+		return exitUsage
+	default:
+		_, _ = fmt.Fprintln(e.err, err)
+		return exitFailed
+	}
+}
+
+// command is the registry entry of one subcommand.
+type command struct {
+	name  string
+	short string
+	long  string
+	run   flags.Commander
+}
+
+func commands(e *environment) []command {
+	return []command{
+		{"serve", "Run the daemon of an entry host", "Example: sassafrasward serve --settings host.ini", &serve{env: e}},
+		{"call", "Run a pipeline as a caller", "Example: sassafrasward call --host 127.0.0.1:8101 --workspace thun --input '{\"text\":\"x\"}' summary", &call{env: e}},
+		{"demo", "Run the whole path in one process", "Example: sassafrasward demo", &demonstrate{env: e}},
+	}
+}
--- /dev/null
+++ b/io/daemon/daemon.go
@@ -0,0 +1,100 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
+
+	"sassafrasward/io/event"
+	"sassafrasward/io/front"
+	"sassafrasward/io/metric"
+	"sassafrasward/io/peer"
+	"sassafrasward/io/platform"
+	"sassafrasward/io/runner"
+	"sassafrasward/io/setting"
+	"sassafrasward/io/target"
+	"sassafrasward/io/view"
+	"sassafrasward/io/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("daemon")
+
+// Daemon is the process of one entry host.
+type Daemon struct {
+	settings setting.Settings
+	log      logr.Logger
+	metrics  *metric.Metrics
+	views    *view.Holder
+	gates    *gates
+	platform *platform.Client
+	front    *front.Front
+	peers    *peer.Server
+	control  *control
+	start    time.Time
+
+	callers net.Listener
+	hosts   net.Listener
+}
+
+// New opens the listeners of a host and returns its daemon.
+func New(settings setting.Settings, log logr.Logger) (d *Daemon, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now()}
+	d.gates = newGates(d.clock)
+	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
+	d.peers = peer.NewServer()
+	run := runner.New(d.clock, d.gates, target.New(), d.metrics)
+	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
+		return nil, err
+	}
+	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
+		return nil, errors.Join(err, d.callers.Close())
+	}
+	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
+	d.control = newControl(self, log, d.views, d.gates)
+	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
+	return d, nil
+}
+
+// Address returns the address on which callers are served.
+func (d *Daemon) Address() string { return d.callers.Addr().String() }
+
+func (d *Daemon) clock() time.Duration { return time.Since(d.start) }
+
+// Run serves until the context ends, then stops gracefully.
+func (d *Daemon) Run(ctx context.Context) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	event.Log(d.log, event.HostStarted, "host", d.settings.Host(), "caller", d.Address(), "peer", d.hosts.Addr().String())
+	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	ends := make(chan error, 4)
+	go d.front.Serve(d.callers, ends)
+	go d.peers.Serve(d.hosts, ends)
+	go d.control.run(inner, ends)
+	go d.watch(inner, ends)
+
+	select {
+	case <-ctx.Done():
+		err = d.drain()
+	case err = <-ends:
+		event.Fail(d.log, event.ListenFailed, err)
+	}
+	cancel()
+	d.peers.Stop()
+	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
+	return err
+}
+
+// drain refuses new requests, waits for running ones and stops the servers.
+func (d *Daemon) drain() error {
+	event.Log(d.log, event.HostDraining, "host", d.settings.Host())
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
+	defer cancel()
+	d.control.drain(ctx)
+	return d.front.Shutdown(ctx)
+}
--- /dev/null
+++ b/io/daemon/gates.go
@@ -0,0 +1,64 @@
+package daemon
+
+import (
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/schedule"
+	"sassafrasward/io/gate"
+)
+
+// gates is the set of pools of the configuration in force. The control goroutine replaces
+// it as a whole; traffic goroutines read it without waiting.
+type gates struct {
+	clock   func() time.Duration
+	current atomic.Pointer[pools]
+}
+
+// pools does not change once published. Gates of pools that stay are kept, with their
+// queues.
+type pools struct {
+	gates     map[string]*gate.Gate
+	addresses map[string]string
+}
+
+func newGates(clock func() time.Duration) *gates {
+	g := &gates{clock: clock}
+	g.current.Store(&pools{})
+	return g
+}
+
+// Gate returns the gate of the pool, or nil.
+func (g *gates) Gate(pool string) *gate.Gate { return g.current.Load().gates[pool] }
+
+// Address returns the address of the target, or the empty string.
+func (g *gates) Address(target string) string { return g.current.Load().addresses[target] }
+
+// configure makes the pools match the document.
+func (g *gates) configure(d *document.Document, leaving map[string]bool) {
+	old := g.current.Load()
+	next := &pools{gates: make(map[string]*gate.Gate), addresses: make(map[string]string)}
+	targets := make(map[string][]schedule.Target)
+	for _, t := range d.Targets() {
+		next.addresses[t.Name()] = t.Address()
+		targets[t.Pool()] = append(targets[t.Pool()], schedule.NewTarget(t.Name(), t.Zone(), t.Slots(), leaving[t.Address()]))
+	}
+	for _, p := range d.Pools() {
+		one, ok := old.gates[p.Name()]
+		if !ok {
+			one = gate.New(g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), schedule.WithQueue(d.Preset().Queue()))
+		}
+		one.SetTargets(targets[p.Name()])
+		next.gates[p.Name()] = one
+	}
+	g.current.Store(next)
+}
+
+// tick runs the periodic decisions of all pools.
+func (g *gates) tick() {
+	for _, one := range g.current.Load().gates {
+		one.Tick()
+	}
+}
--- /dev/null
+++ b/io/demo/demo.go
@@ -0,0 +1,146 @@
+package demo
+
+import (
+	"context"
+	_ "embed" // for the published configuration
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
+
+	"sassafrasward/io/caller"
+	"sassafrasward/io/daemon"
+	"sassafrasward/io/setting"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("demo")
+
+//go:embed demo.ini
+var published string
+
+// perPool is the number of stand-in targets for each pool.
+const perPool = 2
+
+const (
+	targetBase  = 5 * time.Millisecond
+	targetToken = 2 * time.Millisecond
+)
+
+var pools = []string{"encoders", "retrievers", "rerankers", "assistants", "deposits"}
+
+// world holds the running parts of the demo.
+type world struct {
+	out     io.Writer
+	servers []*http.Server
+	cancel  context.CancelFunc
+	ended   chan error
+	client  *caller.Client
+}
+
+// Run starts the parts, runs requests of every kind, prints what happened to out and
+// stops everything.
+func Run(ctx context.Context, out io.Writer, log logr.Logger) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	w := &world{out: out}
+	defer func() { err = errors.Join(err, w.close()) }()
+	if err := w.start(ctx, log); err != nil {
+		return err
+	}
+	return w.requests(ctx)
+}
+
+func (w *world) start(ctx context.Context, log logr.Logger) (err error) {
+	platform := standin.NewPlatform()
+	document := published
+	for _, pool := range pools {
+		for i := range perPool {
+			name := fmt.Sprintf("%s%d", pool, i+1)
+			address, err := w.serve(standin.NewTarget(name, standin.WithPace(targetBase, targetToken)).Handler())
+			if err != nil {
+				return err
+			}
+			document += fmt.Sprintf("\n[target %s]\npool = %s\naddress = %s\nzone = a\n", name, pool, address)
+		}
+	}
+	platform.Publish([]byte(document))
+	address, err := w.serve(platform.Handler())
+	if err != nil {
+		return err
+	}
+	s, err := setting.Parse([]byte("[host]\nname = demo\nzone = a\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n[platform]\naddress = " + address + "\n"))
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, log)
+	if err != nil {
+		return err
+	}
+	platform.SetHosts([]wire.Listed{{Host: "demo", Address: d.Address(), Zone: "a", Kind: wire.KindEntry, State: wire.StateLive}})
+	inner, cancel := context.WithCancel(ctx)
+	w.cancel, w.ended = cancel, make(chan error, 1)
+	go func() { w.ended <- d.Run(inner) }()
+	w.client = caller.New([]string{d.Address()}, caller.WithZone("a"))
+	return nil
+}
+
+func (w *world) serve(handler http.Handler) (address string, err error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
+	w.servers = append(w.servers, server)
+	go func() { _ = server.Serve(listener) }()
+	return listener.Addr().String(), nil
+}
+
+// close stops the host gracefully, then the stand-ins.
+func (w *world) close() (err error) {
+	if w.cancel != nil {
+		w.cancel()
+		err = <-w.ended
+	}
+	for _, s := range w.servers {
+		err = errors.Join(err, s.Close())
+	}
+	return err
+}
+
+func (w *world) requests(ctx context.Context) error {
+	input := json.RawMessage(`{"text":"thermal camera 17 came back"}`)
+	steps := []struct {
+		title    string
+		pipeline string
+		request  wire.Request
+	}{
+		{"a damage summary, streamed", "summary", wire.Request{Workspace: "thun", Input: input, Size: 5}},
+		{"an availability check", "availability", wire.Request{Workspace: "biel", Input: input}},
+		{"an inspection report", "report", wire.Request{Workspace: "thun", Input: input, Size: 100}},
+		{"a request of an unknown workspace", "summary", wire.Request{Workspace: "nobody", Input: input}},
+		{"a deposit without a key", "deposit", wire.Request{Workspace: "biel", Input: input}},
+	}
+	for _, step := range steps {
+		answer, err := w.client.Call(ctx, step.pipeline, step.request, func(wire.Token) {})
+		if err != nil {
+			return err
+		}
+		w.print(step.title, answer)
+	}
+	return nil
+}
+
+func (w *world) print(title string, answer wire.Answer) {
+	_, _ = fmt.Fprintf(w.out, "%s: %s %s %s\n", title, answer.Outcome, answer.Reason, answer.Detail)
+	for _, s := range answer.Stages {
+		_, _ = fmt.Fprintf(w.out, "  %-12s on %-12s attempts %d, waited %.1f ms, took %.1f ms\n", s.Stage, s.Target, s.Attempts, s.Wait, s.Elapsed)
+	}
+}
--- /dev/null
+++ b/io/event/event.go
@@ -0,0 +1,61 @@
+package event
+
+import "github.com/go-logr/logr"
+
+// Event is one kind of log line.
+type Event struct {
+	number int
+	// level is 0 for events that operators must see and 1 for details.
+	level   int
+	message string
+	doc     string
+}
+
+// Number returns the number by which operators look the event up.
+func (e Event) Number() int { return e.number }
+
+// Message returns the text of the log line.
+func (e Event) Message() string { return e.message }
+
+// Doc returns what the event means and what to do.
+func (e Event) Doc() string { return e.doc }
+
+// catalogue lists all events in the order of their declaration.
+var catalogue []Event
+
+func register(number, level int, message, doc string) Event {
+	e := Event{number: number, level: level, message: message, doc: doc}
+	catalogue = append(catalogue, e)
+	return e
+}
+
+// The events.
+var (
+	HostStarted     = register(1001, 0, "host started", "The process listens for callers and other hosts.")
+	HostServing     = register(1002, 0, "host serves", "The host knows the newest configuration and takes requests.")
+	HostDraining    = register(1003, 0, "host drains", "A planned stop began; new requests are refused as draining.")
+	HostStopped     = register(1004, 0, "host stopped", "All requests ended and the process exits.")
+	ListenFailed    = register(1005, 0, "listener failed", "A server ended with an error; the process exits.")
+	DocumentTaken   = register(1101, 0, "configuration accepted", "A newer configuration is in force on this host.")
+	DocumentRefused = register(1102, 0, "configuration refused", "A published configuration has mistakes; the last accepted one stays in force.")
+	PlatformFailed  = register(1201, 1, "platform read failed", "A read of the configuration service or host list failed; it is repeated after a delay.")
+	HostsTaken      = register(1202, 1, "host list read", "A newer host list was read.")
+	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
+)
+
+// Catalogue returns all events.
+func Catalogue() []Event { return append([]Event(nil), catalogue...) }
+
+// Log writes a line for the event with key and value pairs.
+func Log(l logr.Logger, e Event, pairs ...any) {
+	l.V(e.level).Info(e.message, append([]any{"event", e.number}, pairs...)...)
+}
+
+// Fail writes a line for the event with an error and key and value pairs.
+func Fail(l logr.Logger, e Event, err error, pairs ...any) {
+	if e.level > 0 {
+		Log(l, e, append([]any{"error", err.Error()}, pairs...)...)
+		return
+	}
+	l.Error(err, e.message, append([]any{"event", e.number}, pairs...)...)
+}
--- /dev/null
+++ b/io/front/doc.go
@@ -0,0 +1,2 @@
+// Package front serves callers over HTTP: addresses, pipelines and the status of the host.
+package front
--- /dev/null
+++ b/io/front/stream.go
@@ -0,0 +1,34 @@
+package front
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"sassafrasward/io/runner"
+	"sassafrasward/io/wire"
+)
+
+// stream runs the job and writes its tokens as server-sent events as they come. The end
+// event carries the same answer that a caller without streaming gets.
+func (f *Front) stream(c echo.Context, job runner.Job) error {
+	c.Response().Header().Set("Content-Type", wire.ContentEvents)
+	c.Response().WriteHeader(http.StatusOK)
+	job = job.Streaming(func(t wire.Token) error { return writeEvent(c, wire.EventToken, t) })
+	answer := f.runner.Run(c.Request().Context(), job)
+	f.count(answer)
+	return writeEvent(c, wire.EventEnd, answer)
+}
+
+func writeEvent(c echo.Context, name string, data any) error {
+	body, err := json.Marshal(data)
+	if err != nil {
+		return err
+	}
+	if _, err := c.Response().Write([]byte("event: " + name + "\ndata: " + string(body) + "\n\n")); err != nil {
+		return err
+	}
+	c.Response().Flush()
+	return nil
+}
--- /dev/null
+++ b/io/integration/process_test.go
@@ -0,0 +1,205 @@
+package integration_test
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// binaries holds the programs under test.
+var binaries string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "sassafrasward")
+	if err != nil {
+		panic(err)
+	}
+	build := exec.Command("go", "build", "-o", dir+"/", "sassafrasward/cmd/...")
+	build.Stderr = os.Stderr
+	if err := build.Run(); err != nil {
+		panic(err)
+	}
+	binaries = dir
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one program under test.
+type process struct {
+	t       *testing.T
+	command *exec.Cmd
+	ended   chan struct{}
+
+	mutex sync.Mutex
+	lines []string
+	// grown is closed and replaced at each new line.
+	grown chan struct{}
+}
+
+// startProcess runs a program and collects the lines of its output.
+func startProcess(t *testing.T, name string, arguments ...string) *process {
+	t.Helper()
+	p := &process{t: t, command: exec.Command(filepath.Join(binaries, name), arguments...), ended: make(chan struct{}), grown: make(chan struct{})}
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.command.Stdout, p.command.Stderr = writer, writer
+	if err := p.command.Start(); err != nil {
+		t.Fatal(err)
+	}
+	_ = writer.Close()
+	go p.collect(bufio.NewScanner(reader))
+	t.Cleanup(p.kill)
+	return p
+}
+
+func (p *process) collect(scanner *bufio.Scanner) {
+	for scanner.Scan() {
+		p.mutex.Lock()
+		p.lines = append(p.lines, scanner.Text())
+		close(p.grown)
+		p.grown = make(chan struct{})
+		p.mutex.Unlock()
+	}
+	_ = p.command.Wait()
+	close(p.ended)
+}
+
+// line waits for the first line that contains the text.
+func (p *process) line(text string) string {
+	p.t.Helper()
+	for {
+		p.mutex.Lock()
+		grown := p.grown
+		for _, line := range p.lines {
+			if bytes.Contains([]byte(line), []byte(text)) {
+				p.mutex.Unlock()
+				return line
+			}
+		}
+		p.mutex.Unlock()
+		select {
+		case <-grown:
+		case <-p.ended:
+			p.t.Fatalf("process ended without %q: %v", text, p.lines)
+		}
+	}
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+
+func (p *process) kill() {
+	p.signal(syscall.SIGCONT)
+	p.signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// startPlatform runs the platform stand-in and returns its address.
+func startPlatform(t *testing.T) string {
+	t.Helper()
+	return startProcess(t, "standin", "--kind", "platform").line("127.0.0.1:")
+}
+
+// startTarget runs a target stand-in and returns its address.
+func startTarget(t *testing.T, arguments ...string) string {
+	t.Helper()
+	return startProcess(t, "standin", append([]string{"--kind", "target"}, arguments...)...).line("127.0.0.1:")
+}
+
+// host is one daemon under test.
+type host struct {
+	*process
+	name   string
+	caller string
+	peer   string
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// startHost runs a daemon with the given extra settings lines in its host section.
+func startHost(t *testing.T, name, zone, platform string) host {
+	t.Helper()
+	h := host{name: name, caller: freeAddress(t), peer: freeAddress(t)}
+	h.process = runHost(t, h, zone, platform)
+	return h
+}
+
+func runHost(t *testing.T, h host, zone, platform string) *process {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "host.ini")
+	settings := fmt.Sprintf("[host]\nname = %s\nzone = %s\ncaller = %s\npeer = %s\n[platform]\naddress = %s\n", h.name, zone, h.caller, h.peer, platform)
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	p := startProcess(t, "sassafrasward", "serve", "--settings", path)
+	p.line(`"event":1001`)
+	return p
+}
+
+// put sends an administrative change to a stand-in.
+func put(t *testing.T, address, path string, body []byte) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		t.Fatalf("%s: status %d", path, response.StatusCode)
+	}
+}
+
+// putJSON sends an administrative change as JSON.
+func putJSON(t *testing.T, address, path string, data any) {
+	t.Helper()
+	body, err := json.Marshal(data)
+	if err != nil {
+		t.Fatal(err)
+	}
+	put(t, address, path, body)
+}
+
+// ledger returns the runs of a target stand-in.
+func ledger(t *testing.T, address string) (entries []standin.Entry) {
+	t.Helper()
+	response, err := http.Get("http://" + address + standin.PathLedger)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&entries); err != nil {
+		t.Fatal(err)
+	}
+	return entries
+}
+
+// listed returns the host list entry of a daemon.
+func listed(h host, zone string) wire.Listed {
+	return wire.Listed{Host: h.name, Address: h.caller, Peer: h.peer, Zone: zone, Kind: wire.KindEntry, State: wire.StateLive}
+}
--- /dev/null
+++ b/io/standin/target.go
@@ -0,0 +1,247 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/io/wire"
+)
+
+// PathLedger returns the ledger of a target.
+const PathLedger = "/admin/ledger"
+
+// Entry is one run in a target's ledger.
+type Entry struct {
+	Request string          `json:"request"`
+	Stage   string          `json:"stage"`
+	Attempt int             `json:"attempt"`
+	Key     string          `json:"key"`
+	Input   json.RawMessage `json:"input"`
+	// Ended is true if the run was not cancelled before its end.
+	Ended bool `json:"ended"`
+}
+
+// Target stands in for one target. It runs up to slots calls at the same time, queues
+// the rest, and takes a base time and a time per token for each.
+type Target struct {
+	name  string
+	slots chan struct{}
+	base  time.Duration
+	each  time.Duration
+	// recognise makes a repeated key return the answer of its first run.
+	recognise bool
+	// fencing makes the target refuse orders with an old fencing token.
+	fencing bool
+
+	mutex   sync.Mutex
+	running int
+	queued  int
+	ledger  []Entry
+	answers map[string]wire.Ran
+	order   wire.Order
+}
+
+// TargetOption configures a Target.
+type TargetOption func(*Target)
+
+// WithSlots sets the number of calls that run at the same time.
+func WithSlots(n int) TargetOption { return func(t *Target) { t.slots = make(chan struct{}, n) } }
+
+// WithPace sets the time that each call takes and the time for each token.
+func WithPace(base, each time.Duration) TargetOption {
+	return func(t *Target) { t.base, t.each = base, each }
+}
+
+// WithRecognise makes the target recognise repeated keys.
+func WithRecognise(recognise bool) TargetOption { return func(t *Target) { t.recognise = recognise } }
+
+// WithFencing makes the target check fencing tokens.
+func WithFencing(fencing bool) TargetOption { return func(t *Target) { t.fencing = fencing } }
+
+// NewTarget returns a stand-in with 8 slots that answers at once.
+func NewTarget(name string, options ...TargetOption) *Target {
+	t := &Target{name: name, slots: make(chan struct{}, 8), answers: make(map[string]wire.Ran)}
+	for _, o := range options {
+		o(t)
+	}
+	return t
+}
+
+// Ledger returns all runs so far.
+func (t *Target) Ledger() []Entry {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return slices.Clone(t.ledger)
+}
+
+// Handler returns the HTTP interface.
+func (t *Target) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+wire.PathRun, t.run)
+	mux.HandleFunc("GET "+wire.PathReport, t.report)
+	mux.HandleFunc("POST "+wire.PathOrder, t.take)
+	mux.HandleFunc("GET "+PathLedger, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Ledger())
+	})
+	return mux
+}
+
+func (t *Target) run(w http.ResponseWriter, r *http.Request) {
+	var run wire.Run
+	if err := json.NewDecoder(r.Body).Decode(&run); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(run.Deadline)*time.Millisecond)
+	defer cancel()
+	t.add(0, 1)
+	select {
+	case t.slots <- struct{}{}:
+		t.add(1, -1)
+	case <-ctx.Done():
+		t.add(0, -1)
+		t.answer(w, run, outcome.NotRun, nil)
+		return
+	}
+	defer func() {
+		<-t.slots
+		t.add(-1, 0)
+	}()
+	if seen, ok := t.recall(run.Key); ok {
+		seen.Request, seen.Attempt = run.Request, run.Attempt
+		writeJSON(w, http.StatusOK, seen)
+		return
+	}
+	t.work(ctx, w, run)
+}
+
+// work takes the time of the call and answers it, token by token if asked to.
+func (t *Target) work(ctx context.Context, w http.ResponseWriter, run wire.Run) {
+	at := t.record(run)
+	if !sleep(ctx, t.base) {
+		return
+	}
+	for i := 0; i < int(run.Size); i++ {
+		if !sleep(ctx, t.each) {
+			return
+		}
+		if run.Stream && i >= run.From {
+			writeToken(w, wire.Token{Index: i, Text: fmt.Sprintf("t%d ", i)})
+		}
+	}
+	t.finish(at)
+	output, _ := json.Marshal(map[string]any{"stage": run.Stage, "of": run.Request, "input": run.Input})
+	if run.Stream {
+		w.Header().Set("Content-Type", wire.ContentEvents)
+		body, _ := json.Marshal(t.ran(run, outcome.Done, output))
+		_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", wire.EventEnd, body)
+		return
+	}
+	t.answer(w, run, outcome.Done, output)
+}
+
+func writeToken(w http.ResponseWriter, token wire.Token) {
+	w.Header().Set("Content-Type", wire.ContentEvents)
+	body, _ := json.Marshal(token)
+	_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", wire.EventToken, body)
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (t *Target) answer(w http.ResponseWriter, run wire.Run, o outcome.Outcome, output json.RawMessage) {
+	ran := t.ran(run, o, output)
+	status := http.StatusOK
+	if o == outcome.NotRun {
+		status = http.StatusServiceUnavailable
+	}
+	if o == outcome.Done && run.Key != "" {
+		t.mutex.Lock()
+		t.answers[run.Key] = ran
+		t.mutex.Unlock()
+	}
+	writeJSON(w, status, ran)
+}
+
+func (t *Target) ran(run wire.Run, o outcome.Outcome, output json.RawMessage) wire.Ran {
+	return wire.Ran{Request: run.Request, Stage: run.Stage, Attempt: run.Attempt, Outcome: o.String(), Output: output, Load: t.load()}
+}
+
+func (t *Target) recall(key string) (seen wire.Ran, ok bool) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if !t.recognise || key == "" {
+		return wire.Ran{}, false
+	}
+	seen, ok = t.answers[key]
+	return seen, ok
+}
+
+func (t *Target) record(run wire.Run) (at int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.ledger = append(t.ledger, Entry{Request: run.Request, Stage: run.Stage, Attempt: run.Attempt, Key: run.Key, Input: run.Input})
+	return len(t.ledger) - 1
+}
+
+func (t *Target) finish(at int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.ledger[at].Ended = true
+}
+
+func (t *Target) add(running, queued int) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.running += running
+	t.queued += queued
+}
+
+func (t *Target) load() wire.Load {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return wire.Load{Running: t.running, Queued: t.queued, Slots: cap(t.slots)}
+}
+
+func (t *Target) report(w http.ResponseWriter, _ *http.Request) {
+	load := t.load()
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	writeJSON(w, http.StatusOK, wire.Report{Load: load, Fence: t.order.Fence, Models: t.order.Models, Role: t.order.Role})
+}
+
+func (t *Target) take(w http.ResponseWriter, r *http.Request) {
+	var order wire.Order
+	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if t.fencing && order.Fence < t.order.Fence {
+		writeJSON(w, http.StatusConflict, t.order)
+		return
+	}
+	t.order = order
+	writeJSON(w, http.StatusOK, t.order)
+}
--- /dev/null
+++ b/io/target/target.go
@@ -0,0 +1,123 @@
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/core/schedule"
+	"sassafrasward/io/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("target")
+
+const (
+	maxAnswer   = 16 << 20 // bytes
+	dialTimeout = time.Second
+	// idleTimeout is short because a connection that was idle for long may have been
+	// forgotten by something between the two ends.
+	idleTimeout = 10 * time.Second
+	maxIdle     = 64 // connections per target
+)
+
+// Client calls targets. It is safe for concurrent use.
+type Client struct {
+	client *http.Client
+}
+
+// New returns a client.
+func New() *Client {
+	transport := &http.Transport{
+		DialContext:         dialer().DialContext,
+		MaxIdleConnsPerHost: maxIdle,
+		IdleConnTimeout:     idleTimeout,
+	}
+	return &Client{client: &http.Client{Transport: transport}}
+}
+
+// Reply is the checked end of one call.
+type Reply struct {
+	end    schedule.End
+	output json.RawMessage
+	load   wire.Load
+	tokens int
+	detail string
+}
+
+// End returns how the call ended.
+func (r Reply) End() schedule.End { return r.end }
+
+// Output returns the output of a completed call.
+func (r Reply) Output() json.RawMessage { return r.output }
+
+// Load returns the load that came with the answer.
+func (r Reply) Load() wire.Load { return r.load }
+
+// Tokens returns the number of tokens of a streamed answer.
+func (r Reply) Tokens() int { return r.tokens }
+
+// Detail returns what the target said of a failure.
+func (r Reply) Detail() string { return r.detail }
+
+// Run calls the target at address. Tokens of a streamed answer are passed to each, which
+// may be nil. The context carries the deadline.
+func (c *Client) Run(ctx context.Context, address string, run wire.Run, each func(wire.Token) error) (reply Reply, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	body, err := json.Marshal(run)
+	if err != nil {
+		return Reply{end: schedule.Rejected}, err
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+wire.PathRun, bytes.NewReader(body))
+	if err != nil {
+		return Reply{end: schedule.Rejected}, err
+	}
+	// Without GetBody the transport never sends a request twice.
+	request.GetBody = nil
+	request.Header.Set("Content-Type", wire.ContentJSON)
+	response, err := c.client.Do(request)
+	if err != nil {
+		return Reply{end: classify(ctx, err)}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	reply, err = read(response, run, each)
+	if err != nil {
+		reply.end = classify(ctx, err)
+	}
+	return reply, err
+}
+
+// classify tells a silent target from a broken connection and a cancelled call.
+func classify(ctx context.Context, err error) schedule.End {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return schedule.Cancelled
+	}
+	var timeout interface{ Timeout() bool }
+	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
+		return schedule.Silent
+	}
+	return schedule.Crashed
+}
+
+// check turns an answer into a reply, or an error if it belongs to another call.
+func check(ran wire.Ran, run wire.Run) (reply Reply, err error) {
+	if ran.Request != run.Request || ran.Stage != run.Stage || ran.Attempt != run.Attempt {
+		return Reply{}, errs.New("answer of request %s stage %s attempt %d came for request %s stage %s attempt %d",
+			ran.Request, ran.Stage, ran.Attempt, run.Request, run.Stage, run.Attempt)
+	}
+	reply = Reply{output: ran.Output, load: ran.Load, detail: ran.Detail, end: schedule.Rejected}
+	o, ok := outcome.Parse(ran.Outcome)
+	switch {
+	case ok && o == outcome.Done:
+		reply.end = schedule.Completed
+	case ok && o == outcome.NotRun:
+		reply.end = schedule.Busy
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/io/view/view.go
@@ -0,0 +1,53 @@
+package view
+
+import (
+	"sync/atomic"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/reason"
+	"sassafrasward/io/wire"
+)
+
+// View is a snapshot of control state. It does not change after New.
+type View struct {
+	document *document.Document
+	version  document.Version
+	hosts    []wire.Host
+	// refusal is None if the host serves, otherwise the reason why it does not.
+	refusal reason.Reason
+}
+
+// New returns a snapshot. The document may be nil while the host joins.
+func New(d *document.Document, v document.Version, hosts []wire.Host, refusal reason.Reason) *View {
+	return &View{document: d, version: v, hosts: hosts, refusal: refusal}
+}
+
+// Document returns the configuration in force; nil while the host joins.
+func (v *View) Document() *document.Document { return v.document }
+
+// Version returns the version of the configuration in force.
+func (v *View) Version() document.Version { return v.version }
+
+// Hosts returns the entry hosts that callers may use, this host included.
+func (v *View) Hosts() []wire.Host { return v.hosts }
+
+// Refusal returns None if the host serves, otherwise why it does not.
+func (v *View) Refusal() reason.Reason { return v.refusal }
+
+// Holder publishes views.
+type Holder struct {
+	pointer atomic.Pointer[View]
+}
+
+// NewHolder returns a holder of a view that refuses all requests as joining.
+func NewHolder() *Holder {
+	h := &Holder{}
+	h.Publish(New(nil, document.Version{}, nil, reason.Joining))
+	return h
+}
+
+// Publish replaces the view.
+func (h *Holder) Publish(v *View) { h.pointer.Store(v) }
+
+// Load returns the newest view.
+func (h *Holder) Load() *View { return h.pointer.Load() }
