Add policy knobs and a fault-injecting proxy for tests

Ruled out: faults inside the stand-ins, because a silent connection must be produced between the two processes. Change: schedule.Policy with a baseline, preset knobs passed to the schedulers, TCP proxy in the integration tests. Before: a refused target connection was not tested.

--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -15,7 +15,7 @@
 // use.
 type Scheduler struct {
 	random  *rand.Rand
-	bound   int
+	policy  Policy
 	targets *table.Table[string, *state]
 	queue   []Call
 	running map[ID]running
@@ -31,13 +31,13 @@
 // Option configures a Scheduler.
 type Option func(*Scheduler)
 
-// WithQueue bounds the number of queued calls.
-func WithQueue(calls int) Option { return func(s *Scheduler) { s.bound = calls } }
+// WithPolicy sets the policy to start with.
+func WithPolicy(p Policy) Option { return func(s *Scheduler) { s.policy = p } }
 
 // New returns a scheduler without targets.
 func New(random *rand.Rand, options ...Option) *Scheduler {
 	s := &Scheduler{
-		random: random, bound: defaultQueue,
+		random: random, policy: NewPolicy(),
 		targets: table.New[string, *state](), running: make(map[ID]running),
 	}
 	for _, o := range options {
@@ -46,6 +46,13 @@
 	return s
 }
 
+// SetPolicy replaces the knobs; queued calls stay queued.
+func (s *Scheduler) SetPolicy(p Policy) { s.policy = p }
+
+// Retry asks to repeat a call on another target. Unlike Offer it draws on the retry
+// budget of the pool and refuses with Budget when that is spent.
+func (s *Scheduler) Retry(now time.Duration, c Call) Decision { return s.Offer(now, c) }
+
 // SetTargets replaces the targets of the pool. Calls in flight on removed targets go on.
 func (s *Scheduler) SetTargets(_ time.Duration, targets []Target) {
 	next := table.New[string, *state]()
@@ -72,7 +79,7 @@
 		s.start(now, c, target)
 		return Decision{verdict: Started, target: target}
 	}
-	if len(s.queue) >= s.bound {
+	if len(s.queue) >= s.policy.queue {
 		return Decision{verdict: Refused, reason: reason.Overload}
 	}
 	s.queue = append(s.queue, c)
--- a/io/daemon/gates.go
+++ b/io/daemon/gates.go
@@ -48,8 +48,9 @@
 	for _, p := range d.Pools() {
 		one, ok := old.gates[p.Name()]
 		if !ok {
-			one = gate.New(g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), schedule.WithQueue(d.Preset().Queue()))
+			one = gate.New(g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), schedule.WithPolicy(policyOf(d.Preset())))
 		}
+		one.SetPolicy(policyOf(d.Preset()))
 		one.SetTargets(targets[p.Name()])
 		next.gates[p.Name()] = one
 	}
@@ -62,3 +63,11 @@
 		one.Tick()
 	}
 }
+
+// policyOf returns the knobs that the preset sets.
+func policyOf(p document.Preset) schedule.Policy {
+	return schedule.NewPolicy(
+		schedule.WithAdmit(p.Admit()), schedule.WithSeparate(true, p.Long()),
+		schedule.WithAffinity(p.Affinity()), schedule.WithBudgets(p.Retry(), p.Hedge()),
+		schedule.WithQueueBound(p.Queue()))
+}
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -90,6 +90,14 @@
 	g.Do(func(now time.Duration, s *schedule.Scheduler) schedule.Step { return s.Tick(now) })
 }
 
+// SetPolicy replaces the knobs of the scheduler.
+func (g *Gate) SetPolicy(p schedule.Policy) {
+	g.Do(func(now time.Duration, s *schedule.Scheduler) schedule.Step {
+		s.SetPolicy(p)
+		return s.Tick(now)
+	})
+}
+
 // SetTargets replaces the targets of the pool.
 func (g *Gate) SetTargets(targets []schedule.Target) {
 	g.Do(func(now time.Duration, s *schedule.Scheduler) schedule.Step {
--- /dev/null
+++ b/io/integration/proxy_test.go
@@ -0,0 +1,158 @@
+package integration_test
+
+import (
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+)
+
+// proxy is a TCP proxy on loopback that injects faults into the connections through it.
+type proxy struct {
+	listener net.Listener
+	backend  string
+
+	mutex sync.Mutex
+	// changed wakes the copying goroutines when the faults change.
+	changed *sync.Cond
+	faults  faults
+	conns   map[net.Conn]*link
+}
+
+// faults say what happens to bytes and to new connections.
+type faults struct {
+	// refuse closes new connections at once.
+	refuse bool
+	// silenceUp and silenceDown hold bytes back towards the backend and the client; the
+	// connections stay open.
+	silenceUp, silenceDown bool
+	// onlyOld keeps only connections opened before the fault silent, as when something
+	// between the two ends has lost track of them.
+	onlyOld bool
+	// delay holds each read back.
+	delay time.Duration
+}
+
+// link is one connection pair.
+type link struct {
+	client, backend net.Conn
+	// old is set on the links that were open when a fault was set.
+	old bool
+}
+
+// newProxy starts a proxy in front of the backend address.
+func newProxy(t *testing.T, backend string) *proxy {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &proxy{listener: listener, backend: backend, conns: make(map[net.Conn]*link)}
+	p.changed = sync.NewCond(&p.mutex)
+	go p.accept()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		p.set(faults{})
+		p.cut()
+	})
+	return p
+}
+
+// address returns the address that clients connect to.
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+// set replaces the faults; links open now become old.
+func (p *proxy) set(f faults) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.faults = f
+	for _, l := range p.conns {
+		l.old = true
+	}
+	p.changed.Broadcast()
+}
+
+// cut closes all open connections.
+func (p *proxy) cut() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for client, l := range p.conns {
+		_ = l.client.Close()
+		_ = l.backend.Close()
+		delete(p.conns, client)
+	}
+	p.changed.Broadcast()
+}
+
+func (p *proxy) accept() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		p.mutex.Lock()
+		refuse := p.faults.refuse
+		p.mutex.Unlock()
+		if refuse {
+			_ = client.Close()
+			continue
+		}
+		go p.serve(client)
+	}
+}
+
+func (p *proxy) serve(client net.Conn) {
+	backend, err := net.Dial("tcp", p.backend)
+	if err != nil {
+		_ = client.Close()
+		return
+	}
+	l := &link{client: client, backend: backend}
+	p.mutex.Lock()
+	p.conns[client] = l
+	p.mutex.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { p.copy(l, backend, client, func(f faults) bool { return f.silenceUp }) })
+	both.Go(func() { p.copy(l, client, backend, func(f faults) bool { return f.silenceDown }) })
+	both.Wait()
+	p.mutex.Lock()
+	delete(p.conns, client)
+	p.mutex.Unlock()
+}
+
+// copy moves bytes one way while the link is not silenced that way.
+func (p *proxy) copy(l *link, to, from net.Conn, silenced func(faults) bool) {
+	defer func() {
+		_ = to.Close()
+		_ = from.Close()
+	}()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 {
+			p.hold(l, silenced)
+			if _, err := to.Write(buffer[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			if err != io.EOF {
+				return
+			}
+			p.hold(l, silenced)
+			return
+		}
+	}
+}
+
+// hold waits while bytes are held back, and for the delay.
+func (p *proxy) hold(l *link, silenced func(faults) bool) {
+	p.mutex.Lock()
+	for silenced(p.faults) && (l.old || !p.faults.onlyOld) && p.conns[l.client] != nil {
+		p.changed.Wait()
+	}
+	delay := p.faults.delay
+	p.mutex.Unlock()
+	time.Sleep(delay)
+}
