Run each command through the owner of its key

Cause: a command sent to several hosts, or sent again, ran once per arrival. Ruled out: choosing the owner by the host list, which gives a key two owners while lists differ; ending a command when its first caller goes away, which would lose the answer that duplicates wait for; streaming tokens of commands, since a duplicate could not be given those that were sent. A host whose owner is unreachable answers unknown, or sends the command itself if all its command pools recognise keys. A planned stop hands finished records to the first live listed host, which forwarders ask. Front: a refusal of a request with a key before the owner was asked is unknown unless the key has surely not been used; a draining host still answers requests with keys.

--- a/core/command/record.go
+++ b/core/command/record.go
@@ -40,6 +40,11 @@
 	return Result{outcome: o, reason: why, answer: answer, size: len(answer)}
 }
 
+// NewLost returns the end of a command whose answer of size bytes was not kept.
+func NewLost(o outcome.Outcome, why reason.Reason, size int) Result {
+	return Result{outcome: o, reason: why, size: size}
+}
+
 // Outcome returns the outcome of the command.
 func (r Result) Outcome() outcome.Outcome { return r.outcome }
 
@@ -67,7 +72,8 @@
 	result  Result
 }
 
-func refused(why reason.Reason) Decision { return Decision{verdict: Refused, reason: why} }
+// Refuse returns the decision to refuse a request.
+func Refuse(why reason.Reason) Decision { return Decision{verdict: Refused, reason: why} }
 
 // Verdict returns what is to be done with the request.
 func (d Decision) Verdict() Verdict { return d.verdict }
--- a/core/command/successor.go
+++ b/core/command/successor.go
@@ -70,19 +70,32 @@
 	i, ok := s.owners[owner{host: k.host, incarnation: k.incarnation}][k.number]
 	switch {
 	case !ok:
-		return refused(reason.Owner)
+		return Refuse(reason.Owner)
 	case i.record.key != k:
-		return refused(reason.Forged)
+		return Refuse(reason.Forged)
 	case i.record.workspace != workspace:
-		return refused(reason.Foreign)
+		return Refuse(reason.Foreign)
 	case now >= i.expiry:
-		return refused(reason.Expired)
+		return Refuse(reason.Expired)
 	case i.record.fingerprint != f:
-		return refused(reason.Mismatch)
+		return Refuse(reason.Mismatch)
 	}
 	return Decision{verdict: Finished, result: i.record.result}
 }
 
+// Export returns the records, in no order, with what is left of their keys' lifetimes.
+func (s *Successor) Export(now time.Duration) (records []Record) {
+	for _, held := range s.owners {
+		for _, i := range held {
+			if now < i.expiry {
+				i.record.left = i.expiry - now
+				records = append(records, i.record)
+			}
+		}
+	}
+	return records
+}
+
 // Expire removes records of expired keys.
 func (s *Successor) Expire(now time.Duration) {
 	for o, records := range s.owners {
--- a/core/command/table.go
+++ b/core/command/table.go
@@ -95,20 +95,20 @@
 func (t *Table) Lookup(now time.Duration, k Key, workspace string, f Fingerprint) Decision {
 	switch {
 	case !t.Owns(k):
-		return refused(reason.Owner)
+		return Refuse(reason.Owner)
 	case !k.genuine(t.secret):
-		return refused(reason.Forged)
+		return Refuse(reason.Forged)
 	case !k.bound(t.secret, workspace):
-		return refused(reason.Foreign)
+		return Refuse(reason.Foreign)
 	case now-k.issued >= t.lifetime:
-		return refused(reason.Expired)
+		return Refuse(reason.Expired)
 	}
 	r, ok := t.records[k.number]
 	switch {
 	case !ok:
 		return Decision{verdict: Begun}
 	case r.fingerprint != f:
-		return refused(reason.Mismatch)
+		return Refuse(reason.Mismatch)
 	case !r.finished:
 		return Decision{verdict: Running}
 	}
@@ -123,7 +123,7 @@
 		return d
 	}
 	if t.counts[workspace] >= limit {
-		return refused(reason.Full)
+		return Refuse(reason.Full)
 	}
 	t.records[k.number] = &record{key: k, workspace: workspace, fingerprint: f}
 	t.counts[workspace]++
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -9,6 +9,7 @@
 	"sassafrasward/core/document"
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -23,6 +24,7 @@
 	log   logr.Logger
 	views *view.Holder
 	gates *gates
+	owner *owner.Owner
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
@@ -32,8 +34,8 @@
 	draining bool
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates) *control {
-	return &control{self: self, log: log, views: views, gates: gates, events: make(chan func(), 16)}
+func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, owner *owner.Owner) *control {
+	return &control{self: self, log: log, views: views, gates: gates, owner: owner, events: make(chan func(), 16)}
 }
 
 // run owns the state until the context ends; its end is reported on done.
@@ -46,6 +48,7 @@
 			change()
 		case <-ticker.C:
 			c.gates.tick()
+			c.owner.Tick()
 		case <-ctx.Done():
 			done <- nil
 			return
@@ -97,6 +100,7 @@
 
 func (c *control) takeHosts(list wire.Hosts) {
 	c.hosts = list
+	c.owner.SetHosts(list)
 	event.Log(c.log, event.HostsTaken, "version", list.Version, "hosts", len(list.Hosts))
 	c.apply()
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/runner"
@@ -34,6 +35,8 @@
 	platform *platform.Client
 	front    *front.Front
 	peers    *peer.Server
+	pool     *peer.Pool
+	owner    *owner.Owner
 	control  *control
 	start    time.Time
 
@@ -55,9 +58,12 @@
 	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
 		return nil, errors.Join(err, d.callers.Close())
 	}
+	d.pool = peer.NewPool()
+	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
+	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, log, d.views, d.gates)
-	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
+	d.control = newControl(self, log, d.views, d.gates, d.owner)
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
 	return d, nil
 }
 
@@ -86,6 +92,7 @@
 	}
 	cancel()
 	d.peers.Stop()
+	d.pool.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
@@ -96,5 +103,6 @@
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
 	defer cancel()
 	d.control.drain(ctx)
-	return d.front.Shutdown(ctx)
+	err := d.owner.Drain(ctx)
+	return errors.Join(err, d.front.Shutdown(ctx))
 }
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -40,6 +40,9 @@
 	DocumentRefused = register(1102, 0, "configuration refused", "A published configuration has mistakes; the last accepted one stays in force.")
 	PlatformFailed  = register(1201, 1, "platform read failed", "A read of the configuration service or host list failed; it is repeated after a delay.")
 	HostsTaken      = register(1202, 1, "host list read", "A newer host list was read.")
+	HandoverGiven   = register(1401, 0, "command records handed over", "A planned stop gave the finished command records of this host to a successor, which answers resends.")
+	HandoverFailed  = register(1402, 0, "handover failed", "A host did not take the command records; the next listed host is tried. Without a successor, resends of finished commands are answered as unknown.")
+	HandoverTaken   = register(1403, 0, "command records taken", "This host answers resends of the commands of a stopped host.")
 	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
 )
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -37,6 +38,14 @@
 	Run(ctx context.Context, job runner.Job) wire.Answer
 }
 
+// Keys issues command keys and knows which of them have not been used.
+type Keys interface {
+	// Issue returns up to n keys for the workspace and how long they are valid.
+	Issue(workspace string, n int) (keys []string, lifetime time.Duration)
+	// Fresh reports whether the command of the request's key has surely never begun.
+	Fresh(pipeline string, request wire.Request) bool
+}
+
 // Front is the HTTP server for callers.
 type Front struct {
 	server  *http.Server
@@ -46,6 +55,8 @@
 	status  func() any
 	body    int64
 	self    wire.Host
+	// keys is nil if the host issues no keys.
+	keys Keys
 }
 
 // Option configures a Front.
@@ -57,6 +68,9 @@
 // WithStatus sets the function whose result is served as the status of the host.
 func WithStatus(status func() any) Option { return func(f *Front) { f.status = status } }
 
+// WithKeys sets the issuer of command keys.
+func WithKeys(keys Keys) Option { return func(f *Front) { f.keys = keys } }
+
 // New returns a server for callers of the host self.
 func New(self wire.Host, views *view.Holder, r Executor, metrics *metric.Metrics, options ...Option) *Front {
 	f := &Front{self: self, views: views, runner: r, metrics: metrics, body: 1 << 20, status: func() any { return nil }}
@@ -99,15 +113,31 @@
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
 	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: lifetime.Milliseconds()}
+	if keys, lifetime := f.issue(v, c.QueryParam("workspace"), c.QueryParam("keys")); len(keys) > 0 {
+		answer.Keys, answer.Expiry = keys, lifetime.Milliseconds()
+	}
 	return c.JSON(http.StatusOK, answer)
 }
 
+// issue returns the keys that an address request asks for; none if the host does not
+// serve or the workspace is not published.
+func (f *Front) issue(v *view.View, workspace, number string) (keys []string, lifetime time.Duration) {
+	n, err := strconv.Atoi(number)
+	if err != nil || n <= 0 || f.keys == nil || v.Refusal() != reason.None {
+		return nil, 0
+	}
+	if _, ok := v.Document().Workspace(workspace); !ok {
+		return nil, 0
+	}
+	return f.keys.Issue(workspace, n)
+}
+
 func (f *Front) pipeline(c echo.Context) error {
 	answer := wire.Answer{Request: newRequestID()}
 	request, p, why, detail := f.admit(c)
 	if why != reason.None {
 		answer.Detail = detail
-		return f.refuse(c, answer, why)
+		return f.refuseRequest(c, answer, why, request)
 	}
 	if strings.Contains(c.Request().Header.Get("Accept"), wire.ContentEvents) {
 		return f.stream(c, runner.NewJob(answer.Request, p, request, nil))
@@ -119,10 +149,13 @@
 // admit reads and checks the request against the configuration in force.
 func (f *Front) admit(c echo.Context) (request wire.Request, p document.Pipeline, why reason.Reason, detail string) {
 	v := f.views.Load()
-	if v.Refusal() != reason.None {
+	request, why, detail = f.decode(c)
+	// A draining host still answers requests with a key: only the owner of the key knows
+	// whether the command ran, and no other refusal could be a true not-run.
+	keyed := request.Key != "" && v.Refusal() == reason.Draining && v.Document() != nil
+	if v.Refusal() != reason.None && !keyed {
 		return request, p, v.Refusal(), ""
 	}
-	request, why, detail = f.decode(c)
 	if why != reason.None {
 		return request, p, why, detail
 	}
@@ -130,6 +163,9 @@
 	if !ok {
 		return request, p, reason.Pipeline, c.Param("pipeline")
 	}
+	if keyed && !p.Command() {
+		return request, p, v.Refusal(), ""
+	}
 	if _, ok := v.Document().Workspace(request.Workspace); !ok {
 		return request, p, reason.Workspace, request.Workspace
 	}
@@ -169,6 +205,28 @@
 	return reason.None, ""
 }
 
+// refuseRequest refuses a request before it reaches the owner of its key. If it carries a
+// key whose command may have run before, this host cannot say that it did not run.
+func (f *Front) refuseRequest(c echo.Context, answer wire.Answer, why reason.Reason, request wire.Request) error {
+	answer.Outcome = why.Rule().Outcome().String()
+	answer.Reason = why.String()
+	if request.Key != "" && f.command(c.Param("pipeline")) && (f.keys == nil || !f.keys.Fresh(c.Param("pipeline"), request)) {
+		answer.Outcome = outcome.Unknown.String()
+	}
+	return f.end(c, answer)
+}
+
+// command reports whether the pipeline may have a command stage. It may have one in
+// another configuration if this host's configuration does not have the pipeline.
+func (f *Front) command(pipeline string) bool {
+	doc := f.views.Load().Document()
+	if doc == nil {
+		return true
+	}
+	p, ok := doc.Pipeline(pipeline)
+	return !ok || p.Command()
+}
+
 func (f *Front) refuse(c echo.Context, answer wire.Answer, why reason.Reason) error {
 	answer.Outcome = why.Rule().Outcome().String()
 	answer.Reason = why.String()
--- /dev/null
+++ b/io/integration/command_test.go
@@ -0,0 +1,218 @@
+package integration_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/core/reason"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+const commandDocument = `
+[document]
+preset = ordinary
+[preset ordinary]
+[workspace thun]
+share = 3
+[workspace biel]
+share = 1
+[pool services]
+kind = service
+[pool deposits]
+kind = service
+recognise = %t
+[stage check]
+pool = services
+[stage deposit]
+pool = deposits
+command = true
+[pipeline check]
+stages = check
+deadline = 3m
+[pipeline deposit]
+stages = check, deposit
+deadline = 3m
+`
+
+// commands is a fleet of hosts in front of one service and one deposit target. The
+// deposit target and the peer listeners of the hosts are reached through proxies.
+type commands struct {
+	t        *testing.T
+	platform string
+	hosts    []host
+	// peers stand before the peer listeners of hosts, deposits before the deposit target.
+	peers    []*proxy
+	deposits *proxy
+	target   string
+}
+
+func targetFlags(recognise bool) (flags []string) {
+	if recognise {
+		flags = append(flags, "--recognise")
+	}
+	return flags
+}
+
+// knows waits until host i lists n hosts.
+func (c *commands) knows(i, n int) {
+	for {
+		var status struct{ Hosts []wire.Host }
+		response, err := http.Get("http://" + c.hosts[i].caller + wire.PathStatus)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		err = json.NewDecoder(response.Body).Decode(&status)
+		_ = response.Body.Close()
+		if err == nil && len(status.Hosts) == n {
+			return
+		}
+	}
+}
+
+// startCommands runs n hosts.
+func startCommands(t *testing.T, n int, recognise bool) *commands {
+	t.Helper()
+	c := &commands{t: t, platform: startPlatform(t), target: startTarget(t, targetFlags(recognise)...)}
+	c.deposits = newProxy(t, c.target)
+	var list []wire.Listed
+	for i := range n {
+		h := startHost(t, fmt.Sprintf("h%d", i), "a", c.platform)
+		p := newProxy(t, h.peer)
+		c.hosts, c.peers = append(c.hosts, h), append(c.peers, p)
+		entry := listed(h, "a")
+		entry.Peer = p.address()
+		list = append(list, entry)
+	}
+	putJSON(t, c.platform, standin.PathList, list)
+	put(t, c.platform, standin.PathPublish, []byte(fmt.Sprintf(commandDocument, recognise)+
+		targetSection("service", "services", startTarget(t))+targetSection("deposit", "deposits", c.deposits.address())))
+	for i, h := range c.hosts {
+		h.line(`"event":1002`)
+		c.knows(i, n)
+	}
+	return c
+}
+
+// key asks host i for a key of the workspace thun.
+func (c *commands) key(i int) string {
+	c.t.Helper()
+	response, err := http.Get("http://" + c.hosts[i].caller + wire.PathAddresses + "?workspace=thun&keys=1")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer wire.Addresses
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil || len(answer.Keys) != 1 {
+		c.t.Fatalf("%v keys, error %v", answer.Keys, err)
+	}
+	return answer.Keys[0]
+}
+
+// deposit is the request of the tests with a key.
+func deposit(key string, deadline int64) wire.Request {
+	return wire.Request{Workspace: "thun", Input: json.RawMessage(`{"amount":` + fmt.Sprint(len(key)) + `,"of":"` + key + `"}`), Key: key, Deadline: deadline}
+}
+
+// send posts the request to host i. A broken connection is an answer without an outcome.
+func (c *commands) send(i int, request wire.Request) (answer wire.Answer) {
+	body, _ := json.Marshal(request)
+	response, err := http.Post("http://"+c.hosts[i].caller+wire.PathPipelines+"deposit", wire.ContentJSON, bytes.NewReader(body))
+	if err != nil {
+		return wire.Answer{Detail: err.Error()}
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		return wire.Answer{Detail: err.Error()}
+	}
+	return answer
+}
+
+// judge checks the ledger against the answers for one key: at most one run, none if the
+// last word on the key is not-run, and only answers that belong to the key.
+func (c *commands) judge(key string, answers ...wire.Answer) {
+	c.t.Helper()
+	runs := 0
+	for _, e := range ledger(c.t, c.target) {
+		if bytes.Contains(e.Input, []byte(key)) {
+			runs++
+		}
+	}
+	if runs > 1 {
+		c.t.Errorf("key %s ran %d times", key, runs)
+	}
+	for _, a := range answers {
+		switch {
+		case a.Outcome == outcome.NotRun.String() && runs > 0:
+			c.t.Errorf("key %s ran but was answered %s %s", key, a.Outcome, a.Reason)
+		case a.Outcome == outcome.Done.String() && (runs == 0 || !bytes.Contains(a.Output, []byte(key))):
+			c.t.Errorf("key %s with %d runs was answered %s", key, runs, a.Output)
+		case a.Outcome == outcome.Failed.String():
+			c.t.Errorf("key %s was answered as failed without the target's word", key)
+		}
+	}
+}
+
+func expect(t *testing.T, answer wire.Answer, o outcome.Outcome, why reason.Reason) {
+	t.Helper()
+	word := why.String()
+	if why == reason.None {
+		word = ""
+	}
+	if answer.Outcome != o.String() || answer.Reason != word {
+		t.Errorf("answer %+v, want %s %s", answer, o, word)
+	}
+}
+
+// TestDuplicates guards against a command that runs more than once when its request
+// arrives at all hosts at the same time, and against duplicates without an answer.
+func TestDuplicates(t *testing.T) {
+	is := is.New(t)
+	c := startCommands(t, 3, false)
+	key := c.key(0)
+	answers := make([]wire.Answer, 12)
+	var all sync.WaitGroup
+	for i := range answers {
+		all.Go(func() { answers[i] = c.send(i%len(c.hosts), deposit(key, 0)) })
+	}
+	all.Wait()
+	seen := make(map[string]bool)
+	for _, a := range answers {
+		expect(t, a, outcome.Done, reason.None)
+		is.True(bytes.Equal(a.Output, answers[0].Output))
+		is.True(!seen[a.Request]) // each request has its own identity
+		seen[a.Request] = true
+	}
+	c.judge(key, answers...)
+	is.Equal(len(ledger(t, c.target)), 1)
+}
+
+// TestKeyRefusals guards against a command that runs under a key that is not good for it.
+func TestKeyRefusals(t *testing.T) {
+	is := is.New(t)
+	c := startCommands(t, 2, false)
+	key := c.key(0)
+	for i := range c.hosts {
+		foreign, forged, keyless := deposit(key, 0), deposit(key[:len(key)-4]+"AAAA", 0), deposit(key, 0)
+		foreign.Workspace, keyless.Key = "biel", ""
+		expect(t, c.send(i, foreign), outcome.NotRun, reason.Foreign)
+		forged.Key = "h0" + key[2:len(key)-32] + "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
+		expect(t, c.send(i, forged), outcome.NotRun, reason.Forged)
+		expect(t, c.send(i, keyless), outcome.NotRun, reason.Keyless)
+	}
+	is.Equal(len(ledger(t, c.target)), 0)
+	for i := range c.hosts {
+		expect(t, c.send(i, deposit(key, 0)), outcome.Done, reason.None)
+		mismatch := deposit(key, 0)
+		mismatch.Input = json.RawMessage(`2`)
+		expect(t, c.send(i, mismatch), outcome.NotRun, reason.Mismatch)
+	}
+	is.Equal(len(ledger(t, c.target)), 1)
+}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -57,6 +57,29 @@
 	return Job{id: id, pipeline: p, request: request, each: each}
 }
 
+// ID returns the identity of the request.
+func (j Job) ID() string { return j.id }
+
+// Pipeline returns the pipeline that the job runs.
+func (j Job) Pipeline() document.Pipeline { return j.pipeline }
+
+// Request returns the request of the caller.
+func (j Job) Request() wire.Request { return j.request }
+
+// Limit returns the time that the job may take.
+func (j Job) Limit() time.Duration {
+	if j.request.Deadline == 0 {
+		return j.pipeline.Deadline()
+	}
+	return time.Duration(j.request.Deadline) * time.Millisecond
+}
+
+// Within returns the job with the given time limit, rounded up to a millisecond.
+func (j Job) Within(limit time.Duration) Job {
+	j.request.Deadline = max((limit + time.Millisecond - 1).Milliseconds(), 1)
+	return j
+}
+
 // Streaming returns the job with each taking the tokens of its last stage.
 func (j Job) Streaming(each func(wire.Token) error) Job {
 	j.each = each
@@ -76,10 +99,7 @@
 
 // Run runs the job and returns the whole answer or the truthful refusal.
 func (r *Runner) Run(ctx context.Context, job Job) wire.Answer {
-	limit := time.Duration(job.request.Deadline) * time.Millisecond
-	if limit == 0 {
-		limit = job.pipeline.Deadline()
-	}
+	limit := job.Limit()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	p := &progress{job: job, deadline: r.clock() + limit, output: job.request.Input}
