--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -51,7 +51,7 @@
 	d.gates = newGates(d.clock)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
-	run := runner.New(d.clock, d.gates, target.New(), d.metrics)
+	run := runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)
 	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
 		return nil, err
 	}
--- /dev/null
+++ b/io/runner/command_test.go
@@ -0,0 +1,118 @@
+package runner_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/schedule"
+	"sassafrasward/io/gate"
+	"sassafrasward/io/metric"
+	"sassafrasward/io/runner"
+	"sassafrasward/io/target"
+	"sassafrasward/io/wire"
+)
+
+const published = `
+[document]
+preset = ordinary
+[preset ordinary]
+[pool p]
+kind = service
+[stage look]
+pool = p
+[stage pay]
+pool = p
+command = true
+[stage book]
+pool = p
+command = true
+[stage tell]
+pool = p
+[pipeline one]
+stages = look, pay
+deadline = 3m
+[pipeline two]
+stages = pay, tell, book, look
+deadline = 3m
+`
+
+// fixed is a pool of one target.
+type fixed struct {
+	gate    *gate.Gate
+	address string
+}
+
+func (f fixed) Gate(string) *gate.Gate { return f.gate }
+func (f fixed) Address(string) string  { return f.address }
+
+// TestTruth guards against an untruthful outcome of a pipeline with commands: not-run is
+// told only while no command stage ran, failed only by the word of a command's target.
+func TestTruth(t *testing.T) {
+	is := is.New(t)
+	d, err := document.Parse([]byte(published))
+	is.NoErr(err)
+	for _, one := range []struct{ pipeline, stage, end, want string }{
+		{"one", "", "", "done"},
+		{"one", "look", "failed", "not-run rejected"},
+		{"one", "look", "cut", "not-run crashed"},
+		{"one", "look", "busy", "not-run overload"},
+		{"one", "pay", "failed", "failed rejected"},
+		{"one", "pay", "busy", "not-run overload"},
+		{"one", "pay", "cut", "unknown crashed"},
+		{"two", "", "", "done"},
+		{"two", "pay", "busy", "not-run overload"},
+		{"two", "tell", "failed", "unknown rejected"},
+		{"two", "tell", "busy", "unknown overload"},
+		{"two", "book", "busy", "unknown overload"},
+		{"two", "book", "failed", "failed rejected"},
+		{"two", "book", "cut", "unknown crashed"},
+		{"two", "look", "cut", "unknown crashed"},
+	} {
+		keys := make(map[string]int)
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			var run wire.Run
+			_ = json.NewDecoder(r.Body).Decode(&run)
+			keys[run.Key]++
+			respond(w, run, one.stage == run.Stage, one.end)
+		}))
+		g := gate.New(func() time.Duration { return 0 }, rand.New(rand.NewPCG(1, 1)))
+		g.SetTargets([]schedule.Target{schedule.NewTarget("t", "a", 1, false)})
+		run := runner.New(func() time.Duration { return 0 }, fixed{g, strings.TrimPrefix(s.URL, "http://")}, target.New(), metric.New())
+		p, _ := d.Pipeline(one.pipeline)
+		answer := run.Run(context.Background(), runner.NewJob("id", p, wire.Request{Workspace: "w", Key: "k", Input: json.RawMessage(`1`)}, nil))
+		s.Close()
+		if got := strings.TrimSpace(answer.Outcome + " " + answer.Reason); got != one.want {
+			t.Errorf("%s with %s at %s: %s, want %s", one.pipeline, one.end, one.stage, got, one.want)
+		}
+		for key, n := range keys {
+			if key != "" && n > 1 {
+				t.Errorf("%s with %s at %s: key %s was sent %d times", one.pipeline, one.end, one.stage, key, n)
+			}
+		}
+	}
+}
+
+// respond answers a run as done, or with the fault if it is the faulty one.
+func respond(w http.ResponseWriter, run wire.Run, faulty bool, fault string) {
+	o, status := "done", http.StatusOK
+	switch {
+	case faulty && fault == "cut":
+		panic(http.ErrAbortHandler)
+	case faulty && fault == "busy":
+		o, status = "not-run", http.StatusServiceUnavailable
+	case faulty:
+		o = fault
+	}
+	w.WriteHeader(status)
+	_, _ = fmt.Fprintf(w, `{"request":%q,"stage":%q,"attempt":%d,"outcome":%q}`, run.Request, run.Stage, run.Attempt, o)
+}
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -4,6 +4,7 @@
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
+	"sassafrasward/io/target"
 )
 
 // cause returns the reason that a failed call gives.
@@ -22,19 +23,31 @@
 	}
 }
 
-// commandOutcome returns what is true of a command whose write began. Only the target's
-// own word makes it failed or not run.
-func commandOutcome(end schedule.End) outcome.Outcome {
-	switch end {
-	case schedule.Completed:
-		return outcome.Done
-	case schedule.Rejected:
-		return outcome.Failed
-	case schedule.Busy:
-		return outcome.NotRun
-	default:
+// unwritten returns the outcome of a request that ended while no command was being
+// written. The plain outcome is that of a request without commands.
+func (p *progress) unwritten(plain outcome.Outcome) outcome.Outcome {
+	switch {
+	case !p.job.pipeline.Command():
+		return plain
+	case p.ran:
 		return outcome.Unknown
 	}
+	return outcome.NotRun
+}
+
+// commandEnd returns what is true of a request whose command stage did not complete. Once
+// a byte was written, only the target's own word makes it failed or not run.
+func (p *progress) commandEnd(reply target.Reply) (why reason.Reason, end outcome.Outcome) {
+	why = cause(reply.End())
+	switch {
+	case !reply.Sent():
+		return reply.Refusal(), p.unwritten(outcome.NotRun)
+	case reply.End() == schedule.Busy:
+		return why, p.unwritten(outcome.NotRun)
+	case reply.End() == schedule.Rejected:
+		return why, outcome.Failed
+	}
+	return why, outcome.Unknown
 }
 
 func retryReason(end schedule.End) reason.Retry {
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -95,6 +95,8 @@
 	output json.RawMessage
 	// streamed is the number of tokens passed to the caller.
 	streamed int
+	// ran is true once a command stage completed; the request is never not-run after that.
+	ran bool
 }
 
 // Run runs the job and returns the whole answer or the truthful refusal.
@@ -134,38 +136,27 @@
 		cost.Attempts++
 		reply, target, refusal := r.attempt(ctx, p, stage, &cost, last, avoid)
 		if refusal != reason.None {
-			return refusal, r.outcome(p, refusal)
+			return refusal, p.unwritten(refusal.Rule().Outcome())
 		}
 		if reply.End() == schedule.Completed {
 			p.output = reply.Output()
+			p.ran = p.ran || stage.Command()
 			return reason.None, outcome.Done
 		}
 		why = cause(reply.End())
-		p.answer.Detail = reply.Detail()
+		if reply.Detail() != "" {
+			p.answer.Detail = reply.Detail()
+		}
 		if stage.Command() {
-			return why, commandOutcome(reply.End())
+			return p.commandEnd(reply)
 		}
 		if reply.End() == schedule.Rejected || ctx.Err() != nil {
-			return why, outcome.Failed
+			return why, p.unwritten(outcome.Failed)
 		}
 		avoid = append(avoid, target)
 		r.metrics.Retry(retryReason(reply.End()))
 	}
-	return why, outcome.Failed
-}
-
-// outcome tells what a refusal before the write means for the request as a whole. Earlier
-// stages have run at most idempotent work unless one of them was a command.
-func (r *Runner) outcome(p *progress, why reason.Reason) outcome.Outcome {
-	for i := range p.answer.Stages {
-		if p.job.pipeline.Stages()[i].Command() {
-			return outcome.Failed
-		}
-	}
-	if p.job.pipeline.Command() {
-		return outcome.NotRun
-	}
-	return why.Rule().Outcome()
+	return why, p.unwritten(outcome.Failed)
 }
 
 // attempt makes one call of a stage.
@@ -209,10 +200,18 @@
 func (r *Runner) send(ctx context.Context, p *progress, stage document.Stage, attempt int, name string, last bool) target.Reply {
 	request := p.job.request
 	run := wire.Run{
-		Request: p.job.id, Stage: stage.Name(), Attempt: attempt, Key: request.Key,
+		Request: p.job.id, Stage: stage.Name(), Attempt: attempt,
 		Deadline: (p.deadline - r.clock()).Milliseconds(), Input: p.output,
 		Prefix: request.Prefix, Size: request.Size,
 	}
+	if stage.Command() {
+		run.Key = targetKey(request, stage)
+		reply, err := r.client.Command(ctx, r.gates.Address(name), run, p.deadline)
+		if err != nil {
+			p.answer.Detail = err.Error()
+		}
+		return reply
+	}
 	var each func(wire.Token) error
 	if last && p.job.each != nil {
 		run.Stream = true
@@ -226,6 +225,14 @@
 	return reply
 }
 
+// targetKey returns the key by which a target recognises a repeated command. It differs
+// between the stages of a request, which are different commands, and between workspaces:
+// a host that sends a command of an unreachable owner cannot check the workspace of its
+// key, and a target must not answer it with another workspace's command.
+func targetKey(request wire.Request, stage document.Stage) string {
+	return request.Key + "/" + request.Workspace + "/" + stage.Name()
+}
+
 // pass hands a token to the caller in order and once.
 func (p *progress) pass(t wire.Token) error {
 	if t.Index != p.streamed {
--- a/io/target/read.go
+++ b/io/target/read.go
@@ -20,11 +20,17 @@
 	if strings.HasPrefix(response.Header.Get("Content-Type"), wire.ContentEvents) {
 		return stream(response.Body, run, each)
 	}
-	var ran wire.Ran
-	if err := json.NewDecoder(io.LimitReader(response.Body, maxAnswer)).Decode(&ran); err != nil {
-		return Reply{}, err
+	reply, _, err = readWhole(response.Body, run)
+	return reply, err
+}
+
+// readWhole takes an answer that is not streamed.
+func readWhole(body io.Reader, run wire.Run) (reply Reply, ran wire.Ran, err error) {
+	if err := json.NewDecoder(io.LimitReader(body, maxAnswer)).Decode(&ran); err != nil {
+		return Reply{}, ran, err
 	}
-	return check(ran, run)
+	reply, err = check(ran, run)
+	return reply, ran, err
 }
 
 // stream reads server-sent events up to the end event.
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"sassafrasward/core/outcome"
+	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
 	"sassafrasward/io/wire"
 )
@@ -30,16 +31,29 @@
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
 	client *http.Client
+	clock  func() time.Duration
 }
 
-// New returns a client.
-func New() *Client {
+// Option configures a Client.
+type Option func(*Client)
+
+// WithClock sets the clock by which deadlines of commands are checked. It must be
+// monotonic.
+func WithClock(clock func() time.Duration) Option { return func(c *Client) { c.clock = clock } }
+
+// New returns a client. Without WithClock, its clock starts now.
+func New(options ...Option) *Client {
+	start := time.Now()
 	transport := &http.Transport{
 		DialContext:         dialer().DialContext,
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 	}
-	return &Client{client: &http.Client{Transport: transport}}
+	c := &Client{client: &http.Client{Transport: transport}, clock: func() time.Duration { return time.Since(start) }}
+	for _, o := range options {
+		o(c)
+	}
+	return c
 }
 
 // Reply is the checked end of one call.
@@ -49,6 +63,10 @@
 	load   wire.Load
 	tokens int
 	detail string
+	// sent is true if a byte of a command was written.
+	sent bool
+	// refusal says why a command was not sent; None if it was sent.
+	refusal reason.Reason
 }
 
 // End returns how the call ended.
@@ -66,6 +84,12 @@
 // Detail returns what the target said of a failure.
 func (r Reply) Detail() string { return r.detail }
 
+// Sent reports whether a byte of a command was written.
+func (r Reply) Sent() bool { return r.sent }
+
+// Refusal returns why a command was not sent, or None.
+func (r Reply) Refusal() reason.Reason { return r.refusal }
+
 // Run calls the target at address. Tokens of a streamed answer are passed to each, which
 // may be nil. The context carries the deadline.
 func (c *Client) Run(ctx context.Context, address string, run wire.Run, each func(wire.Token) error) (reply Reply, err error) {
