Run seeded random fault schedules over the whole system

Cause: faults come together; single-fault tests do not show combinations. Ruled out: striking by time, because a slow machine would run another schedule; faults strike and are repaired as requests end. Change: fleet of three host processes, six targets behind proxies, twelve kinds of fault, a judge that compares answers with the targets' ledgers; seeds by SCHEDULE_SEED and SCHEDULE_SEEDS. Before: no combination of faults was run.

--- /dev/null
+++ b/io/integration/fleet_test.go
@@ -0,0 +1,139 @@
+package integration_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"syscall"
+	"testing"
+	"time"
+
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// fleet is a platform, hosts as processes, and targets in the test process behind
+// proxies. The targets live in the test process so that their ledgers survive the faults.
+type fleet struct {
+	t        *testing.T
+	platform *standin.Platform
+	server   *httptest.Server
+	// shield stands between the hosts and the platform.
+	shield  *proxy
+	hosts   []host
+	targets []*standin.Target
+	proxies []*proxy
+	// document is the configuration without its preset line.
+	document  string
+	published int
+}
+
+const fleetDocument = `
+[preset ordinary]
+[preset peak]
+retry = 5
+[workspace thun]
+share = 1
+[pool retrievers]
+kind = service
+[pool assistants]
+kind = engine
+[pool deposits]
+kind = service
+[stage retrieve]
+pool = retrievers
+[stage generate]
+pool = assistants
+[stage deposit]
+pool = deposits
+command = true
+[pipeline summary]
+stages = retrieve, generate
+deadline = 3s
+[pipeline deposit]
+stages = deposit
+deadline = 3s
+`
+
+var fleetPools = []string{"retrievers", "assistants", "deposits"}
+
+// newFleet starts n hosts and two targets for each pool.
+func newFleet(t *testing.T, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t, platform: standin.NewPlatform(), document: fleetDocument}
+	f.server = httptest.NewServer(f.platform.Handler())
+	t.Cleanup(func() {
+		f.server.CloseClientConnections()
+		f.server.Close()
+	})
+	f.shield = newProxy(t, f.server.Listener.Addr().String())
+	for _, pool := range fleetPools {
+		for i := range 2 {
+			f.addTarget(fmt.Sprintf("%s%d", pool, i), pool)
+		}
+	}
+	var list []wire.Listed
+	for i := range n {
+		h := host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t), peer: freeAddress(t)}
+		f.hosts = append(f.hosts, h)
+		list = append(list, listed(h, zone(i)))
+	}
+	f.platform.SetHosts(list)
+	f.publish("ordinary")
+	for i := range f.hosts {
+		f.hosts[i].process = runHost(t, f.hosts[i], zone(i), f.shield.address())
+	}
+	for _, h := range f.hosts {
+		h.line(`"event":1002`)
+	}
+	return f
+}
+
+// zone returns the availability zone of the host with the given index.
+func zone(i int) string { return string(rune('a' + i%3)) }
+
+func (f *fleet) addTarget(name, pool string) {
+	target := standin.NewTarget(name, standin.WithPace(2*time.Millisecond, 0))
+	server := httptest.NewServer(target.Handler())
+	f.t.Cleanup(func() {
+		server.CloseClientConnections()
+		server.Close()
+	})
+	p := newProxy(f.t, server.Listener.Addr().(*net.TCPAddr).String())
+	f.targets = append(f.targets, target)
+	f.proxies = append(f.proxies, p)
+	f.document += targetSection(name, pool, p.address())
+}
+
+// publish puts the preset in force.
+func (f *fleet) publish(preset string) {
+	f.published++
+	f.platform.Publish([]byte("[document]\npreset = " + preset + "\n" + f.document + fmt.Sprintf("\n# %d\n", f.published)))
+}
+
+// restart kills a host and starts it again empty.
+func (f *fleet) restart(i int) {
+	f.hosts[i].kill()
+	f.hosts[i].process = runHost(f.t, f.hosts[i], zone(i), f.shield.address())
+}
+
+func (f *fleet) pause(i int)  { f.hosts[i].signal(syscall.SIGSTOP) }
+func (f *fleet) resume(i int) { f.hosts[i].signal(syscall.SIGCONT) }
+
+// ledger returns the runs of all targets.
+func (f *fleet) ledger() (entries []standin.Entry) {
+	for _, target := range f.targets {
+		entries = append(entries, target.Ledger()...)
+	}
+	return entries
+}
+
+// raw returns a caller that knows all hosts.
+func (f *fleet) raw(timeout time.Duration) *rawCaller {
+	c := &rawCaller{client: &http.Client{Timeout: timeout, Transport: &http.Transport{DisableKeepAlives: true}}}
+	for _, h := range f.hosts {
+		c.hosts = append(c.hosts, h.caller)
+	}
+	return c
+}
--- /dev/null
+++ b/io/integration/judge_test.go
@@ -0,0 +1,148 @@
+package integration_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// told is what a caller was told in the end about one action.
+type told struct {
+	// mark is unique to the action and part of its input and output.
+	mark     string
+	pipeline string
+	key      string
+	answer   wire.Answer
+	// lost is true if no send got an answer.
+	lost bool
+}
+
+// judge compares what callers were told with the ledgers of the targets.
+type judge struct {
+	mutex sync.Mutex
+	told  []told
+}
+
+func (j *judge) add(one told) {
+	j.mutex.Lock()
+	defer j.mutex.Unlock()
+	j.told = append(j.told, one)
+}
+
+// check reports each broken invariant.
+func (j *judge) check(t *testing.T, ledger []standin.Entry) {
+	t.Helper()
+	runs := make(map[string]int)
+	for _, e := range ledger {
+		if e.Key != "" {
+			runs[e.Key]++
+		}
+	}
+	for key, n := range runs {
+		if n > 1 {
+			t.Errorf("key %s ran %d times", key, n)
+		}
+	}
+	for _, one := range j.told {
+		if problem := one.problem(runs[one.key]); problem != "" {
+			t.Errorf("%s %s key %q was told %+v: %s", one.pipeline, one.mark, one.key, one.answer, problem)
+		}
+	}
+}
+
+// problem returns what is untrue about an answer; runs counts the runs of its key.
+func (o told) problem(runs int) string {
+	if o.lost {
+		return ""
+	}
+	end, ok := outcome.Parse(o.answer.Outcome)
+	switch {
+	case !ok:
+		return "the outcome is not one of the protocol"
+	case end == outcome.Done && !strings.Contains(string(o.answer.Output), o.mark):
+		return "the answer is not its own"
+	case end == outcome.Done && o.key != "" && runs != 1:
+		return fmt.Sprintf("done, but the key ran %d times", runs)
+	case end == outcome.NotRun && o.key != "" && runs != 0:
+		return fmt.Sprintf("not run, but the key ran %d times", runs)
+	case end == outcome.Failed && o.key != "":
+		return "no target reported a failure"
+	}
+	return ""
+}
+
+// counts returns how many actions were told each outcome.
+func (j *judge) counts() map[string]int {
+	counts := make(map[string]int)
+	for _, one := range j.told {
+		word := one.answer.Outcome
+		if one.lost {
+			word = "lost"
+		}
+		counts[one.pipeline+" "+word]++
+	}
+	return counts
+}
+
+// rawCaller sends requests without the client library, so that the judge does not depend
+// on it. After a broken connection it sends again through the next host.
+type rawCaller struct {
+	hosts  []string
+	client *http.Client
+}
+
+// keys asks the host for command keys.
+func (c *rawCaller) keys(ctx context.Context, host string, n int) (keys []string, err error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, fmt.Sprintf("http://%s%s?workspace=thun&keys=%d", host, wire.PathAddresses, n), nil)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.client.Do(request)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer wire.Addresses
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer.Keys, err
+}
+
+// send makes one send of the request to the host.
+func (c *rawCaller) send(ctx context.Context, host, pipeline string, request wire.Request) (answer wire.Answer, err error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return answer, err
+	}
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+wire.PathPipelines+pipeline, bytes.NewReader(body))
+	if err != nil {
+		return answer, err
+	}
+	post.GetBody = nil
+	response, err := c.client.Do(post)
+	if err != nil {
+		return answer, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	err = json.NewDecoder(response.Body).Decode(&answer)
+	return answer, err
+}
+
+// act sends the request through the hosts, starting with the given one, until one answers.
+func (c *rawCaller) act(ctx context.Context, first int, pipeline string, request wire.Request, sends int) (answer wire.Answer, lost bool) {
+	for i := range sends {
+		answer, err := c.send(ctx, c.hosts[(first+i)%len(c.hosts)], pipeline, request)
+		if err == nil {
+			return answer, false
+		}
+	}
+	return wire.Answer{}, true
+}
--- /dev/null
+++ b/io/integration/schedule_test.go
@@ -0,0 +1,192 @@
+package integration_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/io/wire"
+)
+
+// fault is one kind of fault with its repair. The argument selects where it strikes.
+type fault struct {
+	name   string
+	strike func(f *fleet, at int)
+	repair func(f *fleet, at int)
+}
+
+func targetFault(name string, set faults) fault {
+	return fault{
+		name, func(f *fleet, at int) { f.proxies[at%len(f.proxies)].set(set) },
+		func(f *fleet, at int) {
+			p := f.proxies[at%len(f.proxies)]
+			p.set(faults{})
+			p.cut()
+		},
+	}
+}
+
+var faultKinds = []fault{
+	{"kill and restart a host", func(f *fleet, at int) { f.restart(at % len(f.hosts)) }, func(*fleet, int) {}},
+	{"pause a host", func(f *fleet, at int) { f.pause(at % len(f.hosts)) }, func(f *fleet, at int) { f.resume(at % len(f.hosts)) }},
+	{"platform down", func(f *fleet, _ int) { f.platform.SetDown(true) }, func(f *fleet, _ int) { f.platform.SetDown(false) }},
+	{"platform stale", func(f *fleet, _ int) { f.platform.SetStale(1) }, func(f *fleet, _ int) { f.platform.SetStale(0) }},
+	{"platform connections cut", func(f *fleet, _ int) { f.shield.cut() }, func(*fleet, int) {}},
+	{"preset switched to peak", func(f *fleet, _ int) { f.publish("peak") }, func(f *fleet, _ int) { f.publish("ordinary") }},
+	{"target connections cut", func(f *fleet, at int) { f.proxies[at%len(f.proxies)].cut() }, func(*fleet, int) {}},
+	targetFault("target refuses connections", faults{refuse: true}),
+	targetFault("target silent", faults{silenceUp: true, silenceDown: true}),
+	targetFault("target hears but is not heard", faults{silenceDown: true}),
+	targetFault("old connections silent", faults{silenceUp: true, silenceDown: true, onlyOld: true}),
+	targetFault("target delayed", faults{delay: 50 * time.Millisecond}),
+}
+
+// Sizes of one fault schedule. Faults strike and are repaired as requests end, not by
+// time, so that a slow machine runs the same schedule.
+const (
+	scheduleCallers = 6
+	scheduleActions = 25 // for each caller
+	schedulePeriod  = 12 // ended requests from one strike to the next
+	scheduleHosts   = 3
+	sendTimeout     = 5 * time.Second
+	defaultSeeds    = 3
+)
+
+// seeds returns the seeds to run: SCHEDULE_SEED alone, or SCHEDULE_SEEDS of them.
+func seeds() (list []uint64) {
+	if one, err := strconv.ParseUint(os.Getenv("SCHEDULE_SEED"), 10, 64); err == nil {
+		return []uint64{one}
+	}
+	n, err := strconv.Atoi(os.Getenv("SCHEDULE_SEEDS"))
+	if err != nil {
+		n = defaultSeeds
+	}
+	for i := range n {
+		list = append(list, uint64(i+1))
+	}
+	return list
+}
+
+// TestFaultSchedule guards against any combination of faults that makes an answer untrue:
+// a key that runs twice, a run behind "not run", an answer at another caller. After the
+// repairs every host must serve again under the newest configuration.
+func TestFaultSchedule(t *testing.T) {
+	for _, seed := range seeds() {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { runSchedule(t, seed) })
+	}
+}
+
+func runSchedule(t *testing.T, seed uint64) {
+	f := newFleet(t, scheduleHosts)
+	j := &judge{}
+	ended := make(chan struct{}, scheduleCallers*scheduleActions)
+	var callers sync.WaitGroup
+	var last atomic.Int64
+	for n := range scheduleCallers {
+		random := rand.New(rand.NewPCG(seed, uint64(n)))
+		callers.Go(func() { runCaller(f, j, random, &last, ended) })
+	}
+	strikeAll(t, f, rand.New(rand.NewPCG(seed, 1<<32)), ended)
+	callers.Wait()
+	j.check(t, f.ledger())
+	t.Logf("seed %d: %v", seed, j.counts())
+	f.recover(t)
+}
+
+// strikeAll strikes a fault each period and repairs it one period later, so that up to two
+// faults hold at the same time.
+func strikeAll(t *testing.T, f *fleet, random *rand.Rand, ended <-chan struct{}) {
+	repair := func() {}
+	for n := range scheduleCallers * scheduleActions {
+		<-ended
+		if n%schedulePeriod != 0 {
+			continue
+		}
+		kind, at := faultKinds[random.IntN(len(faultKinds))], random.IntN(len(f.proxies)*scheduleHosts)
+		t.Logf("after %d requests: %s (%d)", n, kind.name, at)
+		kind.strike(f, at)
+		repair()
+		repair = func() { kind.repair(f, at) }
+	}
+	repair()
+}
+
+// runCaller runs actions one after the other through random hosts.
+func runCaller(f *fleet, j *judge, random *rand.Rand, last *atomic.Int64, ended chan<- struct{}) {
+	c := f.raw(sendTimeout)
+	for range scheduleActions {
+		first := random.IntN(scheduleHosts)
+		one := told{mark: fmt.Sprintf("mark%d.", last.Add(1)), pipeline: "summary"}
+		if random.IntN(2) == 0 {
+			one.pipeline = "deposit"
+			one.key = someKey(c, first)
+		}
+		request := wire.Request{Workspace: "thun", Input: json.RawMessage(strconv.Quote(one.mark)), Deadline: 2000, Key: one.key}
+		if one.pipeline == "summary" || one.key != "" {
+			one.answer, one.lost = c.act(context.Background(), first, one.pipeline, request, 4)
+			j.add(one)
+		}
+		ended <- struct{}{}
+	}
+}
+
+// someKey returns a key from the first host that gives one; empty if none does.
+func someKey(c *rawCaller, first int) string {
+	for i := range c.hosts {
+		keys, err := c.keys(context.Background(), c.hosts[(first+i)%len(c.hosts)], 1)
+		if err == nil && len(keys) == 1 {
+			return keys[0]
+		}
+	}
+	return ""
+}
+
+// recover waits until each host serves both pipelines under the newest configuration. The
+// test's own timeout is the only bound.
+func (f *fleet) recover(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	f.platform.SetDown(false)
+	f.platform.SetStale(0)
+	f.publish("peak")
+	for i := range f.hosts {
+		f.resume(i)
+	}
+	c := f.raw(sendTimeout)
+	for _, h := range f.hosts {
+		for f.preset(h) != "peak" || !f.serves(c, h) {
+			time.Sleep(100 * time.Millisecond)
+		}
+		is.Equal(f.preset(h), "peak")
+	}
+}
+
+func (f *fleet) serves(c *rawCaller, h host) bool {
+	request := wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)}
+	answer, err := c.send(context.Background(), h.caller, "summary", request)
+	return err == nil && answer.Outcome == outcome.Done.String()
+}
+
+// preset returns the preset in force on the host.
+func (f *fleet) preset(h host) string {
+	response, err := f.raw(sendTimeout).client.Get("http://" + h.caller + wire.PathStatus)
+	if err != nil {
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	var status struct {
+		Preset string `json:"preset"`
+	}
+	_ = json.NewDecoder(response.Body).Decode(&status)
+	return status.Preset
+}
