Resend commands with the same key from the caller library

Cause: a caller could not ask for a key, and a resend after a broken connection was a new action. Ruled out: taking a not-run after an uncertain send as the end; the earlier send may still be on its way through a paused host.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -88,13 +88,25 @@
 			group.Add(err)
 			continue
 		}
-		c.hosts = answer.Hosts
-		c.expiry = time.Now().Add(time.Duration(answer.Lifetime) * time.Millisecond)
+		c.set(answer)
 		return nil
 	}
 	return errs.Combine(errs.New("no host named hosts to use"), group.Err())
 }
 
+// set replaces the kept address answer. The mutex is held.
+func (c *Client) set(answer wire.Addresses) {
+	c.hosts = answer.Hosts
+	c.expiry = time.Now().Add(time.Duration(answer.Lifetime) * time.Millisecond)
+}
+
+// keep replaces the kept address answer.
+func (c *Client) keep(answer wire.Addresses) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.set(answer)
+}
+
 func addresses(hosts []wire.Host) (list []string) {
 	for _, h := range hosts {
 		list = append(list, h.Address)
@@ -120,8 +132,12 @@
 }
 
 // Call runs a pipeline and returns its answer. Tokens are passed to each if it is not nil.
+// A pipeline with a stage that may not be repeated is run as by Command.
 func (c *Client) Call(ctx context.Context, pipeline string, request wire.Request, each func(wire.Token)) (answer wire.Answer, err error) {
 	defer func() { err = Error.Wrap(err) }()
+	if request.Key != "" {
+		return c.Command(ctx, pipeline, request)
+	}
 	hosts, err := c.Hosts(ctx)
 	if err != nil {
 		return answer, err
@@ -129,6 +145,9 @@
 	for sends := range maxSends {
 		host := hosts[sends%len(hosts)]
 		answer, err = c.send(ctx, host.Address, pipeline, request, each)
+		if err == nil && answer.Reason == reason.Keyless.String() {
+			return c.Command(ctx, pipeline, request)
+		}
 		if err == nil && !again(answer) {
 			return answer, nil
 		}
--- a/io/cli/call.go
+++ b/io/cli/call.go
@@ -22,6 +22,8 @@
 	Deadline  int64    `long:"deadline" description:"time limit in milliseconds"`
 	Size      int64    `long:"size" description:"expected work in tokens"`
 	Prefix    string   `long:"prefix" description:"name of the shared prompt prefix"`
+	Key       string   `long:"key" description:"command key; a resend with the same key never runs the command twice"`
+	Command   bool     `long:"command" description:"ask for a command key and print it before sending, for resends"`
 	Stream    bool     `long:"stream" description:"print tokens as they come"`
 
 	Arguments struct {
@@ -37,7 +39,15 @@
 	client := caller.New(c.Hosts, caller.WithZone(c.Zone))
 	request := wire.Request{
 		Workspace: c.Workspace, Input: json.RawMessage(c.Input), Deadline: c.Deadline,
-		Size: c.Size, Prefix: c.Prefix,
+		Size: c.Size, Prefix: c.Prefix, Key: c.Key,
+	}
+	if c.Command && c.Key == "" {
+		keys, err := client.Keys(c.env.ctx, c.Workspace, 1)
+		if err != nil {
+			return err
+		}
+		request.Key = keys[0]
+		_, _ = fmt.Fprintln(c.env.err, "key:", request.Key)
 	}
 	var each func(wire.Token)
 	if c.Stream {
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -44,6 +44,8 @@
 	cancel  context.CancelFunc
 	ended   chan error
 	client  *caller.Client
+	// deposits are the targets whose ledgers show that a command ran once.
+	deposits []*standin.Target
 }
 
 // Run starts the parts, runs requests of every kind, prints what happened to out and
@@ -64,7 +66,11 @@
 	for _, pool := range pools {
 		for i := range perPool {
 			name := fmt.Sprintf("%s%d", pool, i+1)
-			address, err := w.serve(standin.NewTarget(name, standin.WithPace(targetBase, targetToken)).Handler())
+			target := standin.NewTarget(name, standin.WithPace(targetBase, targetToken))
+			if pool == "deposits" {
+				w.deposits = append(w.deposits, target)
+			}
+			address, err := w.serve(target.Handler())
 			if err != nil {
 				return err
 			}
@@ -126,7 +132,6 @@
 		{"an availability check", "availability", wire.Request{Workspace: "biel", Input: input}},
 		{"an inspection report", "report", wire.Request{Workspace: "thun", Input: input, Size: 100}},
 		{"a request of an unknown workspace", "summary", wire.Request{Workspace: "nobody", Input: input}},
-		{"a deposit without a key", "deposit", wire.Request{Workspace: "biel", Input: input}},
 	}
 	for _, step := range steps {
 		answer, err := w.client.Call(ctx, step.pipeline, step.request, func(wire.Token) {})
@@ -135,6 +140,34 @@
 		}
 		w.print(step.title, answer)
 	}
+	return w.deposit(ctx, wire.Request{Workspace: "biel", Input: json.RawMessage(`{"amount":40}`)})
+}
+
+// deposit sends one command twice with the same key and counts its runs in the ledgers.
+func (w *world) deposit(ctx context.Context, request wire.Request) error {
+	keys, err := w.client.Keys(ctx, request.Workspace, 1)
+	if err != nil {
+		return err
+	}
+	request.Key = keys[0]
+	var outputs []string
+	for _, title := range []string{"a deposit with a key", "the same deposit, sent again"} {
+		answer, err := w.client.Call(ctx, "deposit", request, nil)
+		if err != nil {
+			return err
+		}
+		w.print(title, answer)
+		outputs = append(outputs, string(answer.Output))
+	}
+	runs := 0
+	for _, target := range w.deposits {
+		for _, entry := range target.Ledger() {
+			if entry.Stage == "deposit" {
+				runs++
+			}
+		}
+	}
+	_, _ = fmt.Fprintf(w.out, "  the same answer: %t; runs in the targets' ledgers: %d\n", outputs[0] == outputs[1], runs)
 	return nil
 }
 
