Let each host check the workspace of a key

Cause: the key that targets saw was extended by workspace and stage, so that a host that sends for an unreachable owner could not be answered with another workspace's command. Change: the key has a hash of the workspace under its MAC, which any host can check; targets get the plain key and compare key and stage. The target stand-in does so, lets a repeated call wait for the first one and finishes a recognised run whose caller is gone. No question to other hosts after the deadline. Before: with the workspace check off or the MAC check off, TestModel fails. Conclusion: no host sends a command under another workspace's key.

--- a/core/command/command_string.go
+++ b/core/command/command_string.go
@@ -35,13 +35,14 @@
 	_ = x[Incarnation-3]
 	_ = x[Number-4]
 	_ = x[Issued-5]
-	_ = x[MAC-6]
-	_ = x[Canonical-7]
+	_ = x[Workspace-6]
+	_ = x[MAC-7]
+	_ = x[Canonical-8]
 }
 
-const _Fault_name = "oversizepartshostincarnationnumberissuedmaccanonical"
+const _Fault_name = "oversizepartshostincarnationnumberissuedworkspacemaccanonical"
 
-var _Fault_index = [...]uint8{0, 8, 13, 17, 28, 34, 40, 43, 52}
+var _Fault_index = [...]uint8{0, 8, 13, 17, 28, 34, 40, 49, 52, 61}
 
 func (i Fault) String() string {
 	idx := int(i) - 0
--- a/core/command/command_test.go
+++ b/core/command/command_test.go
@@ -29,7 +29,7 @@
 // with an untyped error.
 func FuzzParse(f *testing.F) {
 	key := newTable(7, "s").Issue(time.Hour, "thun").String()
-	for _, seed := range []string{key, "", "a", strings.Repeat(".", 4), key + "A", strings.ToUpper(key), "a.7.1.-1.x", "a.07.1.1.x", strings.Repeat("a", 300)} {
+	for _, seed := range []string{key, "", "a", strings.Repeat(".", 5), key + "A", strings.ToUpper(key), "a.7.1.-1.x.x", "a.07.1.1.x.x", strings.Repeat("a", 300)} {
 		f.Add(seed)
 	}
 	f.Fuzz(func(t *testing.T, text string) {
@@ -56,7 +56,7 @@
 	for text, want := range map[string]command.Fault{
 		strings.Repeat("a", 300): command.Oversize, "a.b": command.Parts, with(0, ""): command.Host,
 		with(1, "x"): command.Incarnation, with(2, "-"): command.Number, with(3, "-1"): command.Issued,
-		with(3, "1y2p0ij32e8e7"): command.Issued, with(4, "AAAA"): command.MAC, with(1, "07"): command.Canonical,
+		with(3, "1y2p0ij32e8e7"): command.Issued, with(4, "AAAA"): command.Workspace, with(5, "AAAA"): command.MAC, with(1, "07"): command.Canonical,
 	} {
 		_, err := command.Parse(text)
 		var fault *command.DecodeError
--- a/core/command/key.go
+++ b/core/command/key.go
@@ -19,10 +19,12 @@
 const (
 	// maxKey bounds the text of a key in bytes, so that a decoder does bounded work.
 	maxKey = 256
-	// macBytes is the length of each of the two MACs of a key; 96 bits are beyond
-	// guessing within the lifetime of an incarnation.
-	macBytes = 12
-	keyParts = 5
+	// macBytes is the length of the MAC of a key; 128 bits are beyond guessing.
+	macBytes = 16
+	// tagBytes is the length of the hash of the workspace. Workspaces are published by the
+	// operators, so that 64 bits are enough to tell them apart.
+	tagBytes = 8
+	keyParts = 6
 	keyBase  = 36
 	hexBase  = 16
 )
@@ -38,6 +40,7 @@
 	Incarnation              // incarnation
 	Number                   // number
 	Issued                   // issued
+	Workspace                // workspace
 	MAC                      // mac
 	Canonical                // canonical
 )
@@ -61,11 +64,11 @@
 	number      uint64
 	// issued is the issue time in whole milliseconds since the start of the owner.
 	issued time.Duration
-	// proof is the MAC over the fields above, so that a forged key is detected.
-	proof [macBytes]byte
-	// bond is the MAC over the fields above and the workspace, so that a key of another
-	// workspace is told apart from a forged one.
-	bond [macBytes]byte
+	// tag is a hash of the workspace, which each host can check without the secret: a host
+	// that sends a command of an unreachable owner must not send it for another workspace.
+	tag [tagBytes]byte
+	// mac is over all the fields above, so that the owner detects a forged key.
+	mac [macBytes]byte
 }
 
 // Host returns the name of the host that issued the key.
@@ -80,17 +83,21 @@
 // Issued returns the issue time as time since the start of the owner.
 func (k Key) Issued() time.Duration { return k.issued }
 
+// Of reports whether the key names the workspace. Only the owner knows whether the key is
+// genuine.
+func (k Key) Of(workspace string) bool { return k.tag == tagOf(workspace) }
+
 // String returns the text of the key:
-// host.incarnation.number.milliseconds.macs, with the incarnation in hexadecimal, the
-// numbers in base 36 and the MACs in unpadded base64url.
+// host.incarnation.number.milliseconds.workspace.mac, with the incarnation in hexadecimal,
+// the numbers in base 36 and the hash and the MAC in unpadded base64url.
 func (k Key) String() string {
-	macs := append(append(make([]byte, 0, 2*macBytes), k.proof[:]...), k.bond[:]...)
 	return strings.Join([]string{
 		k.host,
 		strconv.FormatUint(k.incarnation, hexBase),
 		strconv.FormatUint(k.number, keyBase),
 		strconv.FormatInt(k.issued.Milliseconds(), keyBase),
-		base64.RawURLEncoding.EncodeToString(macs),
+		base64.RawURLEncoding.EncodeToString(k.tag[:]),
+		base64.RawURLEncoding.EncodeToString(k.mac[:]),
 	}, ".")
 }
 
@@ -120,12 +127,12 @@
 		return Key{}, &DecodeError{fault: Issued}
 	}
 	k.issued = time.Duration(issued) * time.Millisecond
-	macs, err := base64.RawURLEncoding.DecodeString(parts[4])
-	if err != nil || len(macs) != 2*macBytes {
+	if !decode(k.tag[:], parts[4]) {
+		return Key{}, &DecodeError{fault: Workspace}
+	}
+	if !decode(k.mac[:], parts[5]) {
 		return Key{}, &DecodeError{fault: MAC}
 	}
-	copy(k.proof[:], macs)
-	copy(k.bond[:], macs[macBytes:])
 	if k.String() != text {
 		return Key{}, &DecodeError{fault: Canonical}
 	}
@@ -135,15 +142,22 @@
 // maxIssued is the latest issue time that does not overflow when a lifetime is added.
 const maxIssued = 1<<62 - 1
 
-// sign sets the MACs of the key.
-func (k *Key) sign(secret []byte, workspace string) {
-	k.proof = k.sum(secret, "")
-	k.bond = k.sum(secret, "workspace "+workspace)
+// decode fills the bytes from their text and reports whether the length is right.
+func decode(to []byte, text string) bool {
+	b, err := base64.RawURLEncoding.DecodeString(text)
+	return err == nil && copy(to, b) == len(to) && len(b) == len(to)
+}
+
+func tagOf(workspace string) (tag [tagBytes]byte) {
+	sum := sha256.Sum256([]byte("workspace " + workspace))
+	copy(tag[:], sum[:])
+	return tag
 }
 
-// sum returns the truncated HMAC-SHA-256 over the fields of the key and the bound text.
-// Each text is preceded by its length, so that no two inputs have the same bytes.
-func (k Key) sum(secret []byte, bound string) (mac [macBytes]byte) {
+// sum returns the truncated HMAC-SHA-256 over the fields of the key. The host is preceded
+// by its length and all other fields have a fixed length, so that no two keys have the
+// same bytes.
+func (k Key) sum(secret []byte) (mac [macBytes]byte) {
 	h := hmac.New(sha256.New, secret)
 	var b []byte
 	b = binary.BigEndian.AppendUint64(b, uint64(len(k.host)))
@@ -151,8 +165,7 @@
 	b = binary.BigEndian.AppendUint64(b, k.incarnation)
 	b = binary.BigEndian.AppendUint64(b, k.number)
 	b = binary.BigEndian.AppendUint64(b, uint64(k.issued.Milliseconds()))
-	b = binary.BigEndian.AppendUint64(b, uint64(len(bound)))
-	b = append(b, bound...)
+	b = append(b, k.tag[:]...)
 	_, _ = h.Write(b)
 	copy(mac[:], h.Sum(nil))
 	return mac
@@ -160,12 +173,6 @@
 
 // genuine reports whether the key was issued under the secret.
 func (k Key) genuine(secret []byte) bool {
-	want := k.sum(secret, "")
-	return hmac.Equal(want[:], k.proof[:])
-}
-
-// bound reports whether the key was issued to the workspace under the secret.
-func (k Key) bound(secret []byte, workspace string) bool {
-	want := k.sum(secret, "workspace "+workspace)
-	return hmac.Equal(want[:], k.bond[:])
+	want := k.sum(secret)
+	return hmac.Equal(want[:], k.mac[:])
 }
--- a/core/command/table.go
+++ b/core/command/table.go
@@ -85,8 +85,8 @@
 // Issue returns a new key for the workspace.
 func (t *Table) Issue(now time.Duration, workspace string) Key {
 	t.last++
-	k := Key{host: t.host, incarnation: t.incarnation, number: t.last, issued: now.Truncate(time.Millisecond)}
-	k.sign(t.secret, workspace)
+	k := Key{host: t.host, incarnation: t.incarnation, number: t.last, issued: now.Truncate(time.Millisecond), tag: tagOf(workspace)}
+	k.mac = k.sum(t.secret)
 	return k
 }
 
@@ -98,7 +98,7 @@
 		return Refuse(reason.Owner)
 	case !k.genuine(t.secret):
 		return Refuse(reason.Forged)
-	case !k.bound(t.secret, workspace):
+	case !k.Of(workspace):
 		return Refuse(reason.Foreign)
 	case now-k.issued >= t.lifetime:
 		return Refuse(reason.Expired)
--- a/io/integration/command_test.go
+++ b/io/integration/command_test.go
@@ -200,10 +200,9 @@
 	c := startCommands(t, 2, false)
 	key := c.key(0)
 	for i := range c.hosts {
-		foreign, forged, keyless := deposit(key, 0), deposit(key[:len(key)-4]+"AAAA", 0), deposit(key, 0)
+		foreign, forged, keyless := deposit(key, 0), deposit(key[:len(key)-8]+"AAAAAAAA", 0), deposit(key, 0)
 		foreign.Workspace, keyless.Key = "biel", ""
 		expect(t, c.send(i, foreign), outcome.NotRun, reason.Foreign)
-		forged.Key = "h0" + key[2:len(key)-32] + "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
 		expect(t, c.send(i, forged), outcome.NotRun, reason.Forged)
 		expect(t, c.send(i, keyless), outcome.NotRun, reason.Keyless)
 	}
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -32,6 +32,9 @@
 
 // remote answers a command whose key this incarnation did not issue.
 func (o *Owner) remote(ctx context.Context, job runner.Job, c parsed) wire.Answer {
+	if !c.key.Of(c.workspace) {
+		return refuse(job.ID(), reason.Foreign, "")
+	}
 	if answer, ok := o.inherited(job.ID(), c); ok {
 		return answer
 	}
@@ -40,8 +43,10 @@
 	if answer, ok := o.forward(ctx, job, c.key, recognise); ok {
 		return answer
 	}
-	if answer, ok := o.ask(ctx, job, c.key); ok {
-		return answer
+	if o.clock() < deadline {
+		if answer, ok := o.ask(ctx, job, c.key); ok {
+			return answer
+		}
 	}
 	left := deadline - o.clock()
 	if !recognise || left <= 0 {
--- a/io/runner/command_test.go
+++ b/io/runner/command_test.go
@@ -82,7 +82,9 @@
 		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			var run wire.Run
 			_ = json.NewDecoder(r.Body).Decode(&run)
-			keys[run.Key]++
+			if run.Key != "" {
+				keys[run.Key+" "+run.Stage]++
+			}
 			respond(w, run, one.stage == run.Stage, one.end)
 		}))
 		g := gate.New(func() time.Duration { return 0 }, rand.New(rand.NewPCG(1, 1)))
@@ -95,7 +97,7 @@
 			t.Errorf("%s with %s at %s: %s, want %s", one.pipeline, one.end, one.stage, got, one.want)
 		}
 		for key, n := range keys {
-			if key != "" && n > 1 {
+			if n > 1 {
 				t.Errorf("%s with %s at %s: key %s was sent %d times", one.pipeline, one.end, one.stage, key, n)
 			}
 		}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -205,7 +205,7 @@
 		Prefix: request.Prefix, Size: request.Size,
 	}
 	if stage.Command() {
-		run.Key = targetKey(request, stage)
+		run.Key = request.Key
 		reply, err := r.client.Command(ctx, r.gates.Address(name), run, p.deadline)
 		if err != nil {
 			p.answer.Detail = err.Error()
@@ -225,14 +225,6 @@
 	return reply
 }
 
-// targetKey returns the key by which a target recognises a repeated command. It differs
-// between the stages of a request, which are different commands, and between workspaces:
-// a host that sends a command of an unreachable owner cannot check the workspace of its
-// key, and a target must not answer it with another workspace's command.
-func targetKey(request wire.Request, stage document.Stage) string {
-	return request.Key + "/" + request.Workspace + "/" + stage.Name()
-}
-
 // pass hands a token to the caller in order and once.
 func (p *progress) pass(t wire.Token) error {
 	if t.Index != p.streamed {
--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -34,7 +34,8 @@
 	slots chan struct{}
 	base  time.Duration
 	each  time.Duration
-	// recognise makes a repeated key return the answer of its first run.
+	// recognise makes a repeated key and stage return the answer of its first run, which
+	// goes on if its caller goes away.
 	recognise bool
 	// fencing makes the target refuse orders with an old fencing token.
 	fencing bool
@@ -43,8 +44,16 @@
 	running int
 	queued  int
 	ledger  []Entry
-	answers map[string]wire.Ran
-	order   wire.Order
+	// first has the first run of each key and stage of a target that recognises keys.
+	first map[string]*firstRun
+	order wire.Order
+}
+
+// firstRun is the first run of a key. The answer is set before done is closed; it has no
+// outcome if the work did not begin.
+type firstRun struct {
+	done   chan struct{}
+	answer wire.Ran
 }
 
 // TargetOption configures a Target.
@@ -66,7 +75,7 @@
 
 // NewTarget returns a stand-in with 8 slots that answers at once.
 func NewTarget(name string, options ...TargetOption) *Target {
-	t := &Target{name: name, slots: make(chan struct{}, 8), answers: make(map[string]wire.Ran)}
+	t := &Target{name: name, slots: make(chan struct{}, 8), first: make(map[string]*firstRun)}
 	for _, o := range options {
 		o(t)
 	}
@@ -100,12 +109,16 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(run.Deadline)*time.Millisecond)
 	defer cancel()
+	if t.recognise && run.Key != "" && !t.claim(ctx, w, run) {
+		return
+	}
 	t.add(0, 1)
 	select {
 	case t.slots <- struct{}{}:
 		t.add(1, -1)
 	case <-ctx.Done():
 		t.add(0, -1)
+		t.release(run)
 		t.answer(w, run, outcome.NotRun, nil)
 		return
 	}
@@ -113,10 +126,8 @@
 		<-t.slots
 		t.add(-1, 0)
 	}()
-	if seen, ok := t.recall(run.Key); ok {
-		seen.Request, seen.Attempt = run.Request, run.Attempt
-		writeJSON(w, http.StatusOK, seen)
-		return
+	if t.recognise && run.Key != "" {
+		ctx = context.WithoutCancel(ctx)
 	}
 	t.work(ctx, w, run)
 }
@@ -175,10 +186,8 @@
 	if o == outcome.NotRun {
 		status = http.StatusServiceUnavailable
 	}
-	if o == outcome.Done && run.Key != "" {
-		t.mutex.Lock()
-		t.answers[run.Key] = ran
-		t.mutex.Unlock()
+	if o == outcome.Done {
+		t.complete(run, ran)
 	}
 	writeJSON(w, status, ran)
 }
@@ -187,14 +196,51 @@
 	return wire.Ran{Request: run.Request, Stage: run.Stage, Attempt: run.Attempt, Outcome: o.String(), Output: output, Load: t.load()}
 }
 
-func (t *Target) recall(key string) (seen wire.Ran, ok bool) {
+// claim reports whether this is the first call with its key and stage. Another call waits
+// for the first one and gets its answer.
+func (t *Target) claim(ctx context.Context, w http.ResponseWriter, run wire.Run) bool {
+	t.mutex.Lock()
+	first, ok := t.first[run.Key+" "+run.Stage]
+	if !ok {
+		t.first[run.Key+" "+run.Stage] = &firstRun{done: make(chan struct{})}
+	}
+	t.mutex.Unlock()
+	if !ok {
+		return true
+	}
+	select {
+	case <-first.done:
+	case <-ctx.Done():
+		return false
+	}
+	if first.answer.Outcome == "" {
+		t.answer(w, run, outcome.NotRun, nil)
+		return false
+	}
+	seen := first.answer
+	seen.Request, seen.Attempt = run.Request, run.Attempt
+	writeJSON(w, http.StatusOK, seen)
+	return false
+}
+
+// complete keeps the answer of a first run.
+func (t *Target) complete(run wire.Run, ran wire.Ran) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if first, ok := t.first[run.Key+" "+run.Stage]; ok {
+		first.answer = ran
+		close(first.done)
+	}
+}
+
+// release forgets a first call whose work did not begin.
+func (t *Target) release(run wire.Run) {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	if !t.recognise || key == "" {
-		return wire.Ran{}, false
+	if first, ok := t.first[run.Key+" "+run.Stage]; ok {
+		delete(t.first, run.Key+" "+run.Stage)
+		close(first.done)
 	}
-	seen, ok = t.answers[key]
-	return seen, ok
 }
 
 func (t *Target) record(run wire.Run) (at int) {
--- a/io/wire/target.go
+++ b/io/wire/target.go
@@ -14,7 +14,9 @@
 	Request string `json:"request"`
 	Stage   string `json:"stage"`
 	Attempt int    `json:"attempt"`
-	Key     string `json:"key,omitempty"`
+	// Key is the command key; only calls of stages that may not be repeated have one. A
+	// target that recognises repeated commands compares the key and the stage.
+	Key string `json:"key,omitempty"`
 	// Deadline is the time left in milliseconds.
 	Deadline int64           `json:"deadline"`
 	Priority int             `json:"priority,omitempty"`
