Take no command from the buffers of a paused host

Cause: a request that waited in the buffers of a paused host ran after its deadline when the host woke; only the length of the deadline travels, so neither the deadline check nor the check before the write sees it. Ruled out: the cancellation by the other host or the caller; a command that began goes on without its caller, and the request is often begun first.

--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -95,7 +95,7 @@
 	{Crashed, outcome.Failed, http.StatusBadGateway, "The connection to the target broke before its whole answer was there."},
 	{Rejected, outcome.Failed, http.StatusBadGateway, "The target reported that the work failed."},
 	{Gone, outcome.Failed, 499, "The caller closed its connection before the answer was there."},
-	{Paused, outcome.NotRun, http.StatusServiceUnavailable, "The host was paused between the deadline check and the write of a command."},
+	{Paused, outcome.NotRun, http.StatusServiceUnavailable, "The host was paused before the write of a command, so that the command may be past its deadline."},
 	{Crossed, outcome.Failed, http.StatusBadGateway, "Answers of other calls arrived in place of this call's answer."},
 }
 
--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -164,7 +164,7 @@
 func again(answer wire.Answer) bool {
 	o, _ := outcome.Parse(answer.Outcome)
 	why, _ := reason.Parse(answer.Reason)
-	return o == outcome.NotRun && (why == reason.Draining || why == reason.Joining)
+	return o == outcome.NotRun && (why == reason.Draining || why == reason.Joining || why == reason.Paused)
 }
 
 // forget drops the kept address answer.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -102,6 +102,7 @@
 	event.Log(d.log, event.HostDraining, "host", d.settings.Host())
 	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
 	defer cancel()
+	d.owner.Close()
 	d.control.drain(ctx)
 	err := d.owner.Drain(ctx)
 	return errors.Join(err, d.front.Shutdown(ctx))
--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -20,14 +20,19 @@
 	handoverLimit = 5 * time.Second
 )
 
+// Close refuses commands that have not begun from now on.
+func (o *Owner) Close() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	o.draining = true
+	o.settle()
+}
+
 // Drain refuses new commands, waits for running ones and hands the finished records to
 // the first live host of the list that takes them: its own, and those that it inherited.
 func (o *Owner) Drain(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	o.mutex.Lock()
-	o.draining = true
-	o.settle()
-	o.mutex.Unlock()
+	o.Close()
 	select {
 	case <-o.idle:
 	case <-ctx.Done():
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -51,6 +51,7 @@
 	log      logr.Logger
 	// listed is the newest host list.
 	listed atomic.Pointer[wire.Hosts]
+	pulse  pulse
 
 	mutex     sync.Mutex
 	table     *command.Table
@@ -89,6 +90,7 @@
 		flights:   make(map[command.Key]*flight), idle: make(chan struct{}),
 	}
 	o.listed.Store(&wire.Hosts{})
+	o.pulse.last.Store(int64(clock()))
 	for _, option := range options {
 		option(o)
 	}
@@ -112,11 +114,13 @@
 	return keys, o.table.Lifetime()
 }
 
-// Tick removes the records of expired keys.
+// Tick notes that the process is not paused and removes the records of expired keys. The
+// control goroutine calls it each 100 ms.
 func (o *Owner) Tick() {
+	now := o.clock()
+	o.pulse.beat(now)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	now := o.clock()
 	if now-o.swept < sweep {
 		return
 	}
@@ -216,6 +220,8 @@
 	switch {
 	case d.Verdict() == command.Begun && o.draining:
 		return command.Refuse(reason.Draining), nil
+	case d.Verdict() == command.Begun && o.pulse.paused(o.clock()):
+		return command.Refuse(reason.Paused), nil
 	case d.Verdict() == command.Begun && !runnable:
 		return command.Refuse(reason.Pipeline), nil
 	}
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -38,6 +38,11 @@
 	if answer, ok := o.inherited(job.ID(), c); ok {
 		return answer
 	}
+	if o.pulse.paused(o.clock()) {
+		answer := refuse(job.ID(), reason.Paused, "")
+		answer.Outcome = outcome.Unknown.String()
+		return answer
+	}
 	deadline := o.clock() + job.Limit()
 	recognise := o.recognise(job)
 	if answer, ok := o.forward(ctx, job, c.key, recognise); ok {
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -40,7 +40,7 @@
 func (p *progress) commandEnd(reply target.Reply) (why reason.Reason, end outcome.Outcome) {
 	why = cause(reply.End())
 	switch {
-	case !reply.Sent():
+	case !reply.Sent() && reply.Refusal() != reason.None:
 		return reply.Refusal(), p.unwritten(outcome.NotRun)
 	case reply.End() == schedule.Busy:
 		return why, p.unwritten(outcome.NotRun)
