--- a/io/integration/command_test.go
+++ b/io/integration/command_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"runtime"
 	"sync"
 	"testing"
 
@@ -34,8 +35,10 @@
 [stage deposit]
 pool = deposits
 command = true
-[pipeline check]
-stages = check
+[stage look]
+pool = deposits
+[pipeline balance]
+stages = look
 deadline = 3m
 [pipeline deposit]
 stages = check, deposit
@@ -77,10 +80,10 @@
 	}
 }
 
-// startCommands runs n hosts.
-func startCommands(t *testing.T, n int, recognise bool) *commands {
+// startCommands runs n hosts; the flags are those of the deposit target.
+func startCommands(t *testing.T, n int, recognise bool, flags ...string) *commands {
 	t.Helper()
-	c := &commands{t: t, platform: startPlatform(t), target: startTarget(t, targetFlags(recognise)...)}
+	c := &commands{t: t, platform: startPlatform(t), target: startTarget(t, append(targetFlags(recognise), flags...)...)}
 	c.deposits = newProxy(t, c.target)
 	var list []wire.Listed
 	for i := range n {
@@ -135,6 +138,20 @@
 	return answer
 }
 
+// start sends in the background.
+func (c *commands) start(i int, request wire.Request) <-chan wire.Answer {
+	answers := make(chan wire.Answer, 1)
+	go func() { answers <- c.send(i, request) }()
+	return answers
+}
+
+// ran waits until the deposit target has begun n runs.
+func (c *commands) ran(n int) {
+	for len(ledger(c.t, c.target)) < n {
+		runtime.Gosched()
+	}
+}
+
 // judge checks the ledger against the answers for one key: at most one run, none if the
 // last word on the key is not-run, and only answers that belong to the key.
 func (c *commands) judge(key string, answers ...wire.Answer) {
--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -138,11 +138,17 @@
 	return l.Addr().String()
 }
 
-// startHost runs a daemon with the given extra settings lines in its host section.
+// startHost runs a daemon on ports that the system chooses, so that no other process can
+// take them before the daemon listens.
 func startHost(t *testing.T, name, zone, platform string) host {
 	t.Helper()
-	h := host{name: name, caller: freeAddress(t), peer: freeAddress(t)}
+	h := host{name: name, caller: "127.0.0.1:0", peer: "127.0.0.1:0"}
 	h.process = runHost(t, h, zone, platform)
+	var started struct{ Caller, Peer string }
+	if err := json.Unmarshal([]byte(h.line(`"event":1001`)), &started); err != nil {
+		t.Fatal(err)
+	}
+	h.caller, h.peer = started.Caller, started.Peer
 	return h
 }
 
--- a/io/integration/proxy_test.go
+++ b/io/integration/proxy_test.go
@@ -18,6 +18,8 @@
 	changed *sync.Cond
 	faults  faults
 	conns   map[net.Conn]*link
+	// holding is the number of reads that are held back now.
+	holding int
 }
 
 // faults say what happens to bytes and to new connections.
@@ -85,6 +87,15 @@
 	p.changed.Broadcast()
 }
 
+// holds waits until a read is held back.
+func (p *proxy) holds() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for p.holding == 0 {
+		p.changed.Wait()
+	}
+}
+
 func (p *proxy) accept() {
 	for {
 		client, err := p.listener.Accept()
@@ -149,9 +160,12 @@
 // hold waits while bytes are held back, and for the delay.
 func (p *proxy) hold(l *link, silenced func(faults) bool) {
 	p.mutex.Lock()
+	p.holding++
+	p.changed.Broadcast()
 	for silenced(p.faults) && (l.old || !p.faults.onlyOld) && p.conns[l.client] != nil {
 		p.changed.Wait()
 	}
+	p.holding--
 	delay := p.faults.delay
 	p.mutex.Unlock()
 	time.Sleep(delay)
