Read and write server-sent events in one package

Cause: io/target and io/caller each had a reader of server-sent events, and io/front and io/standin each a writer. Both readers acted on a data line before its blank line and kept the event name for later data lines. Ruled out: a third-party event source client; it reconnects by itself, which would repeat a request. Change: io/sse reads and writes events for all four. An event counts only with its blank line. Before: two readers and two writers without tests. Conclusion: a stream that is cut inside an event is not taken for a complete one.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -17,6 +16,7 @@
 
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
+	"sassafrasward/io/sse"
 	"sassafrasward/io/wire"
 )
 
@@ -182,24 +182,16 @@
 }
 
 func readEvents(body io.Reader, each func(wire.Token)) (answer wire.Answer, err error) {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxAnswer)
-	name := ""
-	for scanner.Scan() {
-		key, value, _ := strings.Cut(scanner.Text(), ":")
-		value = strings.TrimPrefix(value, " ")
-		switch {
-		case key == "event":
-			name = value
-		case key == "data" && name == wire.EventToken:
-			var token wire.Token
-			if err := json.Unmarshal([]byte(value), &token); err != nil {
-				return answer, err
-			}
-			each(token)
-		case key == "data" && name == wire.EventEnd:
-			return answer, json.Unmarshal([]byte(value), &answer)
+	data, err := sse.Until(body, maxAnswer, wire.EventToken, wire.EventEnd, func(data []byte) error {
+		var token wire.Token
+		if err := json.Unmarshal(data, &token); err != nil {
+			return err
 		}
+		each(token)
+		return nil
+	})
+	if err != nil {
+		return answer, err
 	}
-	return answer, errs.Combine(errs.New("the stream ended before its end event"), scanner.Err())
+	return answer, json.Unmarshal(data, &answer)
 }
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -1,12 +1,12 @@
 package front
 
 import (
-	"encoding/json"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
 	"sassafrasward/io/runner"
+	"sassafrasward/io/sse"
 	"sassafrasward/io/wire"
 )
 
@@ -22,11 +22,7 @@
 }
 
 func writeEvent(c echo.Context, name string, data any) error {
-	body, err := json.Marshal(data)
-	if err != nil {
-		return err
-	}
-	if _, err := c.Response().Write([]byte("event: " + name + "\ndata: " + string(body) + "\n\n")); err != nil {
+	if err := sse.Write(c.Response(), name, data); err != nil {
 		return err
 	}
 	c.Response().Flush()
--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"sassafrasward/core/outcome"
+	"sassafrasward/io/sse"
 	"sassafrasward/io/wire"
 )
 
@@ -139,8 +140,7 @@
 	output, _ := json.Marshal(map[string]any{"stage": run.Stage, "of": run.Request, "input": run.Input})
 	if run.Stream {
 		w.Header().Set("Content-Type", wire.ContentEvents)
-		body, _ := json.Marshal(t.ran(run, outcome.Done, output))
-		_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", wire.EventEnd, body)
+		_ = sse.Write(w, wire.EventEnd, t.ran(run, outcome.Done, output))
 		return
 	}
 	t.answer(w, run, outcome.Done, output)
@@ -148,8 +148,7 @@
 
 func writeToken(w http.ResponseWriter, token wire.Token) {
 	w.Header().Set("Content-Type", wire.ContentEvents)
-	body, _ := json.Marshal(token)
-	_, _ = fmt.Fprintf(w, "event: %s\ndata: %s\n\n", wire.EventToken, body)
+	_ = sse.Write(w, wire.EventToken, token)
 	if f, ok := w.(http.Flusher); ok {
 		f.Flush()
 	}
--- a/io/target/read.go
+++ b/io/target/read.go
@@ -1,15 +1,13 @@
 package target
 
 import (
-	"bufio"
 	"encoding/json"
 	"io"
 	"net"
 	"net/http"
 	"strings"
 
-	"github.com/zeebo/errs"
-
+	"sassafrasward/io/sse"
 	"sassafrasward/io/wire"
 )
 
@@ -29,42 +27,29 @@
 
 // stream reads server-sent events up to the end event.
 func stream(body io.Reader, run wire.Run, each func(wire.Token) error) (reply Reply, err error) {
-	scanner := bufio.NewScanner(body)
-	scanner.Buffer(make([]byte, 0, 4096), maxAnswer)
-	name, tokens := "", 0
-	for scanner.Scan() {
-		key, value, _ := strings.Cut(scanner.Text(), ":")
-		value = strings.TrimPrefix(value, " ")
-		switch {
-		case key == "event":
-			name = value
-		case key == "data" && name == wire.EventToken:
-			tokens++
-			if err := pass(value, each); err != nil {
-				return Reply{}, err
-			}
-		case key == "data" && name == wire.EventEnd:
-			var ran wire.Ran
-			if err := json.Unmarshal([]byte(value), &ran); err != nil {
-				return Reply{}, err
-			}
-			reply, err = check(ran, run)
-			reply.tokens = tokens
-			return reply, err
-		}
+	tokens := 0
+	data, err := sse.Until(body, maxAnswer, wire.EventToken, wire.EventEnd, func(data []byte) error {
+		tokens++
+		return pass(data, each)
+	})
+	if err != nil {
+		return Reply{}, err
 	}
-	if err := scanner.Err(); err != nil {
+	var ran wire.Ran
+	if err := json.Unmarshal(data, &ran); err != nil {
 		return Reply{}, err
 	}
-	return Reply{}, errs.New("the stream ended before its end event")
+	reply, err = check(ran, run)
+	reply.tokens = tokens
+	return reply, err
 }
 
-func pass(data string, each func(wire.Token) error) error {
+func pass(data []byte, each func(wire.Token) error) error {
 	if each == nil {
 		return nil
 	}
 	var token wire.Token
-	if err := json.Unmarshal([]byte(data), &token); err != nil {
+	if err := json.Unmarshal(data, &token); err != nil {
 		return err
 	}
 	return each(token)
