Refuse wrong input with a typed error and a count per reason

Cause: duplicate sections and equal duplicate keys of a document were merged, data after the JSON object of a request was ignored, null was taken for a request, settings merged duplicates and took a body size such as 1MB as 1, and an oversize document was read again after each failure instead of being refused once. The preset key accept had no effect. Ruled out: strict options of the INI reader alone; it merges duplicate sections unless they are kept apart and compared here. Change: each mistake of a document has a kind, counted as document.KIND. The decoder of requests reads exactly one object. New reason closed for a preset that takes no requests. Addresses that cannot be connected to are refused. Over real processes, four refused documents leave version 1 in force. Conclusion: the last accepted configuration stays in force through broken, oversize and contradictory documents.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -20,18 +20,25 @@
 
 // Mistake is one thing that is wrong with a document.
 type Mistake struct {
+	fault   Fault
 	section string
 	key     string
 	value   string
 	allowed string
 }
 
+// Fault returns the kind of the mistake.
+func (m Mistake) Fault() Fault { return m.fault }
+
 // Section returns the section that the mistake is in.
 func (m Mistake) Section() string { return m.section }
 
 // Key returns the key that the mistake is in; empty for the section as a whole.
 func (m Mistake) Key() string { return m.key }
 
+// Value returns the value that is not allowed; empty for a missing key.
+func (m Mistake) Value() string { return m.value }
+
 // Allowed states what would be right.
 func (m Mistake) Allowed() string { return m.allowed }
 
@@ -120,16 +127,22 @@
 	return list
 }
 
-// Parse checks and returns the document in raw. The error holds a Mistakes value unless
-// the bytes are not INI at all.
+// options make the INI reader keep duplicate sections and keys apart, so that they are
+// found instead of merged.
+var options = ini.LoadOptions{
+	KeyValueDelimiters: "=", IgnoreContinuation: true, AllowNonUniqueSections: true,
+	AllowShadows: true, AllowDuplicateShadowValues: true, PreserveEmptyShadowValues: true,
+}
+
+// Parse checks and returns the document in raw. The error holds a Mistakes value.
 func Parse(raw []byte) (d *Document, err error) {
 	defer func() { err = Error.Wrap(err) }()
 	if len(raw) > MaxBytes {
-		return nil, Mistakes{{section: sectionDocument, allowed: fmt.Sprintf("at most %d bytes", MaxBytes)}}
+		return nil, Mistakes{{fault: Size, section: sectionDocument, allowed: fmt.Sprintf("at most %d bytes", MaxBytes)}}
 	}
-	file, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", AllowShadows: true, IgnoreContinuation: true}, raw)
+	file, err := ini.LoadSources(options, raw)
 	if err != nil {
-		return nil, err
+		return nil, Mistakes{{fault: Syntax, section: sectionDocument, value: err.Error(), allowed: "sections and keys in INI syntax"}}
 	}
 	b := newBuilder()
 	mistakes := b.read(file)
@@ -147,14 +160,20 @@
 // read sets all fields and reports unknown sections and keys, values out of range and
 // missing keys.
 func (b *builder) read(file *ini.File) (mistakes Mistakes) {
+	seen := make(map[string]bool)
 	for _, section := range file.Sections() {
 		if section.Name() == ini.DefaultSection && len(section.Keys()) == 0 {
 			continue
 		}
+		if seen[section.Name()] {
+			mistakes = append(mistakes, Mistake{fault: Duplicate, section: section.Name(), allowed: "one section of this name only"})
+			continue
+		}
+		seen[section.Name()] = true
 		mistakes = append(mistakes, b.readSection(section)...)
 	}
-	if b.force == "" {
-		mistakes = append(mistakes, Mistake{section: sectionDocument, key: "preset", allowed: "the name of a preset section"})
+	if !seen[sectionDocument] {
+		mistakes = append(mistakes, Mistake{fault: Missing, section: sectionDocument, key: "preset", allowed: "the name of a preset section (required)"})
 	}
 	return mistakes
 }
@@ -162,7 +181,7 @@
 func (b *builder) readSection(section *ini.Section) (mistakes Mistakes) {
 	kind, name, _ := strings.Cut(section.Name(), " ")
 	if !knownSection(kind) || (kind == sectionDocument) != (name == "") || strings.ContainsAny(name, " ,\t") {
-		return Mistakes{{section: section.Name(), allowed: "document, or one of preset, workspace, pool, target, stage, pipeline with a name of one word"}}
+		return Mistakes{{fault: Section, section: section.Name(), allowed: "document, or one of preset, workspace, pool, target, stage, pipeline with a name of one word"}}
 	}
 	b.touch(kind, name)
 	seen := make(map[string]bool)
@@ -172,7 +191,7 @@
 	}
 	for _, f := range fields {
 		if f.section == kind && f.required && !seen[f.key] {
-			mistakes = append(mistakes, Mistake{section: section.Name(), key: f.key, allowed: f.allowed + " (required)"})
+			mistakes = append(mistakes, Mistake{fault: Missing, section: section.Name(), key: f.key, allowed: f.allowed + " (required)"})
 		}
 	}
 	return mistakes
@@ -181,13 +200,13 @@
 func (b *builder) readKey(section, kind, name string, key *ini.Key) Mistakes {
 	f, ok := findField(kind, key.Name())
 	if !ok {
-		return Mistakes{{section: section, key: key.Name(), value: key.Value(), allowed: "a known key of the section"}}
+		return Mistakes{{fault: Key, section: section, key: key.Name(), value: key.Value(), allowed: "a known key of the section"}}
 	}
 	if len(key.ValueWithShadows()) > 1 {
-		return Mistakes{{section: section, key: key.Name(), value: key.Value(), allowed: "one value only"}}
+		return Mistakes{{fault: Duplicate, section: section, key: key.Name(), value: key.Value(), allowed: "one value only"}}
 	}
 	if !f.set(b, name, key.Value()) {
-		return Mistakes{{section: section, key: key.Name(), value: key.Value(), allowed: f.allowed}}
+		return Mistakes{{fault: Value, section: section, key: key.Name(), value: key.Value(), allowed: f.allowed}}
 	}
 	return nil
 }
@@ -204,7 +223,7 @@
 // link resolves the names that sections use for each other.
 func (b *builder) link() (mistakes Mistakes) {
 	if _, ok := b.presets.Get(b.force); !ok && b.force != "" {
-		mistakes = append(mistakes, Mistake{section: sectionDocument, key: "preset", value: b.force, allowed: "the name of a preset section"})
+		mistakes = append(mistakes, Mistake{fault: Reference, section: sectionDocument, key: "preset", value: b.force, allowed: "the name of a preset section"})
 	}
 	for _, t := range b.targets.All() {
 		mistakes = append(mistakes, b.linkPool("target "+t.name, t.pool)...)
@@ -220,7 +239,7 @@
 
 func (b *builder) linkPool(section, pool string) Mistakes {
 	if _, ok := b.pools.Get(pool); !ok && pool != "" {
-		return Mistakes{{section: section, key: "pool", value: pool, allowed: "the name of a pool section"}}
+		return Mistakes{{fault: Reference, section: section, key: "pool", value: pool, allowed: "the name of a pool section"}}
 	}
 	return nil
 }
@@ -230,7 +249,7 @@
 	for _, name := range b.chains[p.name] {
 		s, ok := b.stages.Get(name)
 		if !ok || used[name] {
-			mistakes = append(mistakes, Mistake{section: "pipeline " + p.name, key: "stages", value: name, allowed: "the name of a stage section, each at most once"})
+			mistakes = append(mistakes, Mistake{fault: Reference, section: "pipeline " + p.name, key: "stages", value: name, allowed: "the name of a stage section, each at most once"})
 			continue
 		}
 		used[name] = true
--- /dev/null
+++ b/core/document/document_test.go
@@ -0,0 +1,187 @@
+package document_test
+
+import (
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/document"
+)
+
+const valid = `# steered by operators
+[document]
+preset = ordinary ; in force
+[preset ordinary]
+[preset peak]
+retry = 2
+[workspace thun]
+share = 3
+[pool services]
+kind = service
+[pool engines]
+kind = engine
+models = a, b
+[target s1]
+pool = services
+address = 127.0.0.1:7001
+zone = a
+[stage read]
+pool = services
+[stage write]
+pool = services
+command = true
+[pipeline lookup]
+stages = read, write
+deadline = 3s
+`
+
+// TestParse guards against a valid document that is refused or read wrongly.
+func TestParse(t *testing.T) {
+	is := is.New(t)
+	d, err := document.Parse([]byte(valid))
+	is.NoErr(err)
+	is.Equal(d.Preset().Name(), "ordinary")
+	is.Equal(d.Preset().Retry(), 10) // default
+	is.Equal(d.Presets(), []string{"ordinary", "peak"})
+	p, ok := d.Pipeline("lookup")
+	is.True(ok)
+	is.Equal(len(p.Stages()), 2)
+	is.True(p.Command())
+	pool, _ := d.Pool("engines")
+	is.Equal(pool.Models(), []string{"a", "b"})
+	is.Equal(string(d.Raw()), valid)
+}
+
+// TestRefuse guards against a document with a mistake that is accepted, or refused without
+// its section, key and kind of mistake.
+func TestRefuse(t *testing.T) {
+	for name, c := range map[string]struct {
+		old, new     string
+		fault        document.Fault
+		section, key string
+	}{
+		"not INI":              {old: "[preset ordinary]", new: "[preset", fault: document.Syntax, section: "document"},
+		"line without value":   {old: "share = 3", new: "share", fault: document.Syntax, section: "document"},
+		"empty":                {old: valid, new: "", fault: document.Missing, section: "document", key: "preset"},
+		"too large":            {old: valid, new: valid + strings.Repeat("#", document.MaxBytes), fault: document.Size, section: "document"},
+		"unknown section":      {old: "[pool engines]", new: "[pond engines]", fault: document.Section, section: "pond engines"},
+		"section without name": {old: "[preset peak]", new: "[preset]", fault: document.Section, section: "preset"},
+		"key before sections":  {old: "# steered", new: "share = 1\n#", fault: document.Section, section: "DEFAULT"},
+		"unknown key":          {old: "retry = 2", new: "retries = 2", fault: document.Key, section: "preset peak", key: "retries"},
+		"number out of range":  {old: "retry = 2", new: "retry = 101", fault: document.Value, section: "preset peak", key: "retry"},
+		"not a number":         {old: "share = 3", new: "share = 3x", fault: document.Value, section: "workspace thun", key: "share"},
+		"unknown kind":         {old: "kind = engine", new: "kind = motor", fault: document.Value, section: "pool engines", key: "kind"},
+		"name as address":      {old: "127.0.0.1:7001", new: "localhost:7001", fault: document.Value, section: "target s1", key: "address"},
+		"address without port": {old: "127.0.0.1:7001", new: "127.0.0.1", fault: document.Value, section: "target s1", key: "address"},
+		"port 0":               {old: "127.0.0.1:7001", new: "127.0.0.1:0", fault: document.Value, section: "target s1", key: "address"},
+		"any address":          {old: "127.0.0.1:7001", new: "0.0.0.0:7001", fault: document.Value, section: "target s1", key: "address"},
+		"deadline of zero":     {old: "deadline = 3s", new: "deadline = 0s", fault: document.Value, section: "pipeline lookup", key: "deadline"},
+		"missing key":          {old: "zone = a\n", fault: document.Missing, section: "target s1", key: "zone"},
+		"missing preset":       {old: "preset = ordinary ; in force\n", fault: document.Missing, section: "document", key: "preset"},
+		"duplicate section":    {old: "[preset peak]", new: "[preset ordinary]", fault: document.Duplicate, section: "preset ordinary"},
+		"duplicate key":        {old: "share = 3", new: "share = 3\nshare = 4", fault: document.Duplicate, section: "workspace thun", key: "share"},
+		"duplicate equal key":  {old: "share = 3", new: "share = 3\nshare = 3", fault: document.Duplicate, section: "workspace thun", key: "share"},
+		"duplicate empty key":  {old: "share = 3", new: "share = 3\nshare =", fault: document.Duplicate, section: "workspace thun", key: "share"},
+		"unknown preset":       {old: "preset = ordinary ;", new: "preset = absent ;", fault: document.Reference, section: "document", key: "preset"},
+		"unknown pool":         {old: "[target s1]\npool = services", new: "[target s1]\npool = x", fault: document.Reference, section: "target s1", key: "pool"},
+		"unknown stage":        {old: "read, write", new: "read, x", fault: document.Reference, section: "pipeline lookup", key: "stages"},
+		"repeated stage":       {old: "read, write", new: "read, read", fault: document.Reference, section: "pipeline lookup", key: "stages"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(strings.Contains(valid, c.old))
+			_, err := document.Parse([]byte(strings.Replace(valid, c.old, c.new, 1)))
+			var mistakes document.Mistakes
+			is.True(errors.As(err, &mistakes))
+			m := mistakes[0]
+			is.Equal(m.Fault(), c.fault)
+			is.Equal(m.Section(), c.section)
+			is.Equal(m.Key(), c.key)
+			is.True(m.Allowed() != "")
+		})
+	}
+}
+
+// TestSwitch guards against a preset switch that changes anything else, and against a
+// switch to a preset that does not exist.
+func TestSwitch(t *testing.T) {
+	for name, c := range map[string]struct{ old, new string }{
+		"plain":       {},
+		"no blanks":   {old: "preset = ordinary ; in force", new: "preset=ordinary"},
+		"quoted":      {old: "preset = ordinary", new: "preset = \"ordinary\""},
+		"line breaks": {old: "\n", new: "\r\n"},
+		"decoy":       {old: "# steered", new: "# [document] preset = ordinary"},
+		"last":        {old: "[document]\npreset = ordinary ; in force\n", new: ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			raw := valid
+			if c.old != "" {
+				raw = strings.ReplaceAll(valid, c.old, c.new)
+			}
+			if name == "last" {
+				raw += "[document]\npreset = ordinary"
+			}
+			switched, err := document.Switch([]byte(raw), "peak")
+			is.NoErr(err)
+			d, err := document.Parse(switched)
+			is.NoErr(err)
+			is.Equal(d.Preset().Name(), "peak")
+			back, err := document.Switch(switched, "ordinary")
+			is.NoErr(err)
+			is.Equal(string(back), raw)
+			_, err = document.Switch([]byte(raw), "absent")
+			is.True(err != nil)
+		})
+	}
+	is := is.New(t)
+	_, err := document.Switch([]byte("[document"), "peak")
+	is.True(err != nil)
+}
+
+// TestVersion guards against an order of versions in which two hosts could each hold the
+// other's document for older.
+func TestVersion(t *testing.T) {
+	is := is.New(t)
+	low, high := [32]byte{1}, [32]byte{2}
+	ordered := []document.Version{
+		{}, document.MakeVersion(1, high), document.MakeVersion(2, low), document.MakeVersion(2, high), document.MakeVersion(10, low),
+	}
+	for i, v := range ordered {
+		for j, w := range ordered {
+			is.Equal(v.Newer(w), i > j)
+		}
+	}
+}
+
+// FuzzParse guards against a panic, against acceptance that depends on more than the
+// bytes, and against a preset switch that loses something.
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("[document]\npreset = \"\"\"p\n\"\"\"\n[preset p]\n[preset q]"))
+	f.Add([]byte("[document]\npreset = `p`\n[preset p]\nretry = %(retry)s\n[preset q]"))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		d, err := document.Parse(raw)
+		if err != nil {
+			var mistakes document.Mistakes
+			if !errors.As(err, &mistakes) || len(mistakes) == 0 {
+				t.Fatalf("untyped error %v", err)
+			}
+			return
+		}
+		for _, preset := range d.Presets() {
+			switched, err := document.Switch(raw, preset)
+			if err != nil {
+				continue
+			}
+			if len(switched)-len(raw) != len(preset)-len(d.Preset().Name()) {
+				t.Fatalf("%q became %q", raw, switched)
+			}
+			if e, err := document.Parse(switched); err != nil || e.Preset().Name() != preset || len(e.Presets()) != len(d.Presets()) {
+				t.Fatalf("%q became %q: %v", raw, switched, err)
+			}
+		}
+	})
+}
--- a/core/document/field.go
+++ b/core/document/field.go
@@ -117,10 +117,10 @@
 		b.target(n).pool = v
 		return v != ""
 	}},
-	{sectionTarget, "address", true, "an IP address and port", "where the target listens", func(b *builder, n, v string) bool {
+	{sectionTarget, "address", true, "an IP address and port other than 0", "where the target listens", func(b *builder, n, v string) bool {
 		b.target(n).address = v
 		a, err := netip.ParseAddrPort(v)
-		return err == nil && a.Port() != 0
+		return err == nil && a.Port() != 0 && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
 	}},
 	{sectionTarget, "zone", true, "a name", "availability zone of the target", func(b *builder, n, v string) bool {
 		b.target(n).zone = v
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -43,6 +43,7 @@
 	Gone                    // gone
 	Paused                  // paused
 	Crossed                 // crossed
+	Closed                  // closed
 )
 
 // Rule is the registry entry of one reason.
@@ -97,6 +98,7 @@
 	{Gone, outcome.Failed, 499, "The caller closed its connection before the answer was there."},
 	{Paused, outcome.NotRun, http.StatusServiceUnavailable, "The host was paused between the deadline check and the write of a command."},
 	{Crossed, outcome.Failed, http.StatusBadGateway, "Answers of other calls arrived in place of this call's answer."},
+	{Closed, outcome.NotRun, http.StatusServiceUnavailable, "The preset in force takes no new requests."},
 }
 
 // Rules returns the registry in the order of its reasons.
--- a/core/reason/reason_string.go
+++ b/core/reason/reason_string.go
@@ -38,11 +38,12 @@
 	_ = x[Gone-27]
 	_ = x[Paused-28]
 	_ = x[Crossed-29]
+	_ = x[Closed-30]
 }
 
-const _Reason_name = "nonemalformedoversizepipelineworkspacefieldmethodjoiningdrainingdeadlinelateoverloadshareemptysuspectbudgetkeylessforgedforeignmismatchexpiredfullownerrunningsilentcrashedrejectedgonepausedcrossed"
+const _Reason_name = "nonemalformedoversizepipelineworkspacefieldmethodjoiningdrainingdeadlinelateoverloadshareemptysuspectbudgetkeylessforgedforeignmismatchexpiredfullownerrunningsilentcrashedrejectedgonepausedcrossedclosed"
 
-var _Reason_index = [...]uint8{0, 4, 13, 21, 29, 38, 43, 49, 56, 64, 72, 76, 84, 89, 94, 101, 107, 114, 120, 127, 135, 142, 146, 151, 158, 164, 171, 179, 183, 189, 196}
+var _Reason_index = [...]uint8{0, 4, 13, 21, 29, 38, 43, 49, 56, 64, 72, 76, 84, 89, 94, 101, 107, 114, 120, 127, 135, 142, 146, 151, 158, 164, 171, 179, 183, 189, 196, 202}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -9,6 +10,7 @@
 	"sassafrasward/core/document"
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
+	"sassafrasward/io/metric"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -19,10 +21,11 @@
 
 // control owns the control state. Only its goroutine touches the fields below events.
 type control struct {
-	self  wire.Host
-	log   logr.Logger
-	views *view.Holder
-	gates *gates
+	self    wire.Host
+	log     logr.Logger
+	views   *view.Holder
+	gates   *gates
+	metrics *metric.Metrics
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
@@ -32,8 +35,8 @@
 	draining bool
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates) *control {
-	return &control{self: self, log: log, views: views, gates: gates, events: make(chan func(), 16)}
+func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics) *control {
+	return &control{self: self, log: log, views: views, gates: gates, metrics: metrics, events: make(chan func(), 16)}
 }
 
 // run owns the state until the context ends; its end is reported on done.
@@ -79,6 +82,7 @@
 func (c *control) takeConfig(cfg platform.Config) {
 	d, err := document.Parse(cfg.Raw())
 	if err != nil {
+		c.countFaults(err)
 		event.Fail(c.log, event.DocumentRefused, err, "version", cfg.Number())
 		return
 	}
@@ -95,6 +99,19 @@
 	}
 }
 
+// countFaults raises the counter of each kind of mistake in a refused document once.
+func (c *control) countFaults(err error) {
+	var mistakes document.Mistakes
+	_ = errors.As(err, &mistakes)
+	seen := make(map[document.Fault]bool)
+	for _, m := range mistakes {
+		if !seen[m.Fault()] {
+			c.metrics.Counter("document." + m.Fault().String()).Inc(1)
+		}
+		seen[m.Fault()] = true
+	}
+}
+
 func (c *control) takeHosts(list wire.Hosts) {
 	c.hosts = list
 	event.Log(c.log, event.HostsTaken, "version", list.Version, "hosts", len(list.Hosts))
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -56,7 +56,7 @@
 		return nil, errors.Join(err, d.callers.Close())
 	}
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, log, d.views, d.gates)
+	d.control = newControl(self, log, d.views, d.gates, d.metrics)
 	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
 	return d, nil
 }
--- /dev/null
+++ b/io/front/decode.go
@@ -0,0 +1,62 @@
+package front
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"sassafrasward/core/reason"
+	"sassafrasward/io/wire"
+)
+
+// Decode reads the body of a pipeline request, which is exactly one JSON object. A reason
+// other than None says why the body is refused.
+func Decode(body io.Reader) (request wire.Request, why reason.Reason, detail string) {
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	// Decoding into a pointer tells null, which decodes into anything, from an object.
+	var object *wire.Request
+	err := decoder.Decode(&object)
+	if err == nil && object == nil {
+		return request, reason.Malformed, "the body is null"
+	}
+	if err == nil {
+		err = end(decoder)
+	}
+	if err != nil {
+		why, detail = classify(err)
+		return wire.Request{}, why, detail
+	}
+	return *object, reason.None, ""
+}
+
+// end returns an error if anything follows the object.
+func end(decoder *json.Decoder) error {
+	_, err := decoder.Token()
+	switch {
+	case errors.Is(err, io.EOF):
+		return nil
+	case err == nil:
+		return errors.New("there is data after the JSON object")
+	default:
+		return fmt.Errorf("after the JSON object: %w", err)
+	}
+}
+
+func classify(err error) (why reason.Reason, detail string) {
+	var large *http.MaxBytesError
+	var kind *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &large):
+		return reason.Oversize, fmt.Sprintf("the body is larger than %d bytes", large.Limit)
+	case errors.As(err, &kind) && kind.Field != "":
+		return reason.Field, fmt.Sprintf("%s must be of type %s", kind.Field, kind.Type)
+	case strings.HasPrefix(err.Error(), "json: unknown field"):
+		return reason.Field, err.Error()
+	default:
+		return reason.Malformed, err.Error()
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -122,6 +121,9 @@
 	if v.Refusal() != reason.None {
 		return request, p, v.Refusal(), ""
 	}
+	if preset := v.Document().Preset(); !preset.Accept() {
+		return request, p, reason.Closed, preset.Name()
+	}
 	request, why, detail = f.decode(c)
 	if why != reason.None {
 		return request, p, why, detail
@@ -138,20 +140,7 @@
 }
 
 func (f *Front) decode(c echo.Context) (request wire.Request, why reason.Reason, detail string) {
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&request)
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
-		return request, reason.None, ""
-	case errors.As(err, &large):
-		return request, reason.Oversize, fmt.Sprintf("the body is larger than %d bytes", f.body)
-	case strings.Contains(err.Error(), "unknown field"):
-		return request, reason.Field, err.Error()
-	default:
-		return request, reason.Malformed, err.Error()
-	}
+	return Decode(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
 }
 
 func check(request wire.Request, p document.Pipeline) (why reason.Reason, detail string) {
--- /dev/null
+++ b/io/front/front_test.go
@@ -0,0 +1,190 @@
+package front_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/outcome"
+	"sassafrasward/core/reason"
+	"sassafrasward/io/front"
+	"sassafrasward/io/metric"
+	"sassafrasward/io/runner"
+	"sassafrasward/io/view"
+	"sassafrasward/io/wire"
+)
+
+const (
+	bodyLimit = 256 // bytes
+	published = `
+[document]
+preset = ordinary
+[preset ordinary]
+[preset maintenance]
+accept = false
+[workspace thun]
+share = 1
+[pool services]
+kind = service
+[stage read]
+pool = services
+[stage write]
+pool = services
+command = true
+[pipeline lookup]
+stages = read
+deadline = 1s
+[pipeline deposit]
+stages = write
+deadline = 1s
+`
+)
+
+// executor counts the jobs that pass the checks.
+type executor struct{ jobs int }
+
+func (e *executor) Run(context.Context, runner.Job) wire.Answer {
+	e.jobs++
+	return wire.Answer{Outcome: outcome.Done.String()}
+}
+
+// serve runs a front on loopback with the given preset and refusal.
+func serve(t *testing.T, e *executor, preset string, refusal reason.Reason) (base string, m *metric.Metrics) {
+	t.Helper()
+	d, err := document.Parse([]byte(strings.Replace(published, "preset = ordinary", "preset = "+preset, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	views, m := view.NewHolder(), metric.New()
+	views.Publish(view.New(d, document.NewVersion(1, d), nil, refusal))
+	f := front.New(wire.Host{}, views, e, m, front.WithBody(bodyLimit))
+	done := make(chan error, 1)
+	go f.Serve(listener, done)
+	t.Cleanup(func() {
+		if err := errors.Join(f.Shutdown(context.Background()), <-done); err != nil {
+			t.Error(err)
+		}
+	})
+	return "http://" + listener.Addr().String(), m
+}
+
+// TestBadInput guards against wrong input that is run, that ends without a true not-run
+// and the right reason word, or that is not counted.
+func TestBadInput(t *testing.T) {
+	const good = `{"workspace":"thun","input":1}`
+	for name, c := range map[string]struct {
+		method, path, body string
+		want               reason.Reason
+	}{
+		"unknown pipeline":    {path: "absent", body: good, want: reason.Pipeline},
+		"unknown workspace":   {path: "lookup", body: `{"workspace":"x","input":1}`, want: reason.Workspace},
+		"unknown field":       {path: "lookup", body: `{"workspace":"thun","input":1,"x":1}`, want: reason.Field},
+		"wrong type":          {path: "lookup", body: `{"workspace":7,"input":1}`, want: reason.Field},
+		"missing input":       {path: "lookup", body: `{"workspace":"thun"}`, want: reason.Field},
+		"deadline too long":   {path: "lookup", body: `{"workspace":"thun","input":1,"deadline":1001}`, want: reason.Field},
+		"negative deadline":   {path: "lookup", body: `{"workspace":"thun","input":1,"deadline":-1}`, want: reason.Field},
+		"negative size":       {path: "lookup", body: `{"workspace":"thun","input":1,"size":-1}`, want: reason.Field},
+		"no key":              {path: "deposit", body: good, want: reason.Keyless},
+		"oversize":            {path: "lookup", body: `{"workspace":"thun","input":"` + strings.Repeat("x", bodyLimit) + `"}`, want: reason.Oversize},
+		"oversize after body": {path: "lookup", body: good + strings.Repeat(" ", bodyLimit), want: reason.Oversize},
+		"trailing data":       {path: "lookup", body: good + `{}`, want: reason.Malformed},
+		"trailing bracket":    {path: "lookup", body: good + `]`, want: reason.Malformed},
+		"not JSON":            {path: "lookup", body: `workspace`, want: reason.Malformed},
+		"not an object":       {path: "lookup", body: `[1]`, want: reason.Malformed},
+		"null":                {path: "lookup", body: `null`, want: reason.Malformed},
+		"empty":               {path: "lookup", body: ``, want: reason.Malformed},
+		"cut":                 {path: "lookup", body: good[:20], want: reason.Malformed},
+		"wrong method":        {method: http.MethodPut, path: "lookup", body: good, want: reason.Method},
+		"wrong path":          {path: "/v1/lookup", body: good, want: reason.Method},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &executor{}
+			base, m := serve(t, e, "ordinary", reason.None)
+			if c.method == "" {
+				c.method = http.MethodPost
+			}
+			if !strings.HasPrefix(c.path, "/") {
+				c.path = wire.PathPipelines + c.path
+			}
+			status, answer := send(t, c.method, base+c.path, c.body)
+			is.Equal(answer.Reason, c.want.String())
+			is.Equal(answer.Outcome, outcome.NotRun.String())
+			is.Equal(status, c.want.Rule().Status())
+			is.Equal(m.Values()["refusal."+c.want.String()], int64(1))
+			is.Equal(e.jobs, 0)
+		})
+	}
+}
+
+// TestRefusal guards against a host that runs requests while it joins or while the preset
+// in force takes none.
+func TestRefusal(t *testing.T) {
+	for name, c := range map[string]struct {
+		preset  string
+		refusal reason.Reason
+		want    reason.Reason
+	}{
+		"joining": {preset: "ordinary", refusal: reason.Joining, want: reason.Joining},
+		"closed":  {preset: "maintenance", want: reason.Closed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &executor{}
+			base, _ := serve(t, e, c.preset, c.refusal)
+			_, answer := send(t, http.MethodPost, base+wire.PathPipelines+"lookup", `{"workspace":"thun","input":1}`)
+			is.Equal(answer.Reason, c.want.String())
+			is.Equal(answer.Outcome, outcome.NotRun.String())
+			is.Equal(e.jobs, 0)
+		})
+	}
+}
+
+func send(t *testing.T, method, url, body string) (status int, answer wire.Answer) {
+	t.Helper()
+	request, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	return response.StatusCode, answer
+}
+
+// FuzzDecode guards against a panic and against an accepted body that is more or less than
+// one JSON object.
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"workspace":"thun","input":{"a":[1]},"deadline":5,"key":"k","prefix":"p","size":2}`)
+	f.Add(`{"workspace":"thun"}{}`)
+	f.Add(`null`)
+	f.Fuzz(func(t *testing.T, body string) {
+		_, why, detail := front.Decode(strings.NewReader(body))
+		if why != reason.None {
+			if detail == "" || why.Rule().Outcome() != outcome.NotRun {
+				t.Fatalf("%s %q", why, detail)
+			}
+			return
+		}
+		var object map[string]json.RawMessage
+		if err := json.Unmarshal([]byte(body), &object); err != nil || object == nil {
+			t.Fatalf("%q accepted: %v", body, err)
+		}
+	})
+}
--- /dev/null
+++ b/io/integration/document_test.go
@@ -0,0 +1,72 @@
+package integration_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/outcome"
+	"sassafrasward/io/caller"
+	"sassafrasward/io/daemon"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// TestRefusedDocument guards against a published configuration with a mistake that takes
+// effect, even in part, or that ends the service of the last accepted one.
+func TestRefusedDocument(t *testing.T) {
+	is := is.New(t)
+	platform := standin.NewPlatform()
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	good := fourStages + targetSection("t1", "retrievers", startTarget(t))
+	platform.Publish([]byte(good))
+	h := startHost(t, "a", "a", server.Listener.Addr().String())
+	platform.SetHosts([]wire.Listed{listed(h, "a")})
+	h.line(`"event":1002`)
+
+	wrong := map[document.Fault]string{
+		document.Syntax:    "[document",
+		document.Size:      good + strings.Repeat("#", document.MaxBytes),
+		document.Duplicate: good + "[workspace thun]\nshare = 3\n",
+		document.Reference: strings.Replace(good, "preset = ordinary", "preset = absent", 1),
+	}
+	for fault, raw := range wrong {
+		version := platform.Publish([]byte(raw))
+		h.line(`"event":1102,"version":` + string('0'+rune(version)))
+		s := status(t, h)
+		is.Equal(s.Counters["document."+fault.String()], int64(1))
+		is.True(strings.HasPrefix(s.Version, "1-"))
+		is.Equal(s.Preset, "ordinary")
+		answer, err := caller.New([]string{h.caller}).Call(context.Background(), "availability", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)}, nil)
+		is.NoErr(err)
+		is.Equal(answer.Outcome, outcome.Done.String())
+	}
+	platform.Publish([]byte(strings.Replace(good, "share = 3", "share = 4", 1)))
+	h.line(`"event":1101,"version":"6-`)
+}
+
+// status returns the status of a daemon.
+func status(t *testing.T, h host) (s daemon.Status) {
+	t.Helper()
+	response, err := http.Get("http://" + h.caller + wire.PathStatus)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var body bytes.Buffer
+	if _, err := body.ReadFrom(response.Body); err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(body.Bytes(), &s); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -51,7 +51,9 @@
 func (c Config) Raw() []byte { return c.raw }
 
 // Config returns the published configuration if its number differs from after, waiting up
-// to wait for one. The flag reports whether there is one.
+// to wait for one. The flag reports whether there is one. A document over the size limit is
+// cut one byte after it, which the check of the document refuses; as an error it would be
+// read again and again.
 func (c *Client) Config(ctx context.Context, after uint64, wait time.Duration) (cfg Config, changed bool, err error) {
 	defer func() { err = Error.Wrap(err) }()
 	body, header, changed, err := c.get(ctx, wire.PathConfig, after, wait, document.MaxBytes)
@@ -72,10 +74,14 @@
 	if err != nil || !changed {
 		return wire.Hosts{}, false, err
 	}
+	if len(body) > maxHosts {
+		return wire.Hosts{}, false, fmt.Errorf("host list is larger than %d bytes", maxHosts)
+	}
 	err = json.Unmarshal(body, &list)
 	return list, err == nil, err
 }
 
+// get returns up to limit+1 bytes of the answer.
 func (c *Client) get(ctx context.Context, path string, after uint64, wait time.Duration, limit int64) (body []byte, header http.Header, changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
@@ -103,8 +109,5 @@
 	if err != nil {
 		return nil, nil, false, err
 	}
-	if int64(len(body)) > limit {
-		return nil, nil, false, fmt.Errorf("answer is larger than %d bytes", limit)
-	}
 	return body, response.Header, true, nil
 }
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -3,12 +3,11 @@
 import (
 	"fmt"
 	"net/netip"
-	"os"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/zeebo/errs"
-	"gopkg.in/ini.v1"
 )
 
 // Error is the class of all errors of this package.
@@ -109,18 +108,19 @@
 		return err == nil && d >= time.Second && d <= maxDrain
 	}},
 	{"host", "body", "1048576", fmt.Sprintf("1 to %d (bytes)", maxBody), "largest request body", func(s *Settings, v string) bool {
-		n, err := fmt.Sscanf(v, "%d", &s.body)
-		return err == nil && n == 1 && s.body >= 1 && s.body <= maxBody
+		n, err := strconv.Atoi(v)
+		s.body = n
+		return err == nil && n >= 1 && n <= maxBody
 	}},
-	{"platform", "address", "", "an IP address and port", "address of the configuration service and host list", func(s *Settings, v string) bool {
+	{"platform", "address", "", "an IP address and port other than 0", "address of the configuration service and host list", func(s *Settings, v string) bool {
 		s.platform = v
-		return isAddress(v)
+		return isRemote(v)
 	}},
 	{"join", "mode", "majority", "majority or alone", "whether the host serves before it has heard from more than half of the listed hosts", func(s *Settings, v string) bool {
 		s.alone = v == "alone"
 		return v == "majority" || v == "alone"
 	}},
-	{"join", "seeds", "none", "none, or IP addresses and ports separated by commas", "peer addresses used in addition to the host list", func(s *Settings, v string) bool {
+	{"join", "seeds", "none", "none, or IP addresses and ports other than 0 separated by commas", "peer addresses used in addition to the host list", func(s *Settings, v string) bool {
 		if v == "none" {
 			return true
 		}
@@ -128,7 +128,7 @@
 			s.seeds = append(s.seeds, strings.TrimSpace(part))
 		}
 		for _, a := range s.seeds {
-			if !isAddress(a) {
+			if !isRemote(a) {
 				return false
 			}
 		}
@@ -139,65 +139,14 @@
 // Keys returns the registry of keys.
 func Keys() []Key { return append([]Key(nil), keys...) }
 
+// isAddress reports whether v is an address that a host can listen on and tell others.
 func isAddress(v string) bool {
-	_, err := netip.ParseAddrPort(v)
-	return err == nil
-}
-
-// Load reads and checks the settings file at path.
-func Load(path string) (s Settings, err error) {
-	defer func() { err = Error.Wrap(err) }()
-	raw, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, err
-	}
-	return parse(raw)
-}
-
-// Parse checks the settings in raw.
-func Parse(raw []byte) (s Settings, err error) {
-	defer func() { err = Error.Wrap(err) }()
-	return parse(raw)
+	a, err := netip.ParseAddrPort(v)
+	return err == nil && !a.Addr().IsUnspecified() && !a.Addr().IsMulticast()
 }
 
-func parse(raw []byte) (s Settings, err error) {
-	file, err := ini.LoadSources(ini.LoadOptions{KeyValueDelimiters: "=", IgnoreContinuation: true}, raw)
-	if err != nil {
-		return Settings{}, err
-	}
-	mistakes := unknown(file)
-	for _, k := range keys {
-		value := file.Section(k.section).Key(k.name).String()
-		if value == "" {
-			value = k.fallback
-		}
-		if !k.set(&s, value) {
-			mistakes = append(mistakes, fmt.Sprintf("[%s] %s = %q: allowed: %s", k.section, k.name, value, k.allowed))
-		}
-	}
-	if len(mistakes) > 0 {
-		return Settings{}, errs.New("%s", strings.Join(mistakes, "\n"))
-	}
-	return s, nil
-}
-
-// unknown reports sections and keys that are not in the registry.
-func unknown(file *ini.File) (mistakes []string) {
-	for _, section := range file.Sections() {
-		for _, key := range section.Keys() {
-			if !known(section.Name(), key.Name()) {
-				mistakes = append(mistakes, fmt.Sprintf("[%s] %s: unknown key", section.Name(), key.Name()))
-			}
-		}
-	}
-	return mistakes
-}
-
-func known(section, name string) bool {
-	for _, k := range keys {
-		if k.section == section && k.name == name {
-			return true
-		}
-	}
-	return false
+// isRemote reports whether v is an address that can be connected to.
+func isRemote(v string) bool {
+	a, err := netip.ParseAddrPort(v)
+	return err == nil && isAddress(v) && a.Port() != 0
 }
