Add the subcommands check, preset and status

Cause: operators could not check a file before publishing it, switch the preset without editing the document by hand, or see what a host or the fleet does. Ruled out: a subcommand that publishes; the system writes no shared state. A status call to other hosts inside the daemon; the client asks the members itself, so a host does no work for the report on others. Before: serve, call and demo only; the status had no pools. After: 16 cases of exit codes and output, the preset switch from file and host, and the fleet report with a silent member pass with -race. Conclusion: a switch of the preset changes one word of the document.

--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -38,7 +38,7 @@
 func Run(ctx context.Context, arguments []string, in io.Reader, out, errOut io.Writer) int {
 	e := &environment{ctx: ctx, in: in, out: out, err: errOut}
 	parser := flags.NewNamedParser("sassafrasward", flags.HelpFlag|flags.PassDoubleDash)
-	parser.LongDescription = "Serving system for multi-stage model pipelines. Exit codes: 0 success, 1 failure, 2 wrong arguments or input."
+	parser.LongDescription = "Serving system for multi-stage model pipelines.\n\n" + exitHelp
 	for _, c := range commands(e) {
 		if _, err := parser.AddCommand(c.name, c.short, c.long, c.run); err != nil {
 			_, _ = fmt.Fprintln(errOut, err)
@@ -76,8 +76,11 @@
 
 func commands(e *environment) []command {
 	return []command{
-		{"serve", "Run the daemon of an entry host", "Example: sassafrasward serve --settings host.ini", &serve{env: e}},
-		{"call", "Run a pipeline as a caller", "Example: sassafrasward call --host 127.0.0.1:8101 --workspace thun --input '{\"text\":\"x\"}' summary", &call{env: e}},
-		{"demo", "Run the whole path in one process", "Example: sassafrasward demo", &demonstrate{env: e}},
+		{"serve", "Run the daemon of an entry host", serveHelp, &serve{env: e}},
+		{"check", "Check a settings file or a configuration", checkHelp, &check{env: e}},
+		{"preset", "Print a configuration with another preset in force", presetHelp, &preset{env: e}},
+		{"status", "Report the state of one host or of the fleet", statusHelp, &status{env: e}},
+		{"call", "Run a pipeline as a caller", callHelp, &call{env: e}},
+		{"demo", "Run the whole path in one process", demoHelp, &demonstrate{env: e}},
 	}
 }
--- /dev/null
+++ b/io/cli/cli_test.go
@@ -0,0 +1,130 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/io/cli"
+	"sassafrasward/io/daemon"
+	"sassafrasward/io/wire"
+)
+
+const (
+	config   = "# steer\n[document]\npreset = ordinary\n[preset ordinary]\n[preset peak]\nretry = 2\n"
+	settings = "[host]\nname = e1\nzone = a\ncaller = 10.0.0.1:1\npeer = 10.0.0.1:2\n[platform]\naddress = 10.0.0.2:1\n"
+)
+
+func run(in string, arguments ...string) (code int, out, errOut string) {
+	var o, e bytes.Buffer
+	code = cli.Run(context.Background(), arguments, strings.NewReader(in), &o, &e)
+	return code, o.String(), e.String()
+}
+
+func file(t *testing.T, text string) string {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "file.ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return path
+}
+
+// TestExit guards against exit codes other than the documented ones and against a mistake
+// that is printed without file, section, key, value and range.
+func TestExit(t *testing.T) {
+	good, bad := file(t, settings), file(t, strings.Replace(settings, "10.0.0.2:1", "x", 1))
+	for name, c := range map[string]struct {
+		in   string
+		args []string
+		code int
+		want []string
+	}{
+		"no command":        {code: 2},
+		"help":              {args: []string{"check", "--help"}, want: []string{"sassafrasward check --settings host.ini"}},
+		"check nothing":     {args: []string{"check"}, code: 2},
+		"check absent":      {args: []string{"check", "--config", "/nonexistent"}, code: 1},
+		"good settings":     {args: []string{"check", "--settings", good}},
+		"bad settings":      {args: []string{"check", "--settings", bad}, code: 2, want: []string{bad, "[platform]", "address", `"x"`, "an IP address and port other than 0"}},
+		"serve bad":         {args: []string{"serve", "--settings", bad}, code: 2, want: []string{bad, "[platform]"}},
+		"good config":       {in: config, args: []string{"check", "--config", "-"}},
+		"bad config":        {in: config + "hedge = 101\n", args: []string{"check", "--config", "-"}, code: 2, want: []string{"-:", "[preset peak]", "hedge", `"101"`, "0 to 100 (percent)"}},
+		"both bad":          {in: "[x]\n", args: []string{"check", "--config", "-", "--settings", bad}, code: 2, want: []string{bad, "[x]"}},
+		"preset unknown":    {in: config, args: []string{"preset", "--config", "-", "absent"}, code: 2, want: []string{`"absent"`, "ordinary, peak"}},
+		"preset broken":     {in: "[", args: []string{"preset", "--config", "-", "peak"}, code: 2},
+		"preset sourceless": {args: []string{"preset", "peak"}, code: 2},
+		"status no host":    {args: []string{"status"}, code: 2},
+		"status silent":     {args: []string{"status", "--host", "127.0.0.1:1"}, code: 1},
+		"call not JSON":     {args: []string{"call", "--host", "127.0.0.1:1", "--workspace", "w", "--input", "{", "p"}, code: 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			code, out, errOut := run(c.in, c.args...)
+			is.Equal(code, c.code)
+			for _, text := range c.want {
+				is.True(strings.Contains(out+errOut, text))
+			}
+		})
+	}
+}
+
+// TestPreset guards against a switch that changes more than the preset in force.
+func TestPreset(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		is.Equal(r.URL.Path, wire.PathConfig)
+		_, _ = w.Write([]byte(config))
+	}))
+	defer server.Close()
+	want := strings.Replace(config, "preset = ordinary", "preset = peak", 1)
+	code, out, _ := run(config, "preset", "--config", "-", "peak")
+	is.Equal(code, 0)
+	is.Equal(out, want)
+	code, out, _ = run("", "preset", "--host", server.Listener.Addr().String(), "peak")
+	is.Equal(code, 0)
+	is.Equal(out, want)
+}
+
+// TestStatus guards against a report on the fleet that leaves out members, and against a
+// silent member that ends the report or counts as success.
+func TestStatus(t *testing.T) {
+	is := is.New(t)
+	s := daemon.Status{
+		Host: "e1", State: daemon.StateServing, Preset: "peak", Version: "7-00",
+		Members: []daemon.Member{{Host: "e1", Address: "127.0.0.1:2"}, {Host: "e2", Address: "127.0.0.1:1", State: wire.StateLive}},
+		Pools: []daemon.Pool{{Pool: "engines", Queued: 4, Targets: []daemon.Target{
+			{Target: "t1", State: wire.StateLeaving, Inflight: 2, Slots: 8},
+		}}},
+		Counters: map[string]int64{"refusal.late": 3},
+	}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(s)
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+
+	code, out, _ := run("", "status", "--host", address)
+	is.Equal(code, 0)
+	for _, text := range []string{"peak", "7-00", "member e2", "queued 4", "target t1", "leaving", "in flight 2 of 8", "refusal.late"} {
+		is.True(strings.Contains(out, text))
+	}
+	code, out, errOut := run("", "status", "--host", address, "--fleet", "--json")
+	is.Equal(code, 1) // e2 does not answer
+	is.True(strings.Contains(errOut, "127.0.0.1:1"))
+	var reports []struct {
+		Error  string
+		Status *daemon.Status
+	}
+	is.NoErr(json.Unmarshal([]byte(out), &reports))
+	is.Equal(len(reports), 2)
+	is.Equal(reports[0].Status.Pools[0].Queued, 4)
+	is.True(reports[1].Error != "")
+}
--- /dev/null
+++ b/io/cli/help.go
@@ -0,0 +1,37 @@
+package cli
+
+const exitHelp = "Exit codes: 0 for success; 1 for a failure while running, such as a file or host that cannot be read or a request that does not end as done; 2 for wrong arguments or for mistakes in settings or a configuration."
+
+const serveHelp = `Runs the daemon until SIGTERM or an interrupt, then stops gracefully: it finishes all running requests and exits with 0. A second signal, or the limit drain of the settings, ends it at once with 1.
+
+Example:
+  sassafrasward serve --settings host.ini`
+
+const checkHelp = `Checks a settings file, a configuration or both, and prints each mistake on one line with file, section, key, value and allowed range. Ends with 2 if there is a mistake.
+
+Examples:
+  sassafrasward check --settings host.ini
+  sassafrasward check --config published.ini
+  sassafrasward check --config - < published.ini`
+
+const presetHelp = `Prints a configuration with another preset in force and every other byte unchanged. The system itself writes nothing: publish the output with the tools of the platform. Ends with 2 for an unknown preset or a configuration with mistakes.
+
+Examples:
+  sassafrasward preset --config published.ini peak > next.ini
+  sassafrasward preset --host 10.0.0.1:8101 maintenance > next.ini`
+
+const statusHelp = `Prints the preset in force, the configuration version, the members, the targets with state and calls in flight, the queues and the counters of refusals and retries. With --fleet it asks each member that the host knows. Ends with 1 if a host does not answer.
+
+Examples:
+  sassafrasward status --host 10.0.0.1:8101
+  sassafrasward status --host 10.0.0.1:8101 --fleet --json`
+
+const callHelp = `Runs a pipeline and prints the answer as JSON. Ends with 1 if the outcome is not done.
+
+Example:
+  sassafrasward call --host 10.0.0.1:8101 --workspace thun --input '{"text":"x"}' summary`
+
+const demoHelp = `Runs platform, targets, a host and a caller in this process on loopback, prints each stage of a request of every kind, and ends by itself with 0.
+
+Example:
+  sassafrasward demo`
--- /dev/null
+++ b/io/cli/preset.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"github.com/jessevdk/go-flags"
+
+	"sassafrasward/core/document"
+)
+
+// preset prints a configuration with another preset in force.
+type preset struct {
+	env    *environment
+	Config string `long:"config" description:"published configuration (INI); - reads standard input"`
+	Host   string `long:"host" description:"address of an entry host to read the configuration in force from"`
+
+	Arguments struct {
+		Preset string `positional-arg-name:"preset" description:"preset to put in force"`
+	} `positional-args:"true" required:"true"`
+}
+
+// Execute implements flags.Commander.
+func (p *preset) Execute([]string) error {
+	if (p.Config == "") == (p.Host == "") {
+		return &flags.Error{Type: flags.ErrRequired, Message: "either --config or --host is required"}
+	}
+	source, raw, err := p.read()
+	if err != nil {
+		return err
+	}
+	switched, err := document.Switch(raw, p.Arguments.Preset)
+	if err != nil {
+		return mistakes(source, err)
+	}
+	_, err = p.env.out.Write(switched)
+	return err
+}
+
+func (p *preset) read() (source string, raw []byte, err error) {
+	if p.Config != "" {
+		raw, err = readFile(p.env, p.Config)
+		return p.Config, raw, err
+	}
+	raw, err = fetchConfig(p.env.ctx, p.Host)
+	return p.Host, raw, err
+}
--- a/io/cli/serve.go
+++ b/io/cli/serve.go
@@ -1,8 +1,6 @@
 package cli
 
 import (
-	"fmt"
-
 	"sassafrasward/io/daemon"
 	"sassafrasward/io/demo"
 	"sassafrasward/io/setting"
@@ -18,7 +16,7 @@
 func (s *serve) Execute([]string) error {
 	settings, err := setting.Load(s.Settings)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errMistakes, err)
+		return mistakes(s.Settings, err)
 	}
 	d, err := daemon.New(settings, s.env.log())
 	if err != nil {
--- /dev/null
+++ b/io/cli/status.go
@@ -0,0 +1,107 @@
+package cli
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"sync"
+	"text/tabwriter"
+
+	"sassafrasward/io/daemon"
+)
+
+// status reports the state of one host or of the fleet.
+type status struct {
+	env   *environment
+	Host  string `long:"host" required:"true" description:"address of an entry host"`
+	Fleet bool   `long:"fleet" description:"ask each member that the host knows"`
+	JSON  bool   `long:"json" description:"print JSON"`
+}
+
+// report is the status of one host, or why there is none.
+type report struct {
+	Address string         `json:"address"`
+	Error   string         `json:"error,omitempty"`
+	Status  *daemon.Status `json:"status,omitempty"`
+}
+
+// Execute implements flags.Commander.
+func (s *status) Execute([]string) error {
+	first := s.ask(s.Host)
+	if first.Status == nil {
+		return errors.New(first.Error)
+	}
+	reports := []report{first}
+	if s.Fleet {
+		reports = s.fleet(first)
+	}
+	if err := s.print(reports); err != nil {
+		return err
+	}
+	for _, r := range reports {
+		if r.Status == nil {
+			return fmt.Errorf("host %s did not answer", r.Address)
+		}
+	}
+	return nil
+}
+
+func (s *status) ask(address string) report {
+	answer, err := fetchStatus(s.env.ctx, address)
+	if err != nil {
+		return report{Address: address, Error: err.Error()}
+	}
+	return report{Address: address, Status: &answer}
+}
+
+// fleet asks all members at the same time; first comes first.
+func (s *status) fleet(first report) []report {
+	reports := []report{first}
+	for _, m := range first.Status.Members {
+		if m.Host != first.Status.Host {
+			reports = append(reports, report{Address: m.Address})
+		}
+	}
+	var all sync.WaitGroup
+	for i := range reports[1:] {
+		all.Go(func() { reports[i+1] = s.ask(reports[i+1].Address) })
+	}
+	all.Wait()
+	return reports
+}
+
+func (s *status) print(reports []report) error {
+	if s.JSON {
+		encoder := json.NewEncoder(s.env.out)
+		encoder.SetIndent("", "  ")
+		return encoder.Encode(reports)
+	}
+	w := tabwriter.NewWriter(s.env.out, 0, 0, 2, ' ', 0)
+	for _, r := range reports {
+		if r.Status == nil {
+			_, _ = fmt.Fprintf(w, "host at %s\tno answer: %s\n", r.Address, r.Error)
+			continue
+		}
+		printHost(w, *r.Status)
+	}
+	return w.Flush()
+}
+
+func printHost(w io.Writer, s daemon.Status) {
+	_, _ = fmt.Fprintf(w, "host %s\tzone %s\tstate %s\tpreset %s\tversion %s\n", s.Host, s.Zone, s.State, s.Preset, s.Version)
+	for _, m := range s.Members {
+		_, _ = fmt.Fprintf(w, "  member %s\tzone %s\tstate %s\t%s\n", m.Host, m.Zone, m.State, m.Address)
+	}
+	for _, p := range s.Pools {
+		_, _ = fmt.Fprintf(w, "  pool %s\tqueued %d\n", p.Pool, p.Queued)
+		for _, t := range p.Targets {
+			_, _ = fmt.Fprintf(w, "    target %s\tzone %s\tstate %s\tin flight %d of %d\t%s\n", t.Target, t.Zone, t.State, t.Inflight, t.Slots, t.Address)
+		}
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.Counters)) {
+		_, _ = fmt.Fprintf(w, "  %s\t%d\n", name, s.Counters[name])
+	}
+}
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -134,7 +134,7 @@
 	case c.document == nil:
 		why = reason.Joining
 	}
-	c.views.Publish(view.New(c.document, c.version, c.entries(), why))
+	c.views.Publish(view.New(c.document, c.version, c.entries(), why, view.WithMembers(c.hosts.Hosts)))
 }
 
 // entries returns the hosts that callers may use, this host first.
--- a/io/daemon/gates.go
+++ b/io/daemon/gates.go
@@ -1,13 +1,16 @@
 package daemon
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
 	"sassafrasward/core/document"
 	"sassafrasward/core/schedule"
 	"sassafrasward/io/gate"
+	"sassafrasward/io/wire"
 )
 
 // gates is the set of pools of the configuration in force. The control goroutine replaces
@@ -71,3 +74,28 @@
 		schedule.WithAffinity(p.Affinity()), schedule.WithBudgets(p.Retry(), p.Hedge()),
 		schedule.WithQueueBound(p.Queue()))
 }
+
+// report returns the state of all pools by name.
+func (g *gates) report() (list []Pool) {
+	current := g.current.Load()
+	for _, name := range slices.Sorted(maps.Keys(current.gates)) {
+		snapshot := current.gates[name].Snapshot()
+		pool := Pool{Pool: name, Queued: snapshot.Queued()}
+		for _, t := range snapshot.Targets() {
+			pool.Targets = append(pool.Targets, targetOf(t, current.addresses[t.Target().Name()]))
+		}
+		list = append(list, pool)
+	}
+	return list
+}
+
+func targetOf(t schedule.TargetState, address string) Target {
+	state := wire.StateLive
+	if t.Target().Leaving() {
+		state = wire.StateLeaving
+	}
+	return Target{
+		Target: t.Target().Name(), Address: address, Zone: t.Target().Zone(),
+		State: state, Inflight: t.Inflight(), Slots: t.Target().Slots(),
+	}
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -67,6 +68,7 @@
 	e.HTTPErrorHandler = f.fault
 	e.GET(wire.PathAddresses, f.addresses)
 	e.GET(wire.PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, f.status()) })
+	e.GET(wire.PathConfig, f.config)
 	e.POST(wire.PathPipelines+":pipeline", f.pipeline)
 	f.server = &http.Server{Handler: e, ReadHeaderTimeout: readTimeout}
 	return f
@@ -101,6 +103,16 @@
 	return c.JSON(http.StatusOK, answer)
 }
 
+// config answers with the configuration in force, in the shape that the platform gives it.
+func (f *Front) config(c echo.Context) error {
+	v := f.views.Load()
+	if v.Document() == nil {
+		return f.refuse(c, wire.Answer{}, v.Refusal())
+	}
+	c.Response().Header().Set(wire.HeaderVersion, strconv.FormatUint(v.Version().Number(), 10))
+	return c.Blob(http.StatusOK, echo.MIMETextPlainCharsetUTF8, v.Document().Raw())
+}
+
 func (f *Front) pipeline(c echo.Context) error {
 	answer := wire.Answer{Request: newRequestID()}
 	request, p, why, detail := f.admit(c)
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -106,6 +106,13 @@
 	})
 }
 
+// Snapshot returns the present state of the scheduler.
+func (g *Gate) Snapshot() schedule.Snapshot {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.scheduler.Snapshot()
+}
+
 func (g *Gate) wake(step schedule.Step) {
 	for _, start := range step.Starts() {
 		g.give(start.ID(), grant{target: start.Target()})
--- a/io/integration/document_test.go
+++ b/io/integration/document_test.go
@@ -45,6 +45,8 @@
 		is.Equal(s.Counters["document."+fault.String()], int64(1))
 		is.True(strings.HasPrefix(s.Version, "1-"))
 		is.Equal(s.Preset, "ordinary")
+		is.Equal(len(s.Members), 1)
+		is.Equal(s.Pools[3].Targets[0].Target, "t1") // the pool retrievers
 		answer, err := caller.New([]string{h.caller}).Call(context.Background(), "availability", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)}, nil)
 		is.NoErr(err)
 		is.Equal(answer.Outcome, outcome.Done.String())
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -13,13 +13,24 @@
 	document *document.Document
 	version  document.Version
 	hosts    []wire.Host
+	members  []wire.Listed
 	// refusal is None if the host serves, otherwise the reason why it does not.
 	refusal reason.Reason
 }
 
+// Option sets a property of a View.
+type Option func(*View)
+
+// WithMembers states the host list.
+func WithMembers(members []wire.Listed) Option { return func(v *View) { v.members = members } }
+
 // New returns a snapshot. The document may be nil while the host joins.
-func New(d *document.Document, v document.Version, hosts []wire.Host, refusal reason.Reason) *View {
-	return &View{document: d, version: v, hosts: hosts, refusal: refusal}
+func New(d *document.Document, v document.Version, hosts []wire.Host, refusal reason.Reason, options ...Option) *View {
+	view := &View{document: d, version: v, hosts: hosts, refusal: refusal}
+	for _, o := range options {
+		o(view)
+	}
+	return view
 }
 
 // Document returns the configuration in force; nil while the host joins.
@@ -31,6 +42,9 @@
 // Hosts returns the entry hosts that callers may use, this host included.
 func (v *View) Hosts() []wire.Host { return v.hosts }
 
+// Members returns the host list as last read.
+func (v *View) Members() []wire.Listed { return v.members }
+
 // Refusal returns None if the host serves, otherwise why it does not.
 func (v *View) Refusal() reason.Reason { return v.refusal }
 
