Serve callers with older address answers during a planned stop

Cause: a draining host refused all requests and closed its listener at once, although callers keep an address answer for 5 s and other hosts name the host until they know of the drain. A second signal had no effect. Ruled out: closing idle connections at the start of the drain; a caller that writes on such a connection at that moment cannot know whether its request ran. Refusing requests and relying on resends; only the client library resends. Change: a draining host leaves the address answers, serves for 11 s (6 s in which other hosts learn of the drain, then the 5 s lifetime of an answer), ends each connection with its next answer, refuses commands as draining, then waits for running requests. A second signal or the limit drain ends it at once with event 1006 and exit code 1. The part for commands with a record of an earlier send must be decided by the owner of the records.

--- a/io/cli/serve.go
+++ b/io/cli/serve.go
@@ -1,6 +1,10 @@
 package cli
 
 import (
+	"os"
+	"os/signal"
+	"syscall"
+
 	"sassafrasward/io/daemon"
 	"sassafrasward/io/demo"
 	"sassafrasward/io/setting"
@@ -22,9 +26,28 @@
 	if err != nil {
 		return err
 	}
+	done := make(chan struct{})
+	defer close(done)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go haltOnSecond(d, signals, done)
 	return d.Run(s.env.ctx)
 }
 
+// haltOnSecond ends a planned stop at once on the second signal; the first one has ended
+// the context of the command.
+func haltOnSecond(d *daemon.Daemon, signals <-chan os.Signal, done <-chan struct{}) {
+	for range 2 {
+		select {
+		case <-signals:
+		case <-done:
+			return
+		}
+	}
+	d.Halt()
+}
+
 // demonstrate runs the demo.
 type demonstrate struct {
 	env *environment
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -36,15 +36,35 @@
 	peers    *peer.Server
 	control  *control
 	start    time.Time
+	// linger is how long a draining host still takes requests.
+	linger time.Duration
+	// halted ends when a planned stop is to end at once.
+	halted context.Context
+	halt   context.CancelFunc
 
 	callers net.Listener
 	hosts   net.Listener
 }
 
+// spread is the time in which other hosts learn that this one drains; until then their
+// address answers still name it. It is the limit of invariant 7.
+const spread = 6 * time.Second
+
+// Option configures a Daemon.
+type Option func(*Daemon)
+
+// WithLinger sets how long a draining host still takes requests. The default is the
+// lifetime of an address answer after all other hosts know of the drain.
+func WithLinger(d time.Duration) Option { return func(one *Daemon) { one.linger = d } }
+
 // New opens the listeners of a host and returns its daemon.
-func New(settings setting.Settings, log logr.Logger) (d *Daemon, err error) {
+func New(settings setting.Settings, log logr.Logger, options ...Option) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now()}
+	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), linger: spread + front.Lifetime}
+	d.halted, d.halt = context.WithCancel(context.Background())
+	for _, o := range options {
+		o(d)
+	}
 	d.gates = newGates(d.clock)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
@@ -90,11 +110,27 @@
 	return err
 }
 
-// drain refuses new requests, waits for running ones and stops the servers.
-func (d *Daemon) drain() error {
+// Halt ends a planned stop at once and cuts off running requests.
+func (d *Daemon) Halt() { d.halt() }
+
+// drain takes the host out of the address answers, serves callers with older answers,
+// waits for running requests and stops the servers. The limit of the settings or Halt ends
+// it at once.
+func (d *Daemon) drain() (err error) {
 	event.Log(d.log, event.HostDraining, "host", d.settings.Host())
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
+	ctx, cancel := context.WithTimeout(d.halted, d.settings.Drain())
 	defer cancel()
 	d.control.drain(ctx)
-	return d.front.Shutdown(ctx)
+	timer := time.NewTimer(d.linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	err = d.front.Shutdown(ctx)
+	if err == nil {
+		return nil
+	}
+	event.Fail(d.log, event.HostHalted, err, "host", d.settings.Host())
+	return errs.Combine(err, d.front.Close())
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -27,8 +27,8 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("front")
 
-// lifetime is how long callers keep an address answer.
-const lifetime = 5 * time.Second
+// Lifetime is how long callers keep an address answer.
+const Lifetime = 5 * time.Second
 
 const readTimeout = 10 * time.Second
 
@@ -66,6 +66,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = f.fault
+	e.Use(f.release)
 	e.GET(wire.PathAddresses, f.addresses)
 	e.GET(wire.PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, f.status()) })
 	e.GET(wire.PathConfig, f.config)
@@ -83,12 +84,26 @@
 	done <- Error.Wrap(err)
 }
 
+// Close ends the server and cuts off all running requests.
+func (f *Front) Close() error { return Error.Wrap(f.server.Close()) }
+
 // Shutdown waits for running requests to end and stops the server.
 func (f *Front) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	return f.server.Shutdown(ctx)
 }
 
+// release ends each connection with its next answer while the host drains, so that no
+// caller sends a request on a kept connection at the moment when the server closes it.
+func (f *Front) release(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if f.views.Load().Refusal() == reason.Draining {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
 // fault answers requests that match no route.
 func (f *Front) fault(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -99,7 +114,7 @@
 
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
-	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: lifetime.Milliseconds()}
+	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: Lifetime.Milliseconds()}
 	return c.JSON(http.StatusOK, answer)
 }
 
@@ -127,10 +142,13 @@
 	return f.end(c, answer)
 }
 
-// admit reads and checks the request against the configuration in force.
+// admit reads and checks the request against the configuration in force. A draining host
+// still takes requests of callers whose address answer is older than the drain, but no
+// command: its key would have to be kept beyond the stop.
 func (f *Front) admit(c echo.Context) (request wire.Request, p document.Pipeline, why reason.Reason, detail string) {
 	v := f.views.Load()
-	if v.Refusal() != reason.None {
+	draining := v.Refusal() == reason.Draining && v.Document() != nil
+	if v.Refusal() != reason.None && !draining {
 		return request, p, v.Refusal(), ""
 	}
 	if preset := v.Document().Preset(); !preset.Accept() {
@@ -147,6 +165,9 @@
 	if _, ok := v.Document().Workspace(request.Workspace); !ok {
 		return request, p, reason.Workspace, request.Workspace
 	}
+	if draining && p.Command() {
+		return request, p, reason.Draining, ""
+	}
 	why, detail = check(request, p)
 	return request, p, why, detail
 }
--- /dev/null
+++ b/io/integration/drain_test.go
@@ -0,0 +1,266 @@
+package integration_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/core/reason"
+	"sassafrasward/io/caller"
+	"sassafrasward/io/sse"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// steadyPause leaves the machine to the processes under test between two short requests.
+const steadyPause = 2 * time.Millisecond
+
+// pair is two hosts in front of one target for each pool of fourStages.
+type pair struct {
+	platform string
+	hosts    []host
+}
+
+func startPair(t *testing.T, extra ...string) *pair {
+	t.Helper()
+	p := &pair{platform: startPlatform(t)}
+	raw := fourStages + "[stage book]\npool = rerankers\ncommand = true\n[pipeline book]\nstages = book\ndeadline = 1m\n"
+	for _, pool := range []string{"encoders", "retrievers", "rerankers"} {
+		raw += targetSection(pool+"1", pool, startTarget(t))
+	}
+	raw += targetSection("assistants1", "assistants", startTarget(t, "--each", "20ms", "--slots", "16"))
+	for _, name := range []string{"a", "b"} {
+		p.hosts = append(p.hosts, startHost(t, name, name, p.platform, extra...))
+	}
+	p.list(t, -1)
+	put(t, p.platform, standin.PathPublish, []byte(raw))
+	for _, h := range p.hosts {
+		h.line(`"event":1002`)
+	}
+	return p
+}
+
+// list publishes the host list with one host leaving; -1 for none.
+func (p *pair) list(t *testing.T, leaving int) {
+	t.Helper()
+	var list []wire.Listed
+	for i, h := range p.hosts {
+		one := listed(h, h.name)
+		if i == leaving {
+			one.State = wire.StateLeaving
+		}
+		list = append(list, one)
+	}
+	putJSON(t, p.platform, standin.PathList, list)
+}
+
+// strict is a caller that sends each request once, to the first host of an address answer
+// that it keeps for its whole lifetime. A refusal that the client library hides by sending
+// to another host is a failure here.
+type strict struct {
+	seeds  []string
+	hosts  []wire.Host
+	expiry time.Time
+}
+
+func (s *strict) host() (string, error) {
+	if len(s.hosts) > 0 && time.Now().Before(s.expiry) {
+		return s.hosts[0].Address, nil
+	}
+	for _, address := range s.seeds {
+		asked := time.Now()
+		response, err := http.Get("http://" + address + wire.PathAddresses)
+		if err != nil {
+			continue
+		}
+		var answer wire.Addresses
+		err = json.NewDecoder(response.Body).Decode(&answer)
+		_ = response.Body.Close()
+		if err == nil && len(answer.Hosts) > 0 {
+			s.hosts, s.expiry = answer.Hosts, asked.Add(time.Duration(answer.Lifetime)*time.Millisecond)
+			return s.hosts[0].Address, nil
+		}
+	}
+	return "", fmt.Errorf("no host of %v answered", s.seeds)
+}
+
+// post sends one request and returns its answer; tokens counts streamed tokens.
+func post(address, pipeline string, request wire.Request, stream bool) (answer wire.Answer, tokens int, err error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return answer, 0, err
+	}
+	r, err := http.NewRequest(http.MethodPost, "http://"+address+wire.PathPipelines+pipeline, bytes.NewReader(body))
+	if err != nil {
+		return answer, 0, err
+	}
+	r.GetBody = nil
+	if stream {
+		r.Header.Set("Accept", wire.ContentEvents)
+	}
+	response, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return answer, 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if !stream || response.StatusCode != http.StatusOK {
+		return answer, 0, json.NewDecoder(response.Body).Decode(&answer)
+	}
+	data, err := sse.Until(response.Body, 1<<20, wire.EventToken, wire.EventEnd, func([]byte) error {
+		tokens++
+		return nil
+	})
+	if err != nil {
+		return answer, tokens, err
+	}
+	return answer, tokens, json.Unmarshal(data, &answer)
+}
+
+// steady sends requests until stop is closed and counts those without a whole answer.
+func steady(stop <-chan struct{}, seeds ...string) (sent int, failures []string) {
+	s := &strict{seeds: seeds}
+	for {
+		select {
+		case <-stop:
+			return sent, failures
+		default:
+		}
+		address, err := s.host()
+		answer := wire.Answer{}
+		if err == nil {
+			answer, _, err = post(address, "availability", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)}, false)
+		}
+		sent++
+		time.Sleep(steadyPause)
+		if err != nil || answer.Outcome != outcome.Done.String() {
+			failures = append(failures, fmt.Sprintf("%s: %s %s %v", address, answer.Outcome, answer.Reason, err))
+		}
+	}
+}
+
+// TestPlannedStop guards against a planned stop that cuts off or refuses a request: short
+// requests arrive all the time, and a stream and a report that outlasts the time in which
+// a draining host takes requests run through the stop of each host in turn.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	p := startPair(t)
+	stop := make(chan struct{})
+	var callers sync.WaitGroup
+	var mutex sync.Mutex
+	var sent int
+	var failures []string
+	a, b := p.hosts[0].caller, p.hosts[1].caller
+	for _, seeds := range [][]string{{a, b}, {b, a}} {
+		callers.Go(func() {
+			n, failed := steady(stop, seeds...)
+			mutex.Lock()
+			defer mutex.Unlock()
+			sent += n
+			failures = append(failures, failed...)
+		})
+	}
+	for i := range p.hosts {
+		p.stop(t, i)
+	}
+	close(stop)
+	callers.Wait()
+	t.Logf("%d short requests, %d without a whole answer", sent, len(failures))
+	if len(failures) > 0 {
+		t.Logf("first: %s", failures[0])
+	}
+	is.Equal(len(failures), 0)
+}
+
+// stop stops and restarts one host while a stream and a report run on it.
+func (p *pair) stop(t *testing.T, i int) {
+	t.Helper()
+	is := is.New(t)
+	h := p.hosts[i]
+	var work sync.WaitGroup
+	for _, size := range []int64{100, 700} { // 2 s and 14 s at 20 ms for each token
+		began := make(chan struct{})
+		work.Go(func() {
+			close(began)
+			answer, tokens, err := post(h.caller, "summary", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`), Size: size}, true)
+			is.NoErr(err)
+			is.Equal(answer.Outcome, outcome.Done.String())
+			is.Equal(tokens, int(size))
+		})
+		<-began
+	}
+	p.busy(t, h, 2)
+	h.signal(syscall.SIGTERM)
+	h.line(`"event":1003`)
+	// The host list lags behind the stop.
+	p.list(t, i)
+	s := status(t, h)
+	is.Equal(s.State, reason.Draining.String())
+	for _, one := range s.Hosts {
+		is.True(one.Host != h.name) // not in the address answers
+	}
+	// A command needs a key of the host that takes it, so a draining host refuses it and
+	// the client library goes to the other host.
+	book := wire.Request{Workspace: "thun", Input: json.RawMessage(`2`), Key: "k"}
+	answer, _, err := post(h.caller, "book", book, false)
+	is.NoErr(err)
+	is.Equal(answer.Reason, reason.Draining.String())
+	is.Equal(answer.Outcome, outcome.NotRun.String())
+	answer, err = caller.New([]string{h.caller}).Call(context.Background(), "book", book, nil)
+	is.NoErr(err)
+	is.Equal(answer.Outcome, outcome.Done.String())
+
+	work.Wait()
+	is.Equal(h.exit(), 0)
+	h.line(`"event":1004`)
+	p.hosts[i].process = runHost(t, h, h.name, p.platform)
+	p.hosts[i].line(`"event":1002`)
+	p.list(t, -1)
+}
+
+// busy waits until the engine runs calls of the host.
+func (p *pair) busy(t *testing.T, h host, calls int) {
+	t.Helper()
+	for status(t, h).Pools[0].Targets[0].Inflight < calls {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestHalt guards against a planned stop that cannot be ended: a second signal and the
+// limit of the settings end it at once, with a log event and an exit code other than 0.
+func TestHalt(t *testing.T) {
+	for name, c := range map[string]struct {
+		extra   string
+		signals int
+	}{
+		"second signal": {signals: 2},
+		"limit":         {extra: "drain = 1s", signals: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := startPair(t, c.extra)
+			h := p.hosts[0]
+			cut := make(chan error, 1)
+			go func() {
+				_, _, err := post(h.caller, "summary", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`), Size: 3000}, true)
+				cut <- err
+			}()
+			p.busy(t, h, 1)
+			for range c.signals {
+				h.signal(syscall.SIGTERM)
+				h.line(`"event":1003`)
+			}
+			h.line(`"event":1006`)
+			is.Equal(h.exit(), 1)
+			is.True(<-cut != nil)
+		})
+	}
+}
--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -100,6 +101,12 @@
 	}
 }
 
+// exit waits for the end of the process and returns its exit code.
+func (p *process) exit() int {
+	<-p.ended
+	return p.command.ProcessState.ExitCode()
+}
+
 func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
 
 func (p *process) kill() {
@@ -139,17 +146,17 @@
 }
 
 // startHost runs a daemon with the given extra settings lines in its host section.
-func startHost(t *testing.T, name, zone, platform string) host {
+func startHost(t *testing.T, name, zone, platform string, extra ...string) host {
 	t.Helper()
 	h := host{name: name, caller: freeAddress(t), peer: freeAddress(t)}
-	h.process = runHost(t, h, zone, platform)
+	h.process = runHost(t, h, zone, platform, extra...)
 	return h
 }
 
-func runHost(t *testing.T, h host, zone, platform string) *process {
+func runHost(t *testing.T, h host, zone, platform string, extra ...string) *process {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "host.ini")
-	settings := fmt.Sprintf("[host]\nname = %s\nzone = %s\ncaller = %s\npeer = %s\n[platform]\naddress = %s\n", h.name, zone, h.caller, h.peer, platform)
+	settings := fmt.Sprintf("[host]\nname = %s\nzone = %s\ncaller = %s\npeer = %s\n%s\n[platform]\naddress = %s\n", h.name, zone, h.caller, h.peer, strings.Join(extra, "\n"), platform)
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
