Add recorded traces with stated outcomes and their generators

Cause: the objectives of the design had no load to be measured on. Ruled out: a trace that names the configuration by file, because a trace must replay without other files; it embeds the document instead. Before: no trace.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -80,6 +80,9 @@
 	return *p
 }
 
+// FindPreset returns the preset with the given name.
+func (d *Document) FindPreset(name string) (p Preset, ok bool) { return get(d.presets, name) }
+
 // Presets returns the names of all presets in order.
 func (d *Document) Presets() []string { return d.presets.Keys() }
 
--- /dev/null
+++ b/core/trace/scenario.go
@@ -0,0 +1,94 @@
+package trace
+
+import "time"
+
+// Objectives of section 1.2 of the design.
+const (
+	peakGoodput   = 0.95
+	peakRecovery  = 2_000 // ms
+	blockingLimit = 1.3
+	slowdownLimit = 1.5
+	addedLimit    = 0.05
+	costLimit     = 0.02
+)
+
+func (g *generator) rush() {
+	const span = 40 * time.Second
+	g.calibrate()
+	g.stream(0, span, swing(0.3, 0.9, span), g.workspace)
+	g.moments("assistants", 6, span)
+	g.moments("rerankers", 3, span)
+	g.trace.crashes = append(g.trace.crashes, Crash{Window{20 * time.Second, 24 * time.Second}, "assistants4"})
+	g.expect(Attainment, "", false, 0.95)
+	g.expect(Arrived, "", false, 1)
+}
+
+func (g *generator) heat() {
+	const span = 40 * time.Second
+	g.calibrate()
+	g.stream(0, span, swing(0.3, 0.95, span), g.workspace)
+	g.moments("planners", 8, span)
+	g.moments("controls", 3, span)
+	g.expect(Attainment, "", false, 0.95)
+	g.expect(Arrived, "", false, 1)
+}
+
+// shorten leaves only summaries in the mix, without prefixes, so that the capacity does
+// not depend on the caches.
+func (g *generator) shorten() {
+	g.parts(map[string]int{"summary": 100})
+	for i := range g.deployment.pipelines {
+		g.deployment.pipelines[i].prefixes = 0
+	}
+	g.calibrate()
+}
+
+// peakLoad is ordinary load with 3 times capacity from 6 s to 16 s.
+func (g *generator) peakLoad() {
+	const from, to, end = 6 * time.Second, 16 * time.Second, 24 * time.Second
+	g.shorten()
+	g.load(0, from, 0.7)
+	g.load(from, to, 3)
+	g.load(to, end, 0.7)
+	g.trace.peak = Window{from, to}
+	g.expect(Goodput, "", false, peakGoodput)
+	g.expect(Recovery, "", true, peakRecovery)
+}
+
+func (g *generator) overload() { g.peakLoad() }
+
+func (g *generator) change() {
+	g.peakLoad()
+	g.trace.switches = append(g.trace.switches, Switch{10 * time.Second, "peak"})
+}
+
+// mixed has as much short as long work: a report is about 14 times the work of a summary.
+func (g *generator) mixed() {
+	g.parts(map[string]int{"summary": 93, "report": 7})
+	g.calibrate()
+	g.load(0, 40*time.Second, 0.9)
+	g.expect(Blocking, "", true, blockingLimit)
+	g.expect(Arrived, "", false, 1)
+}
+
+func (g *generator) slow() {
+	const span = 40 * time.Second
+	g.parts(map[string]int{"summary": 100})
+	g.calibrate()
+	g.load(0, span, 0.5)
+	for _, target := range []string{"assistants3", "assistants7"} {
+		g.trace.slows = append(g.trace.slows, Slow{Window{10 * time.Second, 30 * time.Second}, target, 10})
+	}
+	g.expect(Slowdown, "", true, slowdownLimit)
+	g.expect(Added, "", true, addedLimit)
+}
+
+// greedy has all workspaces at 0.7 of the capacity together, and brig, whose share is 1 in
+// 18, at 10 times its share of the capacity.
+func (g *generator) greedy() {
+	const span, subject, share = 30 * time.Second, "brig", 1.0 / 18
+	g.shorten()
+	g.load(0, span, 0.7)
+	g.stream(0, span, func(time.Duration) float64 { return (10 - 0.7) * share }, func() string { return subject })
+	g.expect(Cost, subject, true, costLimit)
+}
