Let long reports arrive in batches in the trace mixed

Ruled out: a higher even load, because that overloads the pool instead of blocking it. Change: short work at 0.4 of capacity and two batches of 60 reports within 1 s each.

--- a/core/trace/generate.go
+++ b/core/trace/generate.go
@@ -32,7 +32,7 @@
 	{"rush", "deployment A: morning booking rush with long inspection reports", (*generator).rush, inspection},
 	{"heat", "deployment B: heat load peak with pump commands", (*generator).heat, heating},
 	{"overload", "deployment A: 3 times capacity for 10 s", (*generator).overload, inspection},
-	{"mixed", "deployment A: as much long as short work, at 0.9 of capacity", (*generator).mixed, inspection},
+	{"mixed", "deployment A: short work at 0.4 of capacity with two batches of 60 long reports", (*generator).mixed, inspection},
 	{"slow", "deployment A: 2 of 10 engines slowed 10 times", (*generator).slow, inspection},
 	{"greedy", "deployment A: one workspace at 10 times its share", (*generator).greedy, inspection},
 	{"switch", "deployment A: preset switch in the middle of an overload", (*generator).change, inspection},
--- a/core/trace/scenario.go
+++ b/core/trace/scenario.go
@@ -62,11 +62,17 @@
 	g.trace.switches = append(g.trace.switches, Switch{10 * time.Second, "peak"})
 }
 
-// mixed has as much short as long work: a report is about 14 times the work of a summary.
+// mixed has short work at 0.4 of the capacity, and twice a batch of 60 reports within 1 s,
+// which could hold 60 of the 80 slots for 15 s.
 func (g *generator) mixed() {
-	g.parts(map[string]int{"summary": 93, "report": 7})
+	const span, batch = 60 * time.Second, 60
+	g.parts(map[string]int{"summary": 100})
 	g.calibrate()
-	g.load(0, 40*time.Second, 0.9)
+	g.load(0, span, 0.4)
+	g.parts(map[string]int{"report": 100})
+	for _, from := range []time.Duration{10 * time.Second, 35 * time.Second} {
+		g.stream(from, from+time.Second, func(time.Duration) float64 { return batch / g.unit }, g.workspace)
+	}
 	g.expect(Blocking, "", true, blockingLimit)
 	g.expect(Arrived, "", false, 1)
 }
