Replay traces in virtual time through the schedulers of the daemon

Cause: policies had to be compared on the same load, and a decision had to be repeatable. Before: no replay.

--- /dev/null
+++ b/core/replay/clock.go
@@ -0,0 +1,66 @@
+package replay
+
+import (
+	"container/heap"
+	"time"
+)
+
+// event is a function that runs at a virtual time.
+type event struct {
+	at time.Duration
+	// order breaks ties, so that equal times run in the order of insertion.
+	order uint64
+	run   func()
+}
+
+// events is a heap by time, then order.
+type events []event
+
+// Len implements heap.Interface.
+func (e events) Len() int { return len(e) }
+
+// Less implements heap.Interface.
+func (e events) Less(i, j int) bool {
+	if e[i].at != e[j].at {
+		return e[i].at < e[j].at
+	}
+	return e[i].order < e[j].order
+}
+
+// Swap implements heap.Interface.
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+
+// Push implements heap.Interface.
+func (e *events) Push(x any) { *e = append(*e, x.(event)) }
+
+// Pop implements heap.Interface.
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// clock is virtual time.
+type clock struct {
+	now    time.Duration
+	events events
+	order  uint64
+}
+
+// after runs f when the given time has passed.
+func (c *clock) after(d time.Duration, f func()) {
+	c.order++
+	heap.Push(&c.events, event{c.now + max(d, 0), c.order, f})
+}
+
+// step runs the next event and reports whether there was one.
+func (c *clock) step() bool {
+	if len(c.events) == 0 {
+		return false
+	}
+	next := heap.Pop(&c.events).(event)
+	c.now = next.at
+	next.run()
+	return true
+}
--- /dev/null
+++ b/core/replay/measure.go
@@ -0,0 +1,161 @@
+package replay
+
+import (
+	"math"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/core/trace"
+)
+
+const (
+	// recovered is the attainment of a second that counts as served.
+	recovered = 0.95
+	// thin is how many times fewer requests the subject of Cost sends in the reference.
+	thin = 10
+)
+
+// Reference returns the trace that the stated outcome compares with; nil for none.
+func Reference(t *trace.Trace, e trace.Expect) *trace.Trace {
+	switch e.Measure() {
+	case trace.Blocking:
+		return t.WithoutLong()
+	case trace.Slowdown:
+		return t.WithoutSlow()
+	case trace.Cost:
+		return t.Thin(e.Subject(), thin)
+	default:
+		return nil
+	}
+}
+
+// Measure returns the value of the stated outcome in a result. The reference is a run of
+// the trace that Reference returns, or nil if there is none.
+func Measure(e trace.Expect, r, reference *Result) float64 {
+	switch e.Measure() {
+	case trace.Attainment:
+		return r.Attainment(func(one Record) bool {
+			return e.Subject() == "" || one.request.Workspace() == e.Subject()
+		})
+	case trace.Others:
+		return r.others(e.Subject())
+	case trace.Cost:
+		return reference.others(e.Subject()) - r.others(e.Subject())
+	case trace.Goodput:
+		return r.Goodput()
+	case trace.Recovery:
+		return float64(r.recovery().Milliseconds())
+	case trace.Short:
+		return r.tail(isShort)
+	case trace.Long:
+		return r.tail(Record.Long)
+	case trace.Arrived:
+		return r.Attainment(Record.Long)
+	case trace.Blocking, trace.Slowdown:
+		return r.tail(isShort) / reference.tail(isShort)
+	case trace.Added:
+		return r.Added()
+	case trace.Unknown:
+		return float64(r.count(func(one Record) bool { return one.outcome == outcome.Unknown }))
+	default:
+		return math.NaN()
+	}
+}
+
+func isShort(r Record) bool { return !r.long }
+
+func (r *Result) count(match func(Record) bool) (n int) {
+	for _, one := range r.records {
+		if match(one) {
+			n++
+		}
+	}
+	return n
+}
+
+// Attainment returns the share of matching requests that were answered in time; 1 if
+// there are none.
+func (r *Result) Attainment(match func(Record) bool) float64 {
+	all := r.count(match)
+	if all == 0 {
+		return 1
+	}
+	return float64(r.count(func(one Record) bool { return match(one) && one.InTime() })) / float64(all)
+}
+
+func (r *Result) others(subject string) float64 {
+	return r.Attainment(func(one Record) bool { return one.request.Workspace() != subject })
+}
+
+// Goodput returns the in-time answers/s in the load peak divided by what the pools can do
+// with the mix that arrives in it.
+func (r *Result) Goodput() float64 {
+	peak := r.trace.Peak()
+	room, _ := r.trace.Capacity(peak)
+	answers := r.count(func(one Record) bool { return one.InTime() && peak.Has(one.End()) })
+	return float64(answers) / peak.Length().Seconds() / room
+}
+
+// recovery returns the time from the end of the peak to the first second after which the
+// arrivals of no second are served badly.
+func (r *Result) recovery() (d time.Duration) {
+	peak := r.trace.Peak()
+	all, served := make(map[int]int), make(map[int]int)
+	latest := 0
+	for _, one := range r.records {
+		if one.request.At() < peak.To() {
+			continue
+		}
+		i := int((one.request.At() - peak.To()) / second)
+		latest = max(latest, i)
+		all[i]++
+		if one.InTime() {
+			served[i]++
+		}
+	}
+	for i := range latest + 1 {
+		if float64(served[i]) < recovered*float64(all[i]) {
+			d = time.Duration(i+1) * second
+		}
+	}
+	return d
+}
+
+// tail returns the p99 in ms over the matching records. A request without an answer counts
+// with its deadline if that is longer, so that refusing cannot improve the figure.
+func (r *Result) tail(match func(Record) bool) float64 {
+	h := hdrhistogram.New(1, maxLatency, digits)
+	for _, one := range r.records {
+		if !match(one) {
+			continue
+		}
+		spent := one.elapsed
+		if !one.InTime() {
+			spent = max(spent, one.request.Deadline())
+		}
+		_ = h.RecordValue(spent.Microseconds())
+	}
+	return float64(h.ValueAtQuantile(99)) / 1000
+}
+
+// Tail returns the p99 in ms of short or long work. A request without an answer counts
+// with its deadline.
+func (r *Result) Tail(long bool) float64 {
+	return r.tail(func(one Record) bool { return one.long == long })
+}
+
+// Added returns the slot time that retries and hedges added divided by that of all other
+// calls.
+func (r *Result) Added() float64 {
+	var first, repeated time.Duration
+	for _, u := range r.uses {
+		first += u.busy - u.repeated
+		repeated += u.repeated
+	}
+	if first == 0 {
+		return 0
+	}
+	return repeated.Seconds() / first.Seconds()
+}
--- /dev/null
+++ b/core/replay/variant.go
@@ -0,0 +1,70 @@
+package replay
+
+import (
+	"sassafrasward/core/document"
+	"sassafrasward/core/schedule"
+)
+
+// Variant is a policy to run a trace with: all mechanisms, none, or all but one.
+type Variant struct {
+	name   string
+	doc    string
+	policy func(document.Preset) schedule.Policy
+}
+
+// Name returns the name of the variant.
+func (v Variant) Name() string { return v.name }
+
+// Doc describes the variant.
+func (v Variant) Doc() string { return v.doc }
+
+// Names of the two variants that others are compared with.
+const (
+	Full     = "full"
+	Baseline = "baseline"
+)
+
+// Variants returns the registry of variants.
+func Variants() []Variant { return append([]Variant(nil), variants...) }
+
+// FindVariant returns the variant with the given name.
+func FindVariant(name string) (v Variant, ok bool) {
+	for _, v := range variants {
+		if v.name == name {
+			return v, true
+		}
+	}
+	return Variant{}, false
+}
+
+var variants = []Variant{
+	{Full, "all mechanisms as the preset in force sets them", func(p document.Preset) schedule.Policy { return fromPreset(p) }},
+	{Baseline, "round robin, first come first served, no admission control, unbounded retries", func(document.Preset) schedule.Policy { return schedule.Baseline() }},
+	without("no-admit", "no admission control", schedule.WithAdmit(false)),
+	without("no-fair", "first come first served instead of queueing by share", schedule.WithFair(false)),
+	without("no-separate", "no bound on the slots of long work", schedule.WithSeparate(false, 100)),
+	without("no-choice", "round robin instead of a choice by own view", schedule.WithChoice(false)),
+	without("no-affinity", "no preference for targets that hold the prefix", schedule.WithAffinity(false)),
+	without("no-adapt", "published slots instead of learned limits", schedule.WithAdapt(false)),
+	without("no-detect", "slow targets are not avoided", schedule.WithDetect(false)),
+	{"no-budget", "unbounded retries", func(p document.Preset) schedule.Policy {
+		return fromPreset(p, schedule.WithBudgets(schedule.Unbounded, p.Hedge()))
+	}},
+	{"no-hedge", "no hedges", func(p document.Preset) schedule.Policy {
+		return fromPreset(p, schedule.WithBudgets(p.Retry(), 0))
+	}},
+}
+
+func without(name, doc string, option schedule.PolicyOption) Variant {
+	return Variant{name, doc, func(p document.Preset) schedule.Policy { return fromPreset(p, option) }}
+}
+
+// fromPreset returns the knobs that the preset sets, as the daemon does, then applies the
+// options.
+func fromPreset(p document.Preset, options ...schedule.PolicyOption) schedule.Policy {
+	return schedule.NewPolicy(append([]schedule.PolicyOption{
+		schedule.WithAdmit(p.Admit()), schedule.WithSeparate(true, p.Long()),
+		schedule.WithAffinity(p.Affinity()), schedule.WithBudgets(p.Retry(), p.Hedge()),
+		schedule.WithQueueBound(p.Queue()),
+	}, options...)...)
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -78,6 +78,7 @@
 	return []command{
 		{"serve", "Run the daemon of an entry host", "Example: sassafrasward serve --settings host.ini", &serve{env: e}},
 		{"call", "Run a pipeline as a caller", "Example: sassafrasward call --host 127.0.0.1:8101 --workspace thun --input '{\"text\":\"x\"}' summary", &call{env: e}},
+		{"replay", "Replay a recorded trace", "Example: sassafrasward replay --trace traces/rush.trace --seed 1 --compare. Ends with 1 if a stated outcome of the trace is missed.", &rerun{env: e}},
 		{"demo", "Run the whole path in one process", "Example: sassafrasward demo", &demonstrate{env: e}},
 	}
 }
--- /dev/null
+++ b/io/cli/replay.go
@@ -0,0 +1,121 @@
+package cli
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+
+	"sassafrasward/core/replay"
+	"sassafrasward/core/trace"
+	"sassafrasward/io/report"
+)
+
+// errMissed is returned if a stated outcome of the trace was not reached.
+var errMissed = errors.New("a stated outcome was missed")
+
+// rerun replays a recorded trace.
+type rerun struct {
+	env     *environment
+	Trace   string `long:"trace" required:"true" description:"trace file"`
+	Seed    uint64 `long:"seed" default:"1" description:"seed of all randomness"`
+	Hosts   int    `long:"hosts" default:"6" description:"number of entry hosts, 1 to 1000"`
+	Policy  string `long:"policy" default:"full" description:"full, baseline, or no- and one mechanism"`
+	Compare bool   `long:"compare" description:"run baseline, full and full without each mechanism"`
+	Write   string `long:"write" description:"write the generated scenario with this name to the trace file instead"`
+}
+
+const maxHosts = 1_000
+
+// Execute implements flags.Commander.
+func (r *rerun) Execute([]string) error {
+	if r.Hosts < 1 || r.Hosts > maxHosts {
+		return wrongArgument("--hosts %d: allowed: 1 to %d", r.Hosts, maxHosts)
+	}
+	variant, ok := replay.FindVariant(r.Policy)
+	if !ok {
+		return wrongArgument("--policy %q: allowed: %s", r.Policy, variantWords())
+	}
+	if r.Write != "" {
+		return r.write()
+	}
+	raw, err := os.ReadFile(r.Trace)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errMistakes, err)
+	}
+	t, err := trace.Parse(raw)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errMistakes, err)
+	}
+	if r.Compare {
+		return r.compare(t)
+	}
+	return r.once(t, variant)
+}
+
+func wrongArgument(format string, values ...any) error {
+	return &flags.Error{Type: flags.ErrInvalidChoice, Message: fmt.Sprintf(format, values...)}
+}
+
+func variantWords() (words string) {
+	for i, v := range replay.Variants() {
+		if i > 0 {
+			words += ", "
+		}
+		words += v.Name()
+	}
+	return words
+}
+
+// write generates a scenario. The first line of the file says how it was made.
+func (r *rerun) write() error {
+	t, err := trace.Generate(r.Write, r.Seed)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errMistakes, err)
+	}
+	head := fmt.Sprintf("# sassafrasward replay --write %s --seed %d --trace FILE\n", r.Write, r.Seed)
+	return os.WriteFile(r.Trace, append([]byte(head), t.Bytes()...), 0o644)
+}
+
+func (r *rerun) run(t *trace.Trace, v replay.Variant) *replay.Result {
+	return replay.Run(t, replay.WithSeed(r.Seed), replay.WithHosts(r.Hosts), replay.WithVariant(v))
+}
+
+// judge measures the stated outcomes; references run with the same seed and policy.
+func (r *rerun) judge(result *replay.Result, v replay.Variant) ([]report.Verdict, error) {
+	return report.Judge(result, func(t *trace.Trace) (*replay.Result, error) { return r.run(t, v), nil })
+}
+
+func (r *rerun) once(t *trace.Trace, v replay.Variant) error {
+	result := r.run(t, v)
+	if err := report.Text(r.env.out, result); err != nil {
+		return err
+	}
+	verdicts, err := r.judge(result, v)
+	if err != nil {
+		return err
+	}
+	return r.verdict(verdicts)
+}
+
+func (r *rerun) verdict(verdicts []report.Verdict) error {
+	met, err := report.Verdicts(r.env.out, verdicts)
+	if err == nil && !met {
+		err = errMissed
+	}
+	return err
+}
+
+func (r *rerun) compare(t *trace.Trace) error {
+	var rows []report.Row
+	for _, v := range replay.Variants() {
+		result := r.run(t, v)
+		verdicts, err := r.judge(result, v)
+		if err != nil {
+			return err
+		}
+		rows = append(rows, report.NewRow(result, verdicts))
+	}
+	return report.Compare(r.env.out, rows)
+}
--- /dev/null
+++ b/io/report/doc.go
@@ -0,0 +1,2 @@
+// Package report writes the result of a replay as text and as a plot.
+package report
--- /dev/null
+++ b/io/report/verdict.go
@@ -0,0 +1,85 @@
+package report
+
+import (
+	"io"
+
+	"sassafrasward/core/replay"
+	"sassafrasward/core/trace"
+)
+
+// Verdict is the measured value of one stated outcome.
+type Verdict struct {
+	expect trace.Expect
+	value  float64
+}
+
+// Met reports whether the outcome was reached.
+func (v Verdict) Met() bool { return v.expect.Met(v.value) }
+
+// Value returns the measured value.
+func (v Verdict) Value() float64 { return v.value }
+
+// Judge measures the stated outcomes of the trace. Run gives the result of the reference
+// traces that some outcomes compare with.
+func Judge(r *replay.Result, run func(*trace.Trace) (*replay.Result, error)) (verdicts []Verdict, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	for _, e := range r.Trace().Expects() {
+		var reference *replay.Result
+		if t := replay.Reference(r.Trace(), e); t != nil {
+			if reference, err = run(t); err != nil {
+				return nil, err
+			}
+		}
+		verdicts = append(verdicts, Verdict{expect: e, value: replay.Measure(e, r, reference)})
+	}
+	return verdicts, nil
+}
+
+// Verdicts writes the stated outcomes with their measured values and reports whether all
+// were met.
+func Verdicts(out io.Writer, verdicts []Verdict) (met bool, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	p := &printer{out: out}
+	met = true
+	p.line("\nstated outcomes")
+	for _, v := range verdicts {
+		word := "met"
+		if !v.Met() {
+			word, met = "MISSED", false
+		}
+		p.line("  %-32s measured %10.4f  %s", v.expect, v.value, word)
+	}
+	return met, p.err
+}
+
+// Row is one line of a comparison.
+type Row struct {
+	result   *replay.Result
+	verdicts []Verdict
+}
+
+// NewRow returns the line of a run.
+func NewRow(r *replay.Result, verdicts []Verdict) Row { return Row{result: r, verdicts: verdicts} }
+
+// Compare writes one table over the runs of the same trace and seed.
+func Compare(out io.Writer, rows []Row) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	p := &printer{out: out}
+	first := rows[0].result
+	p.line("trace %s, seed %d, %d hosts, %d requests", first.Trace().Name(), first.Seed(), first.Hosts(), len(first.Records()))
+	head := ""
+	for _, v := range rows[0].verdicts {
+		head += " " + pad(v.expect.String())
+	}
+	p.line("%-12s %10s %10s %10s %8s%s", "policy", "attained %", "short p99", "long p99", "added %", head)
+	for _, row := range rows {
+		r := row.result
+		cells := ""
+		for _, v := range row.verdicts {
+			cells += " " + cell(v)
+		}
+		all := func(replay.Record) bool { return true }
+		p.line("%-12s %10.2f %10.1f %10.1f %8.2f%s", r.Variant(), 100*r.Attainment(all), r.Tail(false), r.Tail(true), 100*r.Added(), cells)
+	}
+	return p.err
+}
