Plot a replay and state the exit codes in tests

Cause: a table of seconds does not show at a glance what happened in a load peak. Ruled out: one axis for rates and queue, because their scales differ by ten times. Before: no plot; exit codes of replay untested. Conclusion: a script can rely on the exit code.

--- a/io/cli/replay.go
+++ b/io/cli/replay.go
@@ -23,6 +23,7 @@
 	Hosts   int    `long:"hosts" default:"6" description:"number of entry hosts, 1 to 1000"`
 	Policy  string `long:"policy" default:"full" description:"full, baseline, or no- and one mechanism"`
 	Compare bool   `long:"compare" description:"run baseline, full and full without each mechanism"`
+	Plot    string `long:"plot" description:"write a plot (PNG) to this file"`
 	Write   string `long:"write" description:"write the generated scenario with this name to the trace file instead"`
 }
 
@@ -92,6 +93,9 @@
 	if err := report.Text(r.env.out, result); err != nil {
 		return err
 	}
+	if err := r.plot(result); err != nil {
+		return err
+	}
 	verdicts, err := r.judge(result, v)
 	if err != nil {
 		return err
@@ -99,6 +103,17 @@
 	return r.verdict(verdicts)
 }
 
+func (r *rerun) plot(result *replay.Result) (err error) {
+	if r.Plot == "" {
+		return nil
+	}
+	file, err := os.Create(r.Plot)
+	if err != nil {
+		return err
+	}
+	return errors.Join(report.Plot(file, result), file.Close())
+}
+
 func (r *rerun) verdict(verdicts []report.Verdict) error {
 	met, err := report.Verdicts(r.env.out, verdicts)
 	if err == nil && !met {
--- /dev/null
+++ b/io/cli/replay_test.go
@@ -0,0 +1,77 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/io/cli"
+)
+
+const one = `config [document]
+config preset = ordinary
+config [preset ordinary]
+config [workspace thun]
+config share = 1
+config [pool engines]
+config kind = engine
+config [target engine1]
+config pool = engines
+config address = 127.0.0.1:20001
+config zone = a
+config [stage generate]
+config pool = engines
+config [pipeline summary]
+config stages = generate
+config deadline = 3s
+network 1 1
+rate engines 100 0 0 0 0 0
+request 0 thun summary 0 0 1000 - idempotent
+`
+
+func run(t *testing.T, text string, arguments ...string) (code int, out string) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "trace")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var b bytes.Buffer
+	code = cli.Run(context.Background(), append([]string{"replay", "--trace", path}, arguments...), nil, &b, &b)
+	return code, b.String()
+}
+
+// TestReplayCodes guards against a missed outcome or a wrong trace that scripts cannot
+// tell from success.
+func TestReplayCodes(t *testing.T) {
+	for _, c := range []struct {
+		name, line string
+		code       int
+		text       string
+	}{
+		{"met", "expect short - <= 150", 0, "met"},
+		{"missed", "expect short - <= 50", 1, "MISSED"},
+		{"mistake", "expect short - <= -1", 2, "line 20: bound"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			code, out := run(t, one+c.line+"\n")
+			is.Equal(code, c.code)
+			is.True(strings.Contains(out, c.text))
+		})
+	}
+}
+
+// TestReplayCompare guards against a policy that is left out of the comparison.
+func TestReplayCompare(t *testing.T) {
+	is := is.New(t)
+	code, out := run(t, one, "--compare")
+	is.Equal(code, 0)
+	for _, name := range []string{"full", "baseline", "no-admit", "no-fair", "no-separate", "no-choice", "no-affinity", "no-adapt", "no-detect", "no-budget", "no-hedge"} {
+		is.True(strings.Contains(out, "\n"+name+" "))
+	}
+}
