Run a trace against daemons and stand-ins over loopback

Cause: a replay in virtual time is only as good as its mirror of the runner and targets. Ruled out: io/standin targets, which have one pace per call and no batching; the live targets take their rates from the trace. Before: no comparison of the replay with real messages.

--- a/io/cli/replay.go
+++ b/io/cli/replay.go
@@ -9,6 +9,7 @@
 
 	"sassafrasward/core/replay"
 	"sassafrasward/core/trace"
+	"sassafrasward/io/live"
 	"sassafrasward/io/report"
 )
 
@@ -18,22 +19,36 @@
 // rerun replays a recorded trace.
 type rerun struct {
 	env     *environment
-	Trace   string `long:"trace" required:"true" description:"trace file"`
-	Seed    uint64 `long:"seed" default:"1" description:"seed of all randomness"`
-	Hosts   int    `long:"hosts" default:"6" description:"number of entry hosts, 1 to 1000"`
-	Policy  string `long:"policy" default:"full" description:"full, baseline, or no- and one mechanism"`
-	Compare bool   `long:"compare" description:"run baseline, full and full without each mechanism"`
-	Plot    string `long:"plot" description:"write a plot (PNG) to this file"`
-	Write   string `long:"write" description:"write the generated scenario with this name to the trace file instead"`
+	Trace   string  `long:"trace" required:"true" description:"trace file"`
+	Seed    uint64  `long:"seed" default:"1" description:"seed of all randomness"`
+	Hosts   int     `long:"hosts" default:"6" description:"number of entry hosts, 1 to 1000"`
+	Policy  string  `long:"policy" default:"full" description:"full, baseline, or no- and one mechanism"`
+	Compare bool    `long:"compare" description:"run baseline, full and full without each mechanism"`
+	Live    bool    `long:"live" description:"run against daemons and stand-ins over loopback, with the policy of the preset in force"`
+	Scale   float64 `long:"scale" default:"1" description:"duration of a live run in parts of the trace's, 0.05 to 1"`
+	Plot    string  `long:"plot" description:"write a plot (PNG) to this file"`
+	Write   string  `long:"write" description:"write the generated scenario with this name to the trace file instead"`
 }
 
-const maxHosts = 1_000
+const (
+	maxHosts = 1_000
+	// Below minScale the ticks of the daemons, which are not scaled, are too coarse for the
+	// deadlines.
+	minScale = 0.05
+	maxScale = 1.0
+)
 
 // Execute implements flags.Commander.
 func (r *rerun) Execute([]string) error {
 	if r.Hosts < 1 || r.Hosts > maxHosts {
 		return wrongArgument("--hosts %d: allowed: 1 to %d", r.Hosts, maxHosts)
 	}
+	if !(r.Scale >= minScale && r.Scale <= maxScale) {
+		return wrongArgument("--scale %g: allowed: %g to %g", r.Scale, minScale, maxScale)
+	}
+	if r.Live && (r.Compare || r.Policy != replay.Full) {
+		return wrongArgument("--live: allowed: without --compare and --policy")
+	}
 	variant, ok := replay.FindVariant(r.Policy)
 	if !ok {
 		return wrongArgument("--policy %q: allowed: %s", r.Policy, variantWords())
@@ -79,17 +94,23 @@
 	return os.WriteFile(r.Trace, append([]byte(head), t.Bytes()...), 0o644)
 }
 
-func (r *rerun) run(t *trace.Trace, v replay.Variant) *replay.Result {
-	return replay.Run(t, replay.WithSeed(r.Seed), replay.WithHosts(r.Hosts), replay.WithVariant(v))
+func (r *rerun) run(t *trace.Trace, v replay.Variant) (*replay.Result, error) {
+	if r.Live {
+		return live.Run(r.env.ctx, t, r.Seed, r.Hosts, r.Scale)
+	}
+	return replay.Run(t, replay.WithSeed(r.Seed), replay.WithHosts(r.Hosts), replay.WithVariant(v)), nil
 }
 
 // judge measures the stated outcomes; references run with the same seed and policy.
 func (r *rerun) judge(result *replay.Result, v replay.Variant) ([]report.Verdict, error) {
-	return report.Judge(result, func(t *trace.Trace) (*replay.Result, error) { return r.run(t, v), nil })
+	return report.Judge(result, func(t *trace.Trace) (*replay.Result, error) { return r.run(t, v) })
 }
 
 func (r *rerun) once(t *trace.Trace, v replay.Variant) error {
-	result := r.run(t, v)
+	result, err := r.run(t, v)
+	if err != nil {
+		return err
+	}
 	if err := report.Text(r.env.out, result); err != nil {
 		return err
 	}
@@ -125,7 +146,10 @@
 func (r *rerun) compare(t *trace.Trace) error {
 	var rows []report.Row
 	for _, v := range replay.Variants() {
-		result := r.run(t, v)
+		result, err := r.run(t, v)
+		if err != nil {
+			return err
+		}
 		verdicts, err := r.judge(result, v)
 		if err != nil {
 			return err
