Measure the cost of one daemon per request

Ruled out: allocations from the daemon's status, which does not show them; they are the difference of a run with the daemon inside and outside the process of the benchmark. Change: benchmarks in io/daemon; CPU time of the process is read from /proc.

--- /dev/null
+++ b/io/daemon/bench_test.go
@@ -0,0 +1,287 @@
+package daemon_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/go-logr/logr"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/io/caller"
+	"sassafrasward/io/daemon"
+	"sassafrasward/io/setting"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/target"
+	"sassafrasward/io/wire"
+)
+
+const document = `[document]
+preset = ordinary
+[preset ordinary]
+[workspace thun]
+share = 1
+[pool services]
+kind = service
+[target service1]
+pool = services
+address = %s
+zone = a
+slots = 1000
+[stage one]
+pool = services
+[stage two]
+pool = services
+[stage three]
+pool = services
+[stage four]
+pool = services
+[pipeline single]
+stages = one
+deadline = 1m
+[pipeline four]
+stages = one, two, three, four
+deadline = 1m
+`
+
+// clockTick is the unit of the CPU times that Linux shows for a process.
+const clockTick = 10 * time.Millisecond
+
+// stage is the world around one daemon: a platform and a target that answers at once, both
+// in the process of the benchmark.
+type stage struct {
+	target   string
+	platform string
+	settings string
+}
+
+func newStage(b *testing.B) stage {
+	b.Helper()
+	one := httptest.NewServer(standin.NewTarget("service1", standin.WithSlots(1_000)).Handler())
+	b.Cleanup(one.Close)
+	platform := standin.NewPlatform()
+	s := stage{target: strings.TrimPrefix(one.URL, "http://")}
+	platform.Publish([]byte(fmt.Sprintf(document, s.target)))
+	platform.SetHosts(nil)
+	config := httptest.NewServer(platform.Handler())
+	b.Cleanup(config.CloseClientConnections)
+	s.platform = strings.TrimPrefix(config.URL, "http://")
+	s.settings = "[host]\nname = bench\nzone = a\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n[platform]\naddress = " + s.platform + "\n[join]\nmode = alone\n"
+	return s
+}
+
+// call is one request of the benchmark.
+type call func() error
+
+func viaDaemon(address, pipeline string) call {
+	client := caller.New([]string{address})
+	request := wire.Request{Workspace: "thun", Input: json.RawMessage(`{"text":"x"}`)}
+	return func() error {
+		answer, err := client.Call(context.Background(), pipeline, request, nil)
+		if err == nil && answer.Outcome != outcome.Done.String() {
+			return fmt.Errorf("%s %s", answer.Outcome, answer.Reason)
+		}
+		return err
+	}
+}
+
+func direct(address string) call {
+	client := target.New()
+	run := wire.Run{Request: "r", Stage: "one", Attempt: 1, Deadline: 60_000, Input: json.RawMessage(`{"text":"x"}`)}
+	return func() error {
+		_, err := client.Run(context.Background(), address, run, nil)
+		return err
+	}
+}
+
+// measure runs the call b.N times, one after the other, and reports its latency.
+func measure(b *testing.B, one call) {
+	h := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for b.Loop() {
+		began := time.Now()
+		if err := one(); err != nil {
+			b.Fatal(err)
+		}
+		_ = h.RecordValue(time.Since(began).Microseconds())
+	}
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-µs")
+	b.ReportMetric(float64(h.ValueAtQuantile(99)), "p99-µs")
+	b.ReportMetric(float64(after.Mallocs-before.Mallocs)/float64(b.N), "mallocs/op")
+}
+
+// BenchmarkDirect calls the target without a daemon; the other figures are compared with
+// it.
+func BenchmarkDirect(b *testing.B) { measure(b, direct(newStage(b).target)) }
+
+// BenchmarkInside calls a daemon in this process. Its mallocs/op less those of
+// BenchmarkProcess, which have only caller and target in them, are the daemon's own.
+func BenchmarkInside(b *testing.B) {
+	for _, pipeline := range []string{"single", "four"} {
+		b.Run(pipeline, func(b *testing.B) {
+			s, err := setting.Parse([]byte(newStage(b).settings))
+			if err != nil {
+				b.Fatal(err)
+			}
+			d, err := daemon.New(s, logr.Discard())
+			if err != nil {
+				b.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			ended := make(chan error, 1)
+			go func() { ended <- d.Run(ctx) }()
+			b.Cleanup(func() {
+				cancel()
+				if err := <-ended; err != nil {
+					b.Error(err)
+				}
+			})
+			one := viaDaemon(d.Address(), pipeline)
+			await(b, one)
+			measure(b, one)
+		})
+	}
+}
+
+// await calls until the daemon serves.
+func await(b *testing.B, one call) {
+	b.Helper()
+	for err := one(); err != nil; err = one() {
+		if b.Context().Err() != nil {
+			b.Fatal(err)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// process is a daemon in a process of its own with GOMAXPROCS=1.
+type process struct {
+	address string
+	id      int
+}
+
+func startProcess(b *testing.B, s stage) process {
+	b.Helper()
+	dir := b.TempDir()
+	binary, path := filepath.Join(dir, "sassafrasward"), filepath.Join(dir, "host.ini")
+	build := exec.Command("go", "build", "-o", binary, "sassafrasward/cmd/sassafrasward")
+	if out, err := build.CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	if err := os.WriteFile(path, []byte(s.settings), 0o600); err != nil {
+		b.Fatal(err)
+	}
+	command := exec.Command(binary, "serve", "--settings", path)
+	command.Env = append(os.Environ(), "GOMAXPROCS=1")
+	log, err := command.StderrPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := command.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = command.Process.Kill()
+		_ = command.Wait()
+	})
+	return process{address: callerAddress(b, bufio.NewScanner(log)), id: command.Process.Pid}
+}
+
+// callerAddress reads the address from the log line of the start.
+func callerAddress(b *testing.B, scanner *bufio.Scanner) string {
+	b.Helper()
+	for scanner.Scan() {
+		var line struct {
+			Caller string `json:"caller"`
+		}
+		if json.Unmarshal(scanner.Bytes(), &line) == nil && line.Caller != "" {
+			go func() {
+				for scanner.Scan() {
+				}
+			}()
+			return line.Caller
+		}
+	}
+	b.Fatal("the daemon ended without its address")
+	return ""
+}
+
+// cpu returns the CPU time that the process has used.
+func (p process) cpu(b *testing.B) time.Duration {
+	b.Helper()
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.id))
+	if err != nil {
+		b.Skip("CPU times of processes are read from /proc")
+	}
+	// Fields 14 and 15 are user and system time; field 2 ends with the last bracket.
+	fields := strings.Fields(string(raw[bytes.LastIndexByte(raw, ')')+1:]))
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * clockTick
+}
+
+// BenchmarkProcess calls a daemon process one call after the other: added latency, and CPU
+// time per request.
+func BenchmarkProcess(b *testing.B) {
+	for _, pipeline := range []string{"single", "four"} {
+		b.Run(pipeline, func(b *testing.B) {
+			p := startProcess(b, newStage(b))
+			one := viaDaemon(p.address, pipeline)
+			await(b, one)
+			before := p.cpu(b)
+			measure(b, one)
+			b.ReportMetric(float64((p.cpu(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+		})
+	}
+}
+
+// BenchmarkThroughput calls a daemon process from 64 callers at once: requests/s on one
+// core.
+func BenchmarkThroughput(b *testing.B) {
+	const callers = 64
+	for _, pipeline := range []string{"single", "four"} {
+		b.Run(pipeline, func(b *testing.B) {
+			http.DefaultTransport.(*http.Transport).MaxIdleConnsPerHost = callers
+			p := startProcess(b, newStage(b))
+			one := viaDaemon(p.address, pipeline)
+			await(b, one)
+			before := p.cpu(b)
+			b.ResetTimer()
+			work := make(chan struct{}, callers)
+			var all sync.WaitGroup
+			for range callers {
+				all.Go(func() {
+					for range work {
+						if err := one(); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			for range b.N {
+				work <- struct{}{}
+			}
+			close(work)
+			all.Wait()
+			b.StopTimer()
+			b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+			b.ReportMetric(float64((p.cpu(b)-before).Microseconds())/float64(b.N), "cpu-µs/op")
+		})
+	}
+}
