Count the ramp of a load peak in what the pools can do

Ruled out: counting answers by arrival in the peak, which would credit work done after it. Change: Trace.Possible takes off one service time at the start of the peak, in which the pools can only answer what arrived before; Capacity stays and is printed beside it. Conclusion: the figure is what a pool that is never idle gives.

--- a/core/replay/measure.go
+++ b/core/replay/measure.go
@@ -89,13 +89,12 @@
 	return r.Attainment(func(one Record) bool { return one.request.Workspace() != subject })
 }
 
-// Goodput returns the in-time answers/s in the load peak divided by what the pools can do
-// with the mix that arrives in it.
+// Goodput returns the in-time answers in the load peak divided by what the pools can do in
+// it with the mix that arrives.
 func (r *Result) Goodput() float64 {
 	peak := r.trace.Peak()
-	room, _ := r.trace.Capacity(peak)
 	answers := r.count(func(one Record) bool { return one.InTime() && peak.Has(one.End()) })
-	return float64(answers) / peak.Length().Seconds() / room
+	return float64(answers) / r.trace.Possible(peak)
 }
 
 // recovery returns the time from the end of the peak to the first second after which the
--- a/core/trace/derive.go
+++ b/core/trace/derive.go
@@ -74,3 +74,46 @@
 	}
 	return rate, pool
 }
+
+// Possible returns the answers that the pools can give within the window: Capacity over
+// its length, less the ramp at its start. The first answers to the load of the window come
+// one service time after its start; until then the pools can only answer what arrived
+// before, at the rate at which it arrived.
+func (t *Trace) Possible(w Window) float64 {
+	rate, _ := t.Capacity(w)
+	before := 0
+	var service time.Duration
+	all := 0
+	for _, q := range t.requests {
+		if q.at < w.from {
+			before++
+		}
+		if w.Has(q.at) {
+			all++
+			service += t.full(q)
+		}
+	}
+	load := 0.0
+	if w.from > 0 && rate > 0 {
+		load = min(float64(before)/w.from.Seconds()/rate, 1)
+	}
+	ramp := (service / time.Duration(max(all, 1))).Seconds() * (1 - load)
+	return rate * (w.Length().Seconds() - ramp)
+}
+
+// full returns the time of the request through all its stages on full targets.
+func (t *Trace) full(q Request) (d time.Duration) {
+	p, _ := t.document.Pipeline(q.pipeline)
+	for _, s := range p.Stages() {
+		slots := 1
+		for _, target := range t.document.Targets() {
+			if target.Pool() == s.Pool() {
+				slots = target.Slots()
+				break
+			}
+		}
+		r := t.rates[s.Pool()]
+		d += time.Duration(float64(r.Work(q, false)) * r.Slowdown(slots))
+	}
+	return d
+}
--- a/core/trace/trace_test.go
+++ b/core/trace/trace_test.go
@@ -99,6 +99,13 @@
 	rate, pool := one.Capacity(one.Peak())
 	is.Equal(pool, "engines")
 	is.True(rate > 9.99 && rate < 10.01)
+
+	// From 1 s on, after one request/s: of the second, 0.4 s pass at 1 instead of 10
+	// requests/s.
+	later, err := trace.Parse([]byte(small + "peak 1000 2000\nrequest 5 thun summary 20 100 3000 - idempotent\nrequest 1005 thun summary 20 100 3000 - idempotent\n"))
+	is.NoErr(err)
+	possible := later.Possible(later.Peak())
+	is.True(possible > 6.39 && possible < 6.41)
 }
 
 // TestShipped guards against shipped traces that differ from what their stated command
--- a/io/report/text.go
+++ b/io/report/text.go
@@ -47,7 +47,8 @@
 	p.line("trace %s, policy %s, seed %d, %d hosts, %d requests, %.1f s", r.Trace().Name(), r.Variant(), r.Seed(), r.Hosts(), len(r.Records()), r.Length().Seconds())
 	if w := r.Trace().Peak(); w.Length() > 0 {
 		room, pool := r.Trace().Capacity(w)
-		p.line("peak %.0f s to %.0f s: the pools can do %.1f requests/s of its mix (bound by %s); goodput %.1f%%", w.From().Seconds(), w.To().Seconds(), room, pool, 100*r.Goodput())
+		p.line("peak %.0f s to %.0f s: the pools can do %.1f requests/s of its mix (bound by %s), %.0f answers after the ramp; goodput %.1f%%",
+			w.From().Seconds(), w.To().Seconds(), room, pool, r.Trace().Possible(w), 100*r.Goodput())
 	}
 }
 
