Compare short work ahead of long work on the targets

Cause: engines honour priorities, and the runner sends none. Ruled out: sending them from the runner now; the effect is measured first. Change: the variant priority gives short calls a higher priority on the stand-ins.

--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -95,6 +95,9 @@
 func (f *flow) offer() {
 	f.cost.attempts++
 	a := &attempt{id: f.host.id(), flow: f, set: f.set, pool: f.current().Pool(), repeated: f.cost.attempts > 1, since: f.run.clock.now}
+	if f.run.variant.urgent && !f.pipeline.Long() {
+		a.priority = 1
+	}
 	f.live = append(f.live, a)
 	f.host.attempts[a.id] = a
 	f.run.attempts = append(f.run.attempts, a)
@@ -131,7 +134,7 @@
 
 // duplicate returns a hedge of the running call.
 func (f *flow) duplicate(first *attempt, id schedule.ID) *attempt {
-	a := &attempt{id: id, flow: f, set: f.set, pool: first.pool, repeated: true, since: f.run.clock.now}
+	a := &attempt{id: id, flow: f, set: f.set, pool: first.pool, repeated: true, priority: first.priority, since: f.run.clock.now}
 	f.live = append(f.live, a)
 	f.run.attempts = append(f.run.attempts, a)
 	f.run.retries[reason.RetryHedge]++
--- a/core/replay/variant.go
+++ b/core/replay/variant.go
@@ -10,6 +10,8 @@
 	name   string
 	doc    string
 	policy func(document.Preset) schedule.Policy
+	// urgent makes targets run queued short calls before long ones.
+	urgent bool
 }
 
 // Name returns the name of the variant.
@@ -38,8 +40,8 @@
 }
 
 var variants = []Variant{
-	{Full, "all mechanisms as the preset in force sets them", func(p document.Preset) schedule.Policy { return fromPreset(p) }},
-	{Baseline, "round robin, first come first served, no admission control, unbounded retries", func(document.Preset) schedule.Policy { return schedule.Baseline() }},
+	{Full, "all mechanisms as the preset in force sets them", func(p document.Preset) schedule.Policy { return fromPreset(p) }, false},
+	{Baseline, "round robin, first come first served, no admission control, unbounded retries", func(document.Preset) schedule.Policy { return schedule.Baseline() }, false},
 	without("no-admit", "no admission control", schedule.WithAdmit(false)),
 	without("no-fair", "first come first served instead of queueing by share", schedule.WithFair(false)),
 	without("no-separate", "no bound on the slots of long work", schedule.WithSeparate(false, 100)),
@@ -49,14 +51,15 @@
 	without("no-detect", "slow targets are not avoided", schedule.WithDetect(false)),
 	{"no-budget", "unbounded retries", func(p document.Preset) schedule.Policy {
 		return fromPreset(p, schedule.WithBudgets(schedule.Unbounded, p.Hedge()))
-	}},
+	}, false},
 	{"no-hedge", "no hedges", func(p document.Preset) schedule.Policy {
 		return fromPreset(p, schedule.WithBudgets(p.Retry(), 0))
-	}},
+	}, false},
+	{"priority", "full, and targets run queued short calls before long ones", func(p document.Preset) schedule.Policy { return fromPreset(p) }, true},
 }
 
 func without(name, doc string, option schedule.PolicyOption) Variant {
-	return Variant{name, doc, func(p document.Preset) schedule.Policy { return fromPreset(p, option) }}
+	return Variant{name, doc, func(p document.Preset) schedule.Policy { return fromPreset(p, option) }, false}
 }
 
 // fromPreset returns the knobs that the preset sets, as the daemon does, then applies the
