Document the trace format from its registry

Cause: the format had no page. Ruled out: a page written by hand, which drifts from the parser. Before: no page. Conclusion: the page and the parser cannot differ.

--- a/core/trace/measure.go
+++ b/core/trace/measure.go
@@ -5,37 +5,41 @@
 // Measure is what a stated outcome is about.
 type Measure int
 
-// The measures, with their words in a trace.
+// The measures, with their words in a trace; measureDocs says what they mean.
 const (
-	// Attainment is the share of requests that were answered completely and in time.
 	Attainment Measure = iota // attainment
-	// Others is the attainment of all workspaces but the subject.
-	Others // others
-	// Cost is the attainment that the others lose compared with a run in which the
-	// subject sends one request in ten.
-	Cost // cost
-	// Goodput is the in-time answers/s in the load peak divided by Capacity.
-	Goodput // goodput
-	// Recovery is the time in ms from the end of the peak to the first second whose
-	// arrivals reach 95% attainment and after which none falls below.
-	Recovery // recovery
-	// Short and Long are the p99 in ms of answered short and long work.
-	Short // short
-	Long  // long
-	// Arrived is the share of long requests that were answered completely.
-	Arrived // arrived
-	// Blocking is the p99 of short work divided by that of a run without long work.
-	Blocking // blocking
-	// Slowdown is the p99 of short work divided by that of a run without slow moments.
-	Slowdown // slowdown
-	// Added is the slot time that retries and hedges added divided by that of all other
-	// calls.
-	Added // added
-	// Unknown is the number of requests that ended with outcome unknown.
-	Unknown // unknown
-	last    // last
+	Others                    // others
+	Cost                      // cost
+	Goodput                   // goodput
+	Recovery                  // recovery
+	Short                     // short
+	Long                      // long
+	Arrived                   // arrived
+	Blocking                  // blocking
+	Slowdown                  // slowdown
+	Added                     // added
+	Unknown                   // unknown
+	last                      // last
 )
 
+var measureDocs = [last]string{
+	Attainment: "share of requests that were answered completely and in time",
+	Others:     "attainment of all workspaces but the subject",
+	Cost:       "attainment that the others lose compared with a run in which the subject sends one request in ten",
+	Goodput:    "in-time answers in the load peak divided by what the pools can do in it",
+	Recovery:   "ms from the end of the peak to the first second whose arrivals reach 95% attainment and after which none falls below",
+	Short:      "p99 in ms of short work; a request without an answer counts with its deadline",
+	Long:       "p99 in ms of long work; a request without an answer counts with its deadline",
+	Arrived:    "share of long requests that were answered completely",
+	Blocking:   "p99 of short work divided by that of a run without long work",
+	Slowdown:   "p99 of short work divided by that of a run without slow moments",
+	Added:      "slot time that retries and hedges added divided by that of all other calls",
+	Unknown:    "number of requests that ended with outcome unknown",
+}
+
+// Doc returns the meaning and the unit of the measure.
+func (m Measure) Doc() string { return measureDocs[m] }
+
 // Measures returns all measures.
 func Measures() (list []Measure) {
 	for m := range last {
--- a/io/cli/replay.go
+++ b/io/cli/replay.go
@@ -19,7 +19,7 @@
 // rerun replays a recorded trace.
 type rerun struct {
 	env     *environment
-	Trace   string  `long:"trace" required:"true" description:"trace file"`
+	Trace   string  `long:"trace" description:"trace file"`
 	Seed    uint64  `long:"seed" default:"1" description:"seed of all randomness"`
 	Hosts   int     `long:"hosts" default:"6" description:"number of entry hosts, 1 to 1000"`
 	Policy  string  `long:"policy" default:"full" description:"full, baseline, or no- and one mechanism"`
@@ -27,6 +27,7 @@
 	Live    bool    `long:"live" description:"run against daemons and stand-ins over loopback, with the policy of the preset in force"`
 	Scale   float64 `long:"scale" default:"1" description:"duration of a live run in parts of the trace's, 0.05 to 1"`
 	Plot    string  `long:"plot" description:"write a plot (PNG) to this file"`
+	Format  bool    `long:"format" description:"print the trace format, the scenarios and the policies"`
 	Write   string  `long:"write" description:"write the generated scenario with this name to the trace file instead"`
 }
 
@@ -40,6 +41,12 @@
 
 // Execute implements flags.Commander.
 func (r *rerun) Execute([]string) error {
+	if r.Format {
+		return report.Format(r.env.out)
+	}
+	if r.Trace == "" {
+		return wrongArgument("--trace: allowed: the name of a file (required)")
+	}
 	if r.Hosts < 1 || r.Hosts > maxHosts {
 		return wrongArgument("--hosts %d: allowed: 1 to %d", r.Hosts, maxHosts)
 	}
--- a/io/cli/replay_test.go
+++ b/io/cli/replay_test.go
@@ -75,3 +75,14 @@
 		is.True(strings.Contains(out, "\n"+name+" "))
 	}
 }
+
+// TestReplayFormat guards against a documented trace format that differs from the one that
+// the parser checks.
+func TestReplayFormat(t *testing.T) {
+	is := is.New(t)
+	code, out := run(t, "", "--format")
+	is.Equal(code, 0)
+	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "trace.md"))
+	is.NoErr(err)
+	is.True(strings.HasSuffix(string(page), out)) // docs/trace.md ends with the output of replay --format
+}
