--- a/io/cli/status.go
+++ b/io/cli/status.go
@@ -21,8 +21,8 @@
 	JSON  bool   `long:"json" description:"print JSON"`
 }
 
-// report is the status of one host, or why there is none.
-type report struct {
+// hostReport is the status of one host, or why there is none.
+type hostReport struct {
 	Address string         `json:"address"`
 	Error   string         `json:"error,omitempty"`
 	Status  *daemon.Status `json:"status,omitempty"`
@@ -34,7 +34,7 @@
 	if first.Status == nil {
 		return errors.New(first.Error)
 	}
-	reports := []report{first}
+	reports := []hostReport{first}
 	if s.Fleet {
 		reports = s.fleet(first)
 	}
@@ -49,20 +49,20 @@
 	return nil
 }
 
-func (s *status) ask(address string) report {
+func (s *status) ask(address string) hostReport {
 	answer, err := fetchStatus(s.env.ctx, address)
 	if err != nil {
-		return report{Address: address, Error: err.Error()}
+		return hostReport{Address: address, Error: err.Error()}
 	}
-	return report{Address: address, Status: &answer}
+	return hostReport{Address: address, Status: &answer}
 }
 
 // fleet asks all members at the same time; first comes first.
-func (s *status) fleet(first report) []report {
-	reports := []report{first}
+func (s *status) fleet(first hostReport) []hostReport {
+	reports := []hostReport{first}
 	for _, m := range first.Status.Members {
 		if m.Host != first.Status.Host {
-			reports = append(reports, report{Address: m.Address})
+			reports = append(reports, hostReport{Address: m.Address})
 		}
 	}
 	var all sync.WaitGroup
@@ -73,7 +73,7 @@
 	return reports
 }
 
-func (s *status) print(reports []report) error {
+func (s *status) print(reports []hostReport) error {
 	if s.JSON {
 		encoder := json.NewEncoder(s.env.out)
 		encoder.SetIndent("", "  ")
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -11,6 +11,7 @@
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -26,6 +27,7 @@
 	views   *view.Holder
 	gates   *gates
 	metrics *metric.Metrics
+	owner   *owner.Owner
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
@@ -35,8 +37,11 @@
 	draining bool
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics) *control {
-	return &control{self: self, log: log, views: views, gates: gates, metrics: metrics, events: make(chan func(), 16)}
+func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner) *control {
+	return &control{
+		self: self, log: log, views: views, gates: gates, metrics: metrics, owner: owner,
+		events: make(chan func(), 16),
+	}
 }
 
 // run owns the state until the context ends; its end is reported on done.
@@ -49,6 +54,7 @@
 			change()
 		case <-ticker.C:
 			c.gates.tick()
+			c.owner.Tick()
 		case <-ctx.Done():
 			done <- nil
 			return
@@ -114,6 +120,7 @@
 
 func (c *control) takeHosts(list wire.Hosts) {
 	c.hosts = list
+	c.owner.SetHosts(list)
 	event.Log(c.log, event.HostsTaken, "version", list.Version, "hosts", len(list.Hosts))
 	c.apply()
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/runner"
@@ -34,6 +35,8 @@
 	platform *platform.Client
 	front    *front.Front
 	peers    *peer.Server
+	pool     *peer.Pool
+	owner    *owner.Owner
 	control  *control
 	start    time.Time
 	// linger is how long a draining host still takes requests.
@@ -68,16 +71,19 @@
 	d.gates = newGates(d.clock)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
-	run := runner.New(d.clock, d.gates, target.New(), d.metrics)
+	run := runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)
 	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
 		return nil, err
 	}
 	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
 		return nil, errors.Join(err, d.callers.Close())
 	}
+	d.pool = peer.NewPool()
+	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
+	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, log, d.views, d.gates, d.metrics)
-	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
+	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.owner)
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
 	return d, nil
 }
 
@@ -106,6 +112,7 @@
 	}
 	cancel()
 	d.peers.Stop()
+	d.pool.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
@@ -127,7 +134,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	err = d.front.Shutdown(ctx)
+	err = errors.Join(d.owner.Drain(ctx), d.front.Shutdown(ctx))
 	if err == nil {
 		return nil
 	}
