Check the ends of replayed requests against the runner

Cause: the mirror of the runner had a test for one kind of end only. Ruled out: a test through io/runner, which needs goroutines and a clock. Change: table test of crash and deadline for commands and idempotent calls, running and waiting; a test that a deadline frees the slot on the target. Before: 1 end checked. Conclusion: the mirror gives the ends that io/runner gives.

--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bytes"
+	"fmt"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -68,9 +70,19 @@
 config slots = 2
 config [stage generate]
 config pool = engines
+config [stage book]
+config pool = engines
+config command = true
 config [pipeline summary]
 config stages = generate
 config deadline = 3s
+config [pipeline report]
+config stages = generate
+config deadline = 1m
+config long = true
+config [pipeline booking]
+config stages = book
+config deadline = 3s
 network 4 10
 `
 
@@ -115,18 +127,50 @@
 			is := is.New(t)
 			for i, record := range run(t, c.lines...) {
 				is.Equal(record.Outcome(), outcome.Done)
-				is.Equal(record.Elapsed().Round(1e6).Milliseconds(), c.want[i])
+				is.Equal(record.Elapsed().Round(time.Millisecond).Milliseconds(), c.want[i])
 			}
 		})
 	}
 }
 
-// TestCrash guards against a crash that loses a request: the call that was cut off must
-// be repeated, and the attempt bound ends it while the only target is down.
-func TestCrash(t *testing.T) {
+// TestOutcomes guards against an end that the runner would tell differently: a command
+// whose target crashed is unknown, an idempotent call is repeated until the attempt bound,
+// and a deadline ends a call that waits and one that runs with different reasons.
+func TestOutcomes(t *testing.T) {
+	const rate = "rate engines 100 0 0 0 0 0"
+	for _, c := range []struct {
+		name  string
+		lines []string
+		want  string
+	}{
+		{"crash of a command", []string{rate, "crash engine1 50 2000", "request 0 thun booking 0 0 3000 - command"}, "unknown crashed 1"},
+		{"crash of an idempotent call", []string{rate, "crash engine1 50 2000", "request 0 thun summary 0 0 3000 - idempotent"}, "failed crashed 4"},
+		{"crash before a command", []string{rate, "crash engine1 0 50", "request 60 thun booking 0 0 3000 - command"}, "done none 1"},
+		{"deadline while running", []string{rate, "request 0 thun summary 0 0 90 - idempotent"}, "failed silent 1"},
+		{"deadline of a running command", []string{rate, "request 0 thun booking 0 0 90 - command"}, "unknown silent 1"},
+		{"deadline while waiting", []string{
+			rate, "request 0 thun report 0 0 1000 - idempotent", "request 0 thun report 0 0 1000 - idempotent", "request 0 thun summary 0 0 90 - idempotent",
+		}, "failed deadline 1"},
+		{"deadline of a waiting command", []string{
+			rate, "request 0 thun report 0 0 1000 - idempotent", "request 0 thun report 0 0 1000 - idempotent", "request 0 thun booking 0 0 90 - command",
+		}, "not-run deadline 1"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			records := run(t, c.lines...)
+			last := records[len(records)-1]
+			is.Equal(fmt.Sprintf("%s %s %d", last.Outcome(), last.Reason(), last.Stages()[0].Attempts()), c.want)
+		})
+	}
+}
+
+// TestCancel guards against a call that goes on to hold a slot after its deadline: the
+// third call gets the slot of the first, which is cancelled.
+func TestCancel(t *testing.T) {
 	is := is.New(t)
-	record := run(t, "rate engines 100 0 0 0 0 0", "crash engine1 50 2000", "request 0 thun summary 0 0 3000 - idempotent")[0]
-	is.Equal(record.Outcome(), outcome.Failed)
-	is.Equal(record.Reason().String(), "crashed")
-	is.True(record.Stages()[0].Attempts() > 1)
+	records := run(t, "rate engines 1000 0 0 0 0 0",
+		"request 0 thun summary 0 0 200 - idempotent", "request 0 thun summary 0 0 3000 - idempotent", "request 0 thun summary 0 0 3000 - idempotent")
+	is.Equal(records[0].Outcome(), outcome.Failed)
+	is.Equal(records[2].Outcome(), outcome.Done)
+	is.Equal(records[2].Elapsed().Round(time.Millisecond), 1222*time.Millisecond)
 }
