--- a/io/cli/serve.go
+++ b/io/cli/serve.go
@@ -1,7 +1,9 @@
 package cli
 
 import (
-	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"sassafrasward/io/daemon"
 	"sassafrasward/io/demo"
@@ -18,15 +20,34 @@
 func (s *serve) Execute([]string) error {
 	settings, err := setting.Load(s.Settings)
 	if err != nil {
-		return fmt.Errorf("%w: %w", errMistakes, err)
+		return mistakes(s.Settings, err)
 	}
 	d, err := daemon.New(settings, s.env.log())
 	if err != nil {
 		return err
 	}
+	done := make(chan struct{})
+	defer close(done)
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	go haltOnSecond(d, signals, done)
 	return d.Run(s.env.ctx)
 }
 
+// haltOnSecond ends a planned stop at once on the second signal; the first one has ended
+// the context of the command.
+func haltOnSecond(d *daemon.Daemon, signals <-chan os.Signal, done <-chan struct{}) {
+	for range 2 {
+		select {
+		case <-signals:
+		case <-done:
+			return
+		}
+	}
+	d.Halt()
+}
+
 // demonstrate runs the demo.
 type demonstrate struct {
 	env *environment
