--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -70,8 +70,12 @@
 	return a.repeated
 }
 
-// begin runs the request on its host from now on.
+// begin runs the request on its host from now on, unless the preset takes no requests.
 func (f *flow) begin() {
+	if !f.host.preset.Accept() {
+		f.end(reason.Closed.Rule().Outcome(), reason.Closed)
+		return
+	}
 	f.deadline = f.run.clock.now + f.request.Deadline()
 	f.run.clock.after(f.request.Deadline(), f.expire)
 	f.next()
@@ -265,7 +269,7 @@
 		return
 	}
 	f.over = true
-	if o != outcome.Done {
+	if o != outcome.Done && f.cost.name != "" {
 		f.record.stages = append(f.record.stages, f.cost)
 	}
 	f.record.outcome, f.record.reason = o, why
--- a/core/replay/host.go
+++ b/core/replay/host.go
@@ -13,8 +13,9 @@
 
 // host is an entry host with a scheduler per pool.
 type host struct {
-	run  *run
-	zone string
+	run    *run
+	zone   string
+	preset document.Preset
 	// order has the pools in the order of their names, so that ticks run in that order.
 	order []string
 	pools map[string]*schedule.Scheduler
@@ -24,14 +25,14 @@
 }
 
 func newHost(r *run, zone string) *host {
-	h := &host{run: r, zone: zone, pools: make(map[string]*schedule.Scheduler), attempts: make(map[schedule.ID]*attempt)}
+	h := &host{run: r, zone: zone, preset: r.trace.Document().Preset(), pools: make(map[string]*schedule.Scheduler), attempts: make(map[schedule.ID]*attempt)}
 	targets := make(map[string][]schedule.Target)
 	for _, t := range r.trace.Document().Targets() {
 		targets[t.Pool()] = append(targets[t.Pool()], schedule.NewTarget(t.Name(), t.Zone(), t.Slots(), false))
 	}
 	for _, p := range r.trace.Document().Pools() {
 		random := rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
-		s := schedule.New(random, schedule.WithPolicy(r.variant.policy(r.trace.Document().Preset())))
+		s := schedule.New(random, schedule.WithPolicy(r.variant.policy(h.preset)))
 		s.SetTargets(0, targets[p.Name()])
 		h.order = append(h.order, p.Name())
 		h.pools[p.Name()] = s
@@ -53,6 +54,7 @@
 }
 
 func (h *host) setPreset(p document.Preset) {
+	h.preset = p
 	for _, pool := range h.order {
 		h.pools[pool].SetPolicy(h.run.variant.policy(p))
 		h.apply(h.pools[pool].Tick(h.run.clock.now))
--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasward/core/outcome"
+	"sassafrasward/core/reason"
 	"sassafrasward/core/replay"
 	"sassafrasward/core/trace"
 	"sassafrasward/io/report"
@@ -58,7 +59,8 @@
 const alone = `config [document]
 config preset = ordinary
 config [preset ordinary]
-config [preset peak]
+config [preset maintenance]
+config accept = false
 config [workspace thun]
 config share = 1
 config [pool engines]
@@ -174,3 +176,14 @@
 	is.Equal(records[2].Outcome(), outcome.Done)
 	is.Equal(records[2].Elapsed().Round(time.Millisecond), 1222*time.Millisecond)
 }
+
+// TestMaintenance guards against a preset that takes no requests but is ignored, and
+// against a switch that cuts off a running request.
+func TestMaintenance(t *testing.T) {
+	is := is.New(t)
+	records := run(t, "rate engines 1500 0 0 0 0 0", "switch 100 maintenance",
+		"request 0 thun summary 0 0 3000 - idempotent", "request 1200 thun summary 0 0 3000 - idempotent")
+	is.Equal(records[0].Outcome(), outcome.Done)
+	is.Equal(records[1].Outcome(), outcome.NotRun)
+	is.Equal(records[1].Reason(), reason.Closed)
+}
--- a/io/cli/replay_test.go
+++ b/io/cli/replay_test.go
@@ -1,16 +1,12 @@
 package cli_test
 
 import (
-	"bytes"
-	"context"
 	"os"
 	"path/filepath"
 	"strings"
 	"testing"
 
 	"github.com/matryer/is"
-
-	"sassafrasward/io/cli"
 )
 
 const one = `config [document]
@@ -34,15 +30,11 @@
 request 0 thun summary 0 0 1000 - idempotent
 `
 
-func run(t *testing.T, text string, arguments ...string) (code int, out string) {
+// replayed runs the subcommand on a trace and returns all that it printed.
+func replayed(t *testing.T, text string, arguments ...string) (code int, out string) {
 	t.Helper()
-	path := filepath.Join(t.TempDir(), "trace")
-	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
-		t.Fatal(err)
-	}
-	var b bytes.Buffer
-	code = cli.Run(context.Background(), append([]string{"replay", "--trace", path}, arguments...), nil, &b, &b)
-	return code, b.String()
+	code, out, errOut := run("", append([]string{"replay", "--trace", file(t, text)}, arguments...)...)
+	return code, out + errOut
 }
 
 // TestReplayCodes guards against a missed outcome or a wrong trace that scripts cannot
@@ -59,7 +51,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			code, out := run(t, one+c.line+"\n")
+			code, out := replayed(t, one+c.line+"\n")
 			is.Equal(code, c.code)
 			is.True(strings.Contains(out, c.text))
 		})
@@ -69,7 +61,7 @@
 // TestReplayCompare guards against a policy that is left out of the comparison.
 func TestReplayCompare(t *testing.T) {
 	is := is.New(t)
-	code, out := run(t, one, "--compare")
+	code, out := replayed(t, one, "--compare")
 	is.Equal(code, 0)
 	for _, name := range []string{"full", "baseline", "no-admit", "no-fair", "no-separate", "no-choice", "no-affinity", "no-adapt", "no-detect", "no-budget", "no-hedge"} {
 		is.True(strings.Contains(out, "\n"+name+" "))
@@ -80,7 +72,7 @@
 // the parser checks.
 func TestReplayFormat(t *testing.T) {
 	is := is.New(t)
-	code, out := run(t, "", "--format")
+	code, out := replayed(t, "", "--format")
 	is.Equal(code, 0)
 	page, err := os.ReadFile(filepath.Join("..", "..", "docs", "trace.md"))
 	is.NoErr(err)
--- a/io/live/world.go
+++ b/io/live/world.go
@@ -109,7 +109,7 @@
 	for _, host := range w.hosts {
 		for {
 			status, err := w.status(ctx, host)
-			if err == nil && status.State == reason.None.String() {
+			if err == nil && status.State == daemon.StateServing {
 				break
 			}
 			select {
