--- /dev/null
+++ b/core/estimate/estimate_test.go
@@ -0,0 +1,73 @@
+package estimate_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/estimate"
+)
+
+// TestQuantile guards against estimates that are off by more than a bucket, from which
+// admission control would refuse work that has time or keep work that has none.
+func TestQuantile(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		from   float64
+		to     float64
+		q      float64
+		expect float64
+	}{
+		{"one value", 1000, 1000, 0.95, 1000},
+		{"median", 1000, 2000, 0.5, 1500},
+		{"high", 1000, 2000, 0.95, 1950},
+		{"minutes", 60e9, 120e9, 0.5, 90e9},
+		{"below one", 0, 0, 0.5, 1},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var d estimate.Distribution
+			for i := range 100 {
+				d.Add(test.from + (test.to-test.from)*float64((i*37)%100)/100)
+			}
+			is.True(math.Abs(d.Quantile(test.q)/test.expect-1) < 0.08) // within a bucket
+			is.True(d.Mean() > test.from*0.999 && d.Mean() < max(test.to, 1)*1.001)
+		})
+	}
+}
+
+// TestDecay guards against estimates that stay at an old pace, also after so many samples
+// that the weights were rescaled.
+func TestDecay(t *testing.T) {
+	is := is.New(t)
+	var d estimate.Distribution
+	for range 5_000 {
+		d.Add(1000)
+	}
+	for range 300 {
+		d.Add(8000)
+	}
+	is.True(d.Quantile(0.5) > 7000)
+	is.True(d.Mean() > 7000)
+}
+
+// TestEstimator guards against a decision from too few samples, a missing fall-back to a
+// broader key, and a lock-up in which an estimate that is too high is never tried again.
+func TestEstimator(t *testing.T) {
+	is := is.New(t)
+	e := estimate.New[string]()
+	for i := range 5 {
+		_, ok := e.Get("narrow")
+		is.True(!ok) // four samples are too few
+		e.Add(time.Duration(i), "narrow", 100)
+	}
+	s, ok := e.Get("absent", "narrow")
+	is.True(ok && s.Mean() == 100 && s.High() >= s.Median())
+	is.True(!e.Trial(time.Second/2, "narrow", time.Second)) // measured lately
+	is.True(e.Trial(2*time.Second, "narrow", time.Second))
+	is.True(!e.Trial(2*time.Second, "narrow", time.Second)) // one trial at a time
+	is.Equal(estimate.Class(0), int8(0))
+	is.Equal(estimate.Class(1000), int8(9))
+}
