--- /dev/null
+++ b/core/balance/balance_test.go
@@ -0,0 +1,139 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/balance"
+)
+
+func source() *rand.Rand { return rand.New(rand.NewPCG(1, 2)) }
+
+// TestChoose guards against uneven load and against a miss while any target has room.
+func TestChoose(t *testing.T) {
+	is := is.New(t)
+	random, loads := source(), make([]int, 50)
+	for range 5_000 {
+		i, ok := balance.Choose(random, len(loads), 3, func(i int) (float64, bool) { return float64(loads[i]), true })
+		is.True(ok)
+		loads[i]++
+	}
+	is.True(slices.Max(loads)-slices.Min(loads) <= 10) // one random choice gives about 50
+	for range 100 {
+		i, ok := balance.Choose(random, 50, 3, func(i int) (float64, bool) { return 0, i == 17 })
+		is.True(ok && i == 17)
+	}
+	_, ok := balance.Choose(random, 50, 3, func(int) (float64, bool) { return 0, false })
+	is.True(!ok)
+}
+
+// TestSubset guards against a subset that changes as a whole when one target leaves, or
+// that has no target left when a zone fails.
+func TestSubset(t *testing.T) {
+	is := is.New(t)
+	var names []string
+	for i := range 100 {
+		names = append(names, fmt.Sprintf("%c%02d", 'a'+i%4, i))
+	}
+	near := func(name string) bool { return name[0] == 'a' }
+	subset := balance.Subset(names, 7, 16, near)
+	is.Equal(len(subset), 16)
+	is.Equal(len(slices.DeleteFunc(slices.Clone(subset), near)), 4)
+	without := slices.DeleteFunc(slices.Clone(names), func(n string) bool { return n == subset[0] })
+	kept := 0
+	for _, name := range balance.Subset(without, 7, 16, near) {
+		if slices.Contains(subset, name) {
+			kept++
+		}
+	}
+	is.Equal(kept, 15)
+	is.Equal(len(balance.Subset(names[:8], 7, 16, near)), 8)
+}
+
+// TestPace guards against a slow target that stays in use for more than a few calls, a
+// healthy one that is avoided for one outlier, and a recovered one that is not used again.
+func TestPace(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		ratios []float64
+		slow   bool
+	}{
+		{"usual", []float64{1, 1, 1, 1}, false},
+		{"one outlier", []float64{1, 1, 50, 1}, false},
+		{"slowed ten times", []float64{1, 10, 10}, true},
+		{"slow from the start", []float64{10, 10, 10}, true},
+		{"slowed a little", []float64{1, 1.5, 1.5, 1.5, 1.5, 1.5}, false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			var p balance.Pace
+			for _, ratio := range test.ratios {
+				p.Observe(0, ratio, false)
+			}
+			is.Equal(p.Slow(), test.slow)
+		})
+	}
+}
+
+// TestProbe guards against a probe per call, which would send work to a slow target, and
+// against no probes at all.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	var p balance.Pace
+	p.Fail(0, false)
+	is.True(p.Slow())
+	probes, now := 0, time.Duration(0)
+	for ; now < time.Minute; now += 10 * time.Millisecond {
+		if p.Due(now) {
+			probes++
+			p.Start()
+			is.True(!p.Due(now)) // one at a time
+			p.Observe(now, 10, true)
+		}
+	}
+	is.True(probes >= 14 && probes <= 20) // pauses double up to 4 s
+	for range 3 {
+		now += 4 * time.Second
+		is.True(p.Due(now) || !p.Slow())
+		p.Start()
+		p.Observe(now, 1, true)
+	}
+	is.True(!p.Slow())
+}
+
+// holders returns the targets that are expected to hold the prefix.
+func holders(c *balance.Cache, now time.Duration, prefix uint64) (names []string) {
+	c.Each(now, prefix, func(name string) bool {
+		names = append(names, name)
+		return true
+	})
+	return names
+}
+
+// TestCache guards against stale cache knowledge after evictions and lost events, and
+// against loss of all knowledge when an event is late.
+func TestCache(t *testing.T) {
+	is := is.New(t)
+	c := balance.NewCache()
+	c.Note(0, 1, "a")
+	c.Note(0, 1, "b")
+	is.Equal(holders(c, 0, 1), []string{"b", "a"}) // the newest first
+	c.Take(time.Second, "a", 10, []uint64{2, 3}, nil)
+	c.Take(time.Second, "a", 11, nil, []uint64{2})
+	c.Take(time.Second, "a", 9, nil, []uint64{3}) // late
+	is.Equal(len(holders(c, time.Second, 2)), 0)
+	is.Equal(holders(c, time.Second, 3), []string{"a"})
+	c.Take(2*time.Second, "a", 20, []uint64{4}, nil) // 8 events lost
+	is.Equal(holders(c, 3*time.Second, 3), []string{"a"})
+	is.Equal(len(holders(c, 13*time.Second, 3)), 0) // not confirmed since the gap
+	is.Equal(holders(c, 13*time.Second, 4), []string{"a"})
+	for i := range uint64(20_000) {
+		c.Note(time.Minute, 100+i, "a")
+	}
+	is.Equal(len(holders(c, time.Minute, 1)), 0) // bounded
+}
