Add a table of crash suspects

Cause: a request that crashes each target that runs it is sent again by its caller. Ruled out: one shared counter per fingerprint, which double counts facts that arrive twice: with added instead of merged counts TestFacts fails. Change: core/suspect with isolation after one crash, refusal after two, clearing of calls that complete, and facts per origin host that merge in any order. Before: no limit on the crashes of one request. After: two crashes at most where the facts are known; without clearing TestLevels and TestFacts fail. Conclusion: membership can spread the facts without an order or an exactly-once channel.

--- /dev/null
+++ b/core/suspect/doc.go
@@ -0,0 +1,9 @@
+// Package suspect remembers fingerprints of calls whose targets crashed.
+//
+// After one crash a fingerprint is a suspect: it runs only where no other suspect runs,
+// so that the next crash names its cause. After the second crash it is refused. A suspect
+// that completes is innocent and is cleared.
+//
+// Counts are kept per origin host and only grow, so facts may arrive late, twice or in
+// any order: the merge takes the greatest count of each origin.
+package suspect
--- /dev/null
+++ b/core/suspect/suspect.go
@@ -0,0 +1,172 @@
+package suspect
+
+import (
+	"math"
+	"time"
+)
+
+// Level says how a fingerprint is treated.
+type Level int
+
+// The levels.
+const (
+	// Clear calls run anywhere.
+	Clear Level = iota
+	// Isolated calls run only on a target on which no other suspect runs.
+	Isolated
+	// Refused calls do not run.
+	Refused
+)
+
+const (
+	// refuseAt is the number of crashes from which a fingerprint is refused.
+	refuseAt = 2
+	// life is how long a fingerprint is remembered after its last crash or refusal. A
+	// caller that keeps sending the request keeps it refused.
+	life = time.Hour
+	// bound limits the fingerprints; the one that was used least recently is dropped.
+	bound = 4_096
+)
+
+// Fact is what one origin host knows of a fingerprint. Both counts only grow.
+type Fact struct {
+	fingerprint uint64
+	origin      string
+	crashes     int
+	cleared     int
+}
+
+// NewFact returns a fact as received from another host.
+func NewFact(fingerprint uint64, origin string, crashes, cleared int) Fact {
+	return Fact{fingerprint: fingerprint, origin: origin, crashes: crashes, cleared: cleared}
+}
+
+// Fingerprint returns the fingerprint of the calls.
+func (f Fact) Fingerprint() uint64 { return f.fingerprint }
+
+// Origin returns the host that saw the crashes.
+func (f Fact) Origin() string { return f.origin }
+
+// Crashes returns the crashes that the origin saw.
+func (f Fact) Crashes() int { return f.crashes }
+
+// Cleared returns how many of the crashes a later completed run excused.
+func (f Fact) Cleared() int { return f.cleared }
+
+// Table holds the suspects known to one host. It is not safe for concurrent use.
+type Table struct {
+	self string
+	// tell is called for each fact that changed on this host.
+	tell func(Fact)
+	rows map[uint64]*row
+}
+
+type row struct {
+	origins map[string]count
+	used    time.Duration
+}
+
+// count holds the crashes of one origin; cleared is at most crashes.
+type count struct{ crashes, cleared int }
+
+// New returns an empty table of the host self. The function tell gets each fact that is
+// to be told to other hosts; it may be nil and must not block.
+func New(self string, tell func(Fact)) *Table {
+	return &Table{self: self, tell: tell, rows: make(map[uint64]*row)}
+}
+
+// Level returns how calls with the fingerprint are treated now.
+func (t *Table) Level(now time.Duration, fingerprint uint64) Level {
+	r, ok := t.rows[fingerprint]
+	if !ok {
+		return Clear
+	}
+	if now-r.used > life {
+		delete(t.rows, fingerprint)
+		return Clear
+	}
+	switch n := r.crashes(); {
+	case n >= refuseAt:
+		r.used = now
+		return Refused
+	case n > 0:
+		return Isolated
+	}
+	return Clear
+}
+
+func (r *row) crashes() (n int) {
+	for _, c := range r.origins {
+		n += c.crashes - c.cleared
+	}
+	return n
+}
+
+// Crash takes that a target broke while it ran a call with the fingerprint.
+func (t *Table) Crash(now time.Duration, fingerprint uint64) {
+	r := t.row(now, fingerprint)
+	c := r.origins[t.self]
+	c.crashes++
+	r.origins[t.self] = c
+	t.publish(fingerprint, t.self, c)
+}
+
+// Complete takes that a call with the fingerprint completed: it is not what crashed the
+// targets.
+func (t *Table) Complete(now time.Duration, fingerprint uint64) {
+	if t.Level(now, fingerprint) == Clear {
+		return
+	}
+	r := t.rows[fingerprint]
+	for origin, c := range r.origins {
+		if c.cleared == c.crashes {
+			continue
+		}
+		c.cleared = c.crashes
+		r.origins[origin] = c
+		t.publish(fingerprint, origin, c)
+	}
+}
+
+// Learn takes a fact from another host.
+func (t *Table) Learn(now time.Duration, f Fact) {
+	r := t.row(now, f.fingerprint)
+	c := r.origins[f.origin]
+	c.crashes = max(c.crashes, f.crashes)
+	c.cleared = min(max(c.cleared, f.cleared), c.crashes)
+	r.origins[f.origin] = c
+}
+
+// Len returns the number of remembered fingerprints.
+func (t *Table) Len() int { return len(t.rows) }
+
+func (t *Table) publish(fingerprint uint64, origin string, c count) {
+	if t.tell != nil {
+		t.tell(Fact{fingerprint: fingerprint, origin: origin, crashes: c.crashes, cleared: c.cleared})
+	}
+}
+
+func (t *Table) row(now time.Duration, fingerprint uint64) *row {
+	r, ok := t.rows[fingerprint]
+	if !ok {
+		t.evict()
+		r = &row{origins: make(map[string]count)}
+		t.rows[fingerprint] = r
+	}
+	r.used = now
+	return r
+}
+
+// evict makes room for one more fingerprint; ties are broken by the fingerprint.
+func (t *Table) evict() {
+	if len(t.rows) < bound {
+		return
+	}
+	oldest, at := uint64(0), time.Duration(math.MaxInt64)
+	for fingerprint, r := range t.rows {
+		if r.used < at || r.used == at && fingerprint < oldest {
+			oldest, at = fingerprint, r.used
+		}
+	}
+	delete(t.rows, oldest)
+}
--- /dev/null
+++ b/core/suspect/suspect_test.go
@@ -0,0 +1,63 @@
+package suspect_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/suspect"
+)
+
+// TestLevels guards against a third crash by the same request, and against innocent calls
+// that stay suspects because they shared a target with the culprit.
+func TestLevels(t *testing.T) {
+	is := is.New(t)
+	table := suspect.New("a", nil)
+	is.Equal(table.Level(0, 1), suspect.Clear)
+	table.Crash(0, 1)
+	table.Crash(0, 2) // shared the target
+	is.Equal(table.Level(0, 1), suspect.Isolated)
+	is.Equal(table.Level(0, 2), suspect.Isolated)
+	table.Complete(1, 2)
+	is.Equal(table.Level(1, 2), suspect.Clear)
+	table.Crash(1, 1)
+	is.Equal(table.Level(1, 1), suspect.Refused)
+	table.Crash(1, 2)
+	is.Equal(table.Level(1, 2), suspect.Isolated) // the excused crash does not count
+	is.Equal(table.Level(2*time.Hour, 1), suspect.Clear)
+}
+
+// TestFacts guards against hosts that disagree because facts came late, twice or out of
+// order, and against crashes of two hosts that are counted as one.
+func TestFacts(t *testing.T) {
+	is := is.New(t)
+	var facts []suspect.Fact
+	tell := func(f suspect.Fact) { facts = append(facts, f) }
+	a, b, c := suspect.New("a", tell), suspect.New("b", tell), suspect.New("c", nil)
+	a.Crash(0, 1)
+	b.Crash(0, 1)
+	a.Crash(0, 2)
+	a.Complete(0, 2)
+	for range 2 {
+		for i := range facts {
+			c.Learn(0, facts[len(facts)-1-i]) // the newest first, then once more
+		}
+	}
+	is.Equal(c.Level(0, 1), suspect.Refused)
+	is.Equal(c.Level(0, 2), suspect.Clear)
+	is.Equal(a.Level(0, 1), suspect.Isolated)
+	a.Learn(0, facts[1])
+	is.Equal(a.Level(0, 1), suspect.Refused)
+}
+
+// TestBound guards against a table that grows with each new request that crashes a target.
+func TestBound(t *testing.T) {
+	is := is.New(t)
+	table := suspect.New("a", nil)
+	for i := range uint64(10_000) {
+		table.Crash(time.Duration(i), i)
+	}
+	is.Equal(table.Len(), 4096)
+	is.Equal(table.Level(10_000, 9_999), suspect.Isolated)
+}
