Schedule by share, deadline, measured time and target pace

Change: core/schedule uses estimate, share, balance, limit, budget and suspect; one switch per mechanism, baseline kept.

--- a/core/schedule/call.go
+++ b/core/schedule/call.go
@@ -10,6 +10,7 @@
 	id        ID
 	workspace string
 	pipeline  string
+	stage     string
 	// deadline is the latest useful end, as time since process start.
 	deadline time.Duration
 	// after is the time that later stages of the request are expected to need.
@@ -21,6 +22,8 @@
 	// fingerprint is equal for equal requests and stages.
 	fingerprint uint64
 	idempotent  bool
+	// stream is true if the answer is passed on while it comes in.
+	stream bool
 	// avoid lists the targets that earlier attempts of the call ran on.
 	avoid []string
 }
@@ -40,6 +43,9 @@
 // WithPipeline names the pipeline that the call belongs to.
 func WithPipeline(name string) CallOption { return func(c *Call) { c.pipeline = name } }
 
+// WithStage names the stage, for pools that run several stages of a pipeline.
+func WithStage(name string) CallOption { return func(c *Call) { c.stage = name } }
+
 // WithAfter states the time that later stages are expected to need.
 func WithAfter(d time.Duration) CallOption { return func(c *Call) { c.after = d } }
 
@@ -58,6 +64,10 @@
 // WithIdempotent states whether the call may be repeated.
 func WithIdempotent(idempotent bool) CallOption { return func(c *Call) { c.idempotent = idempotent } }
 
+// WithStream states whether the answer is passed on while it comes in. Such a call is not
+// hedged, because two runs may give different tokens.
+func WithStream(stream bool) CallOption { return func(c *Call) { c.stream = stream } }
+
 // WithAvoid lists targets that the call must not run on if another one is there.
 func WithAvoid(targets ...string) CallOption { return func(c *Call) { c.avoid = targets } }
 
--- a/core/schedule/policy.go
+++ b/core/schedule/policy.go
@@ -22,7 +22,7 @@
 	// retry and hedge are budgets in percent of the pool's work; retry -1 is unbounded.
 	retry int
 	hedge int
-	// queue bounds the queued calls.
+	// queue bounds the queued calls of each class, short and long.
 	queue int
 }
 
@@ -76,5 +76,5 @@
 	return func(p *Policy) { p.retry, p.hedge = retry, hedge }
 }
 
-// WithQueueBound bounds the queued calls.
+// WithQueueBound bounds the queued calls of each class, short and long.
 func WithQueueBound(calls int) PolicyOption { return func(p *Policy) { p.queue = calls } }
--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -1,8 +1,6 @@
 package schedule
 
 import (
-	"time"
-
 	"sassafrasward/core/reason"
 )
 
@@ -67,6 +65,7 @@
 type Step struct {
 	starts   []Start
 	refusals []Refusal
+	cancels  []ID
 }
 
 // Starts returns the calls that run from now on.
@@ -75,6 +74,10 @@
 // Refusals returns the queued calls that are not run.
 func (s Step) Refusals() []Refusal { return s.refusals }
 
+// Cancels returns the running calls that lost against their hedge or the call that they
+// hedge. They are to be cancelled on their targets and reported with Finish as Cancelled.
+func (s Step) Cancels() []ID { return s.cancels }
+
 // End says how a call on a target ended.
 type End int
 
@@ -149,10 +152,3 @@
 
 // Name returns the name of the target.
 func (t Target) Name() string { return t.name }
-
-// running is a call in flight.
-type running struct {
-	call   Call
-	target string
-	since  time.Duration
-}
--- /dev/null
+++ b/core/schedule/run.go
@@ -0,0 +1,257 @@
+package schedule
+
+import "time"
+
+const (
+	// sweepPause is the least time between two looks at the calls in flight.
+	sweepPause = 10 * time.Millisecond
+	// overdueFactor is the age of a call, in usual times, from which it counts as a slow
+	// sample before it ends.
+	overdueFactor = 4
+	// hedgeFactor is the age in high quantiles from which a call is hedged. At the high
+	// quantile itself, the usual variance would use up the budget.
+	hedgeFactor = 1.5
+	// slowHedgeFactor is the age in median times for calls on a target known to be slow.
+	slowHedgeFactor = 1.5
+	// probeFactor is the age in usual times from which a probe has shown that its target
+	// is still slow.
+	probeFactor = 2
+	// hedgeBit marks the identities that the scheduler gives to hedges.
+	hedgeBit ID = 1 << 63
+)
+
+// run is a call in flight. Runs form a list in the order in which they started.
+type run struct {
+	entry      *entry
+	state      *state
+	id         ID
+	since      time.Duration
+	prev, next *run
+	// twin is the other run of a hedged call while both are in flight.
+	twin *run
+	// hedge is true for the later run of a hedged call; hedged for the earlier one.
+	hedge, hedged bool
+	// probe is true for a run that tests a slow target; lost once its twin has won.
+	probe, lost bool
+	// counted is true once the run counted as a slow sample.
+	counted bool
+	// suspect is true if the call was isolated when it started.
+	suspect bool
+}
+
+func (s *Scheduler) start(now time.Duration, e *entry, st *state, probe bool) {
+	s.add(&run{entry: e, state: st, id: e.call.id, since: now, probe: probe, suspect: s.isolated(now, e)})
+	if probe {
+		st.pace.Start()
+	}
+	if !e.retry {
+		units := s.units(e.work)
+		s.retrying.Earn(units)
+		s.hedging.Earn(units)
+	}
+	if e.call.prefix != 0 && s.policy.affinity {
+		s.cache.Note(now, e.call.prefix, st.target.name)
+	}
+}
+
+func (s *Scheduler) add(r *run) {
+	r.state.inflight++
+	if r.entry.slow {
+		r.state.longs++
+		s.longs++
+	}
+	if r.suspect {
+		r.state.suspects++
+	}
+	s.running[r.id] = r
+	r.prev = s.newest
+	if s.newest != nil {
+		s.newest.next = r
+	} else {
+		s.oldest = r
+	}
+	s.newest = r
+}
+
+func (s *Scheduler) remove(r *run) {
+	r.state.inflight--
+	if r.entry.slow {
+		r.state.longs--
+		s.longs--
+	}
+	if r.suspect {
+		r.state.suspects--
+	}
+	delete(s.running, r.id)
+	if r.prev != nil {
+		r.prev.next = r.next
+	} else {
+		s.oldest = r.next
+	}
+	if r.next != nil {
+		r.next.prev = r.prev
+	} else {
+		s.newest = r.prev
+	}
+}
+
+// learn takes what the end of a run says of the call and its target.
+func (s *Scheduler) learn(now time.Duration, r *run, result Result) {
+	s.learnLoad(now, r.state, result)
+	fingerprint := r.entry.call.fingerprint
+	took := now - r.since
+	switch result.end {
+	case Completed:
+		s.learnTime(now, r, took, result.size)
+		if fingerprint != 0 {
+			s.suspects.Complete(now, fingerprint)
+		}
+	case Crashed:
+		r.state.pace.Fail(now, r.probe)
+		if fingerprint != 0 {
+			s.suspects.Crash(now, fingerprint)
+		}
+	case Silent:
+		r.state.pace.Observe(now, overdueFactor, r.probe)
+	default:
+		s.learnOverdue(now, r)
+		if r.probe && !r.counted {
+			r.state.pace.Drop(now)
+		}
+	}
+}
+
+func (s *Scheduler) learnTime(now time.Duration, r *run, took time.Duration, size float64) {
+	slow := r.state.pace.Slow()
+	if r.entry.median > 0 && (!r.counted || r.probe) {
+		r.state.pace.Observe(now, float64(took)/float64(r.entry.usual()), r.probe)
+	}
+	// Times of targets that are avoided say nothing of the ones that are used.
+	if !slow || !s.policy.detect || s.panicking() {
+		s.measure(now, r, took, size)
+	}
+}
+
+func (s *Scheduler) learnOverdue(now time.Duration, r *run) {
+	age := now - r.since
+	factor := time.Duration(overdueFactor)
+	if r.probe {
+		factor = probeFactor
+	}
+	if r.entry.median == 0 || r.counted || age < factor*r.entry.usual() {
+		return
+	}
+	r.counted = true
+	r.state.pace.Observe(now, float64(factor), r.probe)
+}
+
+func (s *Scheduler) learnLoad(now time.Duration, st *state, result Result) {
+	load := result.load
+	if result.end == Busy {
+		st.limit.Busy()
+		st.others, st.told = float64(st.limit.Slots()), now
+	}
+	if load.slots == 0 {
+		return
+	}
+	st.limit.Resize(load.slots)
+	st.limit.Observe(st.inflight+1, load.running, load.queued)
+	st.others, st.told = float64(max(load.running+load.queued-st.inflight-1, 0)), now
+}
+
+// settle ends the race of a hedged call. A run that failed leaves the race to its twin. A
+// probe that lost goes on until it has shown the pace of its target.
+func (s *Scheduler) settle(r *run, end End, step *Step) {
+	twin := r.twin
+	if twin == nil {
+		return
+	}
+	r.twin, twin.twin = nil, nil
+	switch {
+	case end == Completed && twin.probe && !twin.counted:
+		twin.lost = true
+	case end == Completed || end == Rejected || end == Cancelled:
+		step.cancels = append(step.cancels, twin.id)
+	}
+}
+
+// sweep looks at the calls in flight for signs of slow targets, hedges late calls and
+// sends copies of calls to slow targets that are due for a probe.
+func (s *Scheduler) sweep(now time.Duration, step *Step) {
+	s.swept = now
+	for r := s.oldest; r != nil; r = r.next {
+		if r.entry.median == 0 {
+			continue
+		}
+		s.learnOverdue(now, r)
+		if r.lost && r.counted {
+			r.lost = false
+			step.cancels = append(step.cancels, r.id)
+		}
+		if s.late(now, r) {
+			s.hedge(now, r, step)
+		}
+	}
+	if s.policy.detect && s.policy.choice && s.policy.hedge > 0 {
+		s.sendProbes(now, step)
+	}
+}
+
+// sendProbes copies the newest calls to slow targets that are due. The callers do not
+// wait for the copies.
+func (s *Scheduler) sendProbes(now time.Duration, step *Step) {
+	for _, st := range s.subset {
+		if !st.pace.Due(now) {
+			continue
+		}
+		for r := s.newest; r != nil; r = r.prev {
+			if r.state != st && s.hedgeable(r) && s.room(now, st, false, false) && s.hedging.Allows(s.units(r.entry.work)) {
+				s.copy(now, r, st, true, step)
+				break
+			}
+		}
+	}
+}
+
+// hedgeable reports whether a copy of the call may run.
+func (s *Scheduler) hedgeable(r *run) bool {
+	c := &r.entry.call
+	return c.idempotent && !c.stream && !r.hedged && !r.hedge && !r.entry.slow && !r.suspect && r.entry.median > 0
+}
+
+// late reports whether a call is to be hedged. Hedges only use room that no queued call
+// waits for.
+func (s *Scheduler) late(now time.Duration, r *run) bool {
+	if s.Waiting() > 0 || !s.hedgeable(r) {
+		return false
+	}
+	age, median := float64(now-r.since), float64(r.entry.median)
+	if r.state.pace.Slow() {
+		return age > slowHedgeFactor*median
+	}
+	return age > hedgeFactor*float64(r.entry.high)
+}
+
+func (s *Scheduler) hedge(now time.Duration, r *run, step *Step) {
+	if now+r.entry.median > r.entry.limit() || !s.hedging.Allows(s.units(r.entry.work)) {
+		return
+	}
+	e := *r.entry
+	e.call.avoid = append([]string{r.state.target.name}, e.call.avoid...)
+	if st, ok := s.choose(now, &e, false, s.panicking()); ok && st != r.state {
+		s.copy(now, r, st, false, step)
+	}
+}
+
+// copy starts a second run of the call on another target.
+func (s *Scheduler) copy(now time.Duration, r *run, st *state, probe bool, step *Step) {
+	s.hedging.Spend(s.units(r.entry.work))
+	s.hedges++
+	twin := &run{entry: r.entry, state: st, id: hedgeBit | ID(s.hedges), since: now, twin: r, hedge: true, probe: probe}
+	if probe {
+		st.pace.Start()
+	}
+	r.hedged, r.twin = true, twin
+	s.add(twin)
+	step.starts = append(step.starts, Start{id: twin.id, target: st.target.name, hedge: r.id})
+}
