--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -57,6 +57,29 @@
 	return Job{id: id, pipeline: p, request: request, each: each}
 }
 
+// ID returns the identity of the request.
+func (j Job) ID() string { return j.id }
+
+// Pipeline returns the pipeline that the job runs.
+func (j Job) Pipeline() document.Pipeline { return j.pipeline }
+
+// Request returns the request of the caller.
+func (j Job) Request() wire.Request { return j.request }
+
+// Limit returns the time that the job may take.
+func (j Job) Limit() time.Duration {
+	if j.request.Deadline == 0 {
+		return j.pipeline.Deadline()
+	}
+	return time.Duration(j.request.Deadline) * time.Millisecond
+}
+
+// Within returns the job with the given time limit, rounded up to a millisecond.
+func (j Job) Within(limit time.Duration) Job {
+	j.request.Deadline = max((limit + time.Millisecond - 1).Milliseconds(), 1)
+	return j
+}
+
 // Streaming returns the job with each taking the tokens of its last stage.
 func (j Job) Streaming(each func(wire.Token) error) Job {
 	j.each = each
@@ -72,14 +95,13 @@
 	output json.RawMessage
 	// streamed is the number of tokens passed to the caller.
 	streamed int
+	// ran is true once a command stage completed; the request is never not-run after that.
+	ran bool
 }
 
 // Run runs the job and returns the whole answer or the truthful refusal.
 func (r *Runner) Run(ctx context.Context, job Job) wire.Answer {
-	limit := time.Duration(job.request.Deadline) * time.Millisecond
-	if limit == 0 {
-		limit = job.pipeline.Deadline()
-	}
+	limit := job.Limit()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	p := &progress{job: job, deadline: r.clock() + limit, output: job.request.Input}
@@ -114,38 +136,27 @@
 		cost.Attempts++
 		reply, target, refusal := r.attempt(ctx, p, stage, &cost, last, avoid)
 		if refusal != reason.None {
-			return refusal, r.outcome(p, refusal)
+			return refusal, p.unwritten(refusal.Rule().Outcome())
 		}
 		if reply.End() == schedule.Completed {
 			p.output = reply.Output()
+			p.ran = p.ran || stage.Command()
 			return reason.None, outcome.Done
 		}
 		why = cause(reply.End())
-		p.answer.Detail = reply.Detail()
+		if reply.Detail() != "" {
+			p.answer.Detail = reply.Detail()
+		}
 		if stage.Command() {
-			return why, commandOutcome(reply.End())
+			return p.commandEnd(reply)
 		}
 		if reply.End() == schedule.Rejected || ctx.Err() != nil {
-			return why, outcome.Failed
+			return why, p.unwritten(outcome.Failed)
 		}
 		avoid = append(avoid, target)
 		r.metrics.Retry(retryReason(reply.End()))
 	}
-	return why, outcome.Failed
-}
-
-// outcome tells what a refusal before the write means for the request as a whole. Earlier
-// stages have run at most idempotent work unless one of them was a command.
-func (r *Runner) outcome(p *progress, why reason.Reason) outcome.Outcome {
-	for i := range p.answer.Stages {
-		if p.job.pipeline.Stages()[i].Command() {
-			return outcome.Failed
-		}
-	}
-	if p.job.pipeline.Command() {
-		return outcome.NotRun
-	}
-	return why.Rule().Outcome()
+	return why, p.unwritten(outcome.Failed)
 }
 
 // attempt makes one call of a stage.
@@ -189,10 +200,18 @@
 func (r *Runner) send(ctx context.Context, p *progress, stage document.Stage, attempt int, name string, last bool) target.Reply {
 	request := p.job.request
 	run := wire.Run{
-		Request: p.job.id, Stage: stage.Name(), Attempt: attempt, Key: request.Key,
+		Request: p.job.id, Stage: stage.Name(), Attempt: attempt,
 		Deadline: (p.deadline - r.clock()).Milliseconds(), Input: p.output,
 		Prefix: request.Prefix, Size: request.Size,
 	}
+	if stage.Command() {
+		run.Key = request.Key
+		reply, err := r.client.Command(ctx, r.gates.Address(name), run, p.deadline)
+		if err != nil {
+			p.answer.Detail = err.Error()
+		}
+		return reply
+	}
 	var each func(wire.Token) error
 	if last && p.job.each != nil {
 		run.Stream = true
