Decide the outcome of unfinished requests in one place

The runner and the replay each had their own rule for requests that end early, and commands could wait at a target, where a passed deadline makes them unknown. Ruled out: a larger deadline in the tests; the calls did start on the target, because the limit lets one call per eight slots wait there. Change: outcome.Progress decides for both; commands start only on a free slot; a request without commands is not-run only if no target was called. Conclusion: not-run is stricter for idempotent requests and commands stay not-run while they wait.

--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -30,9 +30,10 @@
 	cost  Stage
 	avoid []string
 	// live has the calls of the stage that wait or run: one, or two with a hedge.
-	live   []*attempt
-	record Record
-	over   bool
+	live    []*attempt
+	reached outcome.Progress
+	record  Record
+	over    bool
 }
 
 // attempt is one call of a stage.
@@ -76,6 +77,7 @@
 		f.end(reason.Closed.Rule().Outcome(), reason.Closed)
 		return
 	}
+	f.reached = outcome.NewProgress(f.pipeline.Command())
 	f.deadline = f.run.clock.now + f.request.Deadline()
 	f.run.clock.after(f.request.Deadline(), f.expire)
 	f.next()
@@ -151,6 +153,7 @@
 	f := a.flow
 	f.cost.wait += f.run.clock.now - a.since
 	f.cost.target = target
+	f.reached.Call()
 	a.sent, a.since, a.target = true, f.run.clock.now, f.run.standins[target]
 	hop := f.run.trace.Network().Hop(f.host.zone, a.target.zone)
 	f.run.clock.after(hop, func() {
@@ -188,6 +191,7 @@
 	}
 	if end == schedule.Completed {
 		f.record.stages = append(f.record.stages, f.cost)
+		f.reached.Complete(f.current().Command())
 		f.stage++
 		f.next()
 		return
@@ -246,22 +250,12 @@
 	}
 }
 
-// refuse ends a request before the write of the current stage. As in the runner, a
-// request whose command has run is failed.
+// refuse ends a request before the write of the current stage.
 func (f *flow) refuse(why reason.Reason) {
 	if f.over || len(f.live) > 0 {
 		return
 	}
-	end := why.Rule().Outcome()
-	if f.pipeline.Command() {
-		end = outcome.NotRun
-	}
-	for _, s := range f.pipeline.Stages()[:f.stage] {
-		if s.Command() {
-			end = outcome.Failed
-		}
-	}
-	f.end(end, why)
+	f.end(f.reached.Unwritten(why.Rule().Outcome()), why)
 }
 
 func (f *flow) end(o outcome.Outcome, why reason.Reason) {
--- a/core/schedule/pick.go
+++ b/core/schedule/pick.go
@@ -85,6 +85,10 @@
 		return false
 	case s.policy.detect && st.pace.Slow() && !panicking:
 		return false
+	case !e.call.idempotent && st.inflight >= st.limit.Slots():
+		// A command that waits at the target is unknown when its deadline passes; one that
+		// waits here is not run.
+		return false
 	case len(e.call.avoid) > 0 && slices.Contains(e.call.avoid, st.target.name):
 		return !s.alternative(e)
 	}
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -23,27 +23,15 @@
 	}
 }
 
-// unwritten returns the outcome of a request that ended while no command was being
-// written. The plain outcome is that of a request without commands.
-func (p *progress) unwritten(plain outcome.Outcome) outcome.Outcome {
-	switch {
-	case !p.job.pipeline.Command():
-		return plain
-	case p.ran:
-		return outcome.Unknown
-	}
-	return outcome.NotRun
-}
-
 // commandEnd returns what is true of a request whose command stage did not complete. Once
 // a byte was written, only the target's own word makes it failed or not run.
 func (p *progress) commandEnd(reply target.Reply) (why reason.Reason, end outcome.Outcome) {
 	why = cause(reply.End())
 	switch {
 	case !reply.Sent():
-		return reply.Refusal(), p.unwritten(outcome.NotRun)
+		return reply.Refusal(), p.reached.Unwritten(outcome.NotRun)
 	case reply.End() == schedule.Busy:
-		return why, p.unwritten(outcome.NotRun)
+		return why, p.reached.Unwritten(outcome.NotRun)
 	case reply.End() == schedule.Rejected:
 		return why, outcome.Failed
 	}
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -95,8 +95,8 @@
 	output json.RawMessage
 	// streamed is the number of tokens passed to the caller.
 	streamed int
-	// ran is true once a command stage completed; the request is never not-run after that.
-	ran bool
+	// reached decides the outcome of a request that ends early.
+	reached outcome.Progress
 }
 
 // Run runs the job and returns the whole answer or the truthful refusal.
@@ -104,7 +104,10 @@
 	limit := job.Limit()
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	p := &progress{job: job, deadline: r.clock() + limit, output: job.request.Input}
+	p := &progress{
+		job: job, deadline: r.clock() + limit, output: job.request.Input,
+		reached: outcome.NewProgress(job.pipeline.Command()),
+	}
 	p.answer = wire.Answer{Request: job.id, Outcome: outcome.Done.String()}
 	for i, stage := range job.pipeline.Stages() {
 		last := i == len(job.pipeline.Stages())-1
@@ -136,11 +139,11 @@
 		cost.Attempts++
 		reply, target, refusal := r.attempt(ctx, p, stage, &cost, last, avoid)
 		if refusal != reason.None {
-			return refusal, p.unwritten(refusal.Rule().Outcome())
+			return refusal, p.reached.Unwritten(refusal.Rule().Outcome())
 		}
 		if reply.End() == schedule.Completed {
 			p.output = reply.Output()
-			p.ran = p.ran || stage.Command()
+			p.reached.Complete(stage.Command())
 			return reason.None, outcome.Done
 		}
 		why = cause(reply.End())
@@ -151,12 +154,12 @@
 			return p.commandEnd(reply)
 		}
 		if reply.End() == schedule.Rejected || ctx.Err() != nil {
-			return why, p.unwritten(outcome.Failed)
+			return why, p.reached.Unwritten(outcome.Failed)
 		}
 		avoid = append(avoid, target)
 		r.metrics.Retry(retryReason(reply.End()))
 	}
-	return why, p.unwritten(outcome.Failed)
+	return why, p.reached.Unwritten(outcome.Failed)
 }
 
 // attempt makes one call of a stage.
@@ -173,6 +176,7 @@
 		return target.Reply{}, "", why
 	}
 	cost.Target = name
+	p.reached.Call()
 	began = r.clock()
 	reply = r.send(ctx, p, stage, cost.Attempts, name, last)
 	cost.Elapsed += milliseconds(r.clock() - began)
