--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	d, err := daemon.New(s, log)
+	d, err := daemon.New(s, log, daemon.WithLinger(0))
 	if err != nil {
 		return err
 	}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -28,8 +27,8 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("front")
 
-// lifetime is how long callers keep an address answer.
-const lifetime = 5 * time.Second
+// Lifetime is how long callers keep an address answer.
+const Lifetime = 5 * time.Second
 
 const readTimeout = 10 * time.Second
 
@@ -80,8 +79,10 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = f.fault
+	e.Use(f.release)
 	e.GET(wire.PathAddresses, f.addresses)
 	e.GET(wire.PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, f.status()) })
+	e.GET(wire.PathConfig, f.config)
 	e.POST(wire.PathPipelines+":pipeline", f.pipeline)
 	f.server = &http.Server{Handler: e, ReadHeaderTimeout: readTimeout}
 	return f
@@ -96,12 +97,26 @@
 	done <- Error.Wrap(err)
 }
 
+// Close ends the server and cuts off all running requests.
+func (f *Front) Close() error { return Error.Wrap(f.server.Close()) }
+
 // Shutdown waits for running requests to end and stops the server.
 func (f *Front) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	return f.server.Shutdown(ctx)
 }
 
+// release ends each connection with its next answer while the host drains, so that no
+// caller sends a request on a kept connection at the moment when the server closes it.
+func (f *Front) release(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if f.views.Load().Refusal() == reason.Draining {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
 // fault answers requests that match no route.
 func (f *Front) fault(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -112,13 +127,23 @@
 
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
-	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: lifetime.Milliseconds()}
+	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: Lifetime.Milliseconds()}
 	if keys, lifetime := f.issue(v, c.QueryParam("workspace"), c.QueryParam("keys")); len(keys) > 0 {
 		answer.Keys, answer.Expiry = keys, lifetime.Milliseconds()
 	}
 	return c.JSON(http.StatusOK, answer)
 }
 
+// config answers with the configuration in force, in the shape that the platform gives it.
+func (f *Front) config(c echo.Context) error {
+	v := f.views.Load()
+	if v.Document() == nil {
+		return f.refuse(c, wire.Answer{}, v.Refusal())
+	}
+	c.Response().Header().Set(wire.HeaderVersion, strconv.FormatUint(v.Version().Number(), 10))
+	return c.Blob(http.StatusOK, echo.MIMETextPlainCharsetUTF8, v.Document().Raw())
+}
+
 // issue returns the keys that an address request asks for; none if the host does not
 // serve or the workspace is not published.
 func (f *Front) issue(v *view.View, workspace, number string) (keys []string, lifetime time.Duration) {
@@ -146,16 +171,19 @@
 	return f.end(c, answer)
 }
 
-// admit reads and checks the request against the configuration in force.
+// admit reads and checks the request against the configuration in force. A draining host
+// still takes requests of callers whose address answer is older than the drain. It runs
+// the commands of its own keys too, since no other host may, until the owner stops.
 func (f *Front) admit(c echo.Context) (request wire.Request, p document.Pipeline, why reason.Reason, detail string) {
 	v := f.views.Load()
 	request, why, detail = f.decode(c)
-	// A draining host still answers requests with a key: only the owner of the key knows
-	// whether the command ran, and no other refusal could be a true not-run.
-	keyed := request.Key != "" && v.Refusal() == reason.Draining && v.Document() != nil
-	if v.Refusal() != reason.None && !keyed {
+	draining := v.Refusal() == reason.Draining && v.Document() != nil
+	if v.Refusal() != reason.None && !draining {
 		return request, p, v.Refusal(), ""
 	}
+	if preset := v.Document().Preset(); !preset.Accept() {
+		return request, p, reason.Closed, preset.Name()
+	}
 	if why != reason.None {
 		return request, p, why, detail
 	}
@@ -163,9 +191,6 @@
 	if !ok {
 		return request, p, reason.Pipeline, c.Param("pipeline")
 	}
-	if keyed && !p.Command() {
-		return request, p, v.Refusal(), ""
-	}
 	if _, ok := v.Document().Workspace(request.Workspace); !ok {
 		return request, p, reason.Workspace, request.Workspace
 	}
@@ -174,20 +199,7 @@
 }
 
 func (f *Front) decode(c echo.Context) (request wire.Request, why reason.Reason, detail string) {
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&request)
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
-		return request, reason.None, ""
-	case errors.As(err, &large):
-		return request, reason.Oversize, fmt.Sprintf("the body is larger than %d bytes", f.body)
-	case strings.Contains(err.Error(), "unknown field"):
-		return request, reason.Field, err.Error()
-	default:
-		return request, reason.Malformed, err.Error()
-	}
+	return Decode(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
 }
 
 func check(request wire.Request, p document.Pipeline) (why reason.Reason, detail string) {
--- a/io/integration/command_fault_test.go
+++ b/io/integration/command_fault_test.go
@@ -272,9 +272,9 @@
 	}
 }
 
-// TestPlannedStop guards against a planned stop that cuts off a running command, begins a
+// TestCommandPlannedStop guards against a planned stop that cuts off a running command, begins a
 // new one, or leaves a finished one without its answer.
-func TestPlannedStop(t *testing.T) {
+func TestCommandPlannedStop(t *testing.T) {
 	is := is.New(t)
 	c := startCommands(t, 3, false)
 	done, running, unused := c.key(0), c.key(0), c.key(0)
@@ -283,9 +283,7 @@
 	first := c.start(0, deposit(running, 0))
 	c.ran(2)
 	c.hosts[0].signal(syscall.SIGTERM)
-	for c.state(0) != reason.Draining.String() {
-		time.Sleep(time.Millisecond)
-	}
+	c.hosts[0].line(`"event":1404`)
 	expect(t, c.send(1, deposit(unused, 0)), outcome.NotRun, reason.Draining)
 	expect(t, c.send(0, deposit(unused, 0)), outcome.NotRun, reason.Draining)
 	second := c.start(1, deposit(running, 0))
@@ -305,15 +303,3 @@
 	}
 	c.once(2, running)
 }
-
-// state returns the state in the status of host i; empty if it does not answer.
-func (c *commands) state(i int) string {
-	response, err := http.Get("http://" + c.hosts[i].caller + wire.PathStatus)
-	if err != nil {
-		return ""
-	}
-	defer func() { _ = response.Body.Close() }()
-	var status struct{ State string }
-	_ = json.NewDecoder(response.Body).Decode(&status)
-	return status.State
-}
--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -24,6 +24,9 @@
 func (o *Owner) Close() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
+	if !o.draining {
+		event.Log(o.log, event.CommandsClosed, "running", len(o.flights))
+	}
 	o.draining = true
 	o.settle()
 }
