Give model orders to engines in time slots

Cause: pools name models and roles, but no host told the engines. Ruled out: one host for all orders, which has to be elected; a token bucket per host, which divides the rate by a fleet size on which hosts can disagree. Change: core/order derives the desired state and its fencing token from the document, picks three givers for each engine by rendezvous hashing and gives each pair its time slot under the new key loads of [document]; io/order reads the report of the engine in the slot and gives the order if models, role or token differ. The stand-in loads models with a time and a weight store and keeps a ledger of orders; the test proxy can hold back single messages.

--- a/core/document/build.go
+++ b/core/document/build.go
@@ -10,11 +10,13 @@
 	defaultHedge   = 5
 	defaultLong    = 50
 	defaultQueue   = 1_000
+	defaultLoads   = 600
 )
 
 // builder collects the entities of a document while it is parsed.
 type builder struct {
 	force      string
+	loads      int
 	presets    *table.Table[string, *Preset]
 	workspaces *table.Table[string, *Workspace]
 	pools      *table.Table[string, *Pool]
@@ -27,6 +29,7 @@
 
 func newBuilder() *builder {
 	return &builder{
+		loads:      defaultLoads,
 		presets:    table.New[string, *Preset](),
 		workspaces: table.New[string, *Workspace](),
 		pools:      table.New[string, *Pool](),
--- a/core/document/document.go
+++ b/core/document/document.go
@@ -67,7 +67,9 @@
 	hash [sha256.Size]byte
 	raw  []byte
 	// force names an entry of presets.
-	force      string
+	force string
+	// loads is the rate of the weight store in loads per minute; at least 1.
+	loads      int
 	presets    *table.Table[string, *Preset]
 	workspaces *table.Table[string, *Workspace]
 	pools      *table.Table[string, *Pool]
@@ -87,6 +89,9 @@
 	return *p
 }
 
+// Loads returns how many model loads per minute the weight store serves.
+func (d *Document) Loads() int { return d.loads }
+
 // Presets returns the names of all presets in order.
 func (d *Document) Presets() []string { return d.presets.Keys() }
 
@@ -151,7 +156,7 @@
 		return nil, mistakes
 	}
 	return &Document{
-		hash: sha256.Sum256(raw), raw: append([]byte(nil), raw...), force: b.force,
+		hash: sha256.Sum256(raw), raw: append([]byte(nil), raw...), force: b.force, loads: b.loads,
 		presets: b.presets, workspaces: b.workspaces, pools: b.pools,
 		targets: b.targets, pipelines: b.pipelines,
 	}, nil
--- a/core/document/field.go
+++ b/core/document/field.go
@@ -55,6 +55,7 @@
 	maxQueue    = 1_000_000
 	maxStages   = 16
 	maxDeadline = time.Hour
+	maxLoads    = 60_000
 )
 
 var fields = []Field{
@@ -62,6 +63,9 @@
 		b.force = v
 		return v != ""
 	}},
+	{sectionDocument, "loads", false, fmt.Sprintf("1 to %d (loads per minute)", maxLoads), "rate at which the weight store serves model loads of all engines together", func(b *builder, _, v string) bool {
+		return setInt(v, 1, maxLoads, &b.loads)
+	}},
 	{sectionPreset, "admit", false, "true or false", "refuse at once what cannot be in time", func(b *builder, n, v string) bool {
 		return setBool(v, &b.preset(n).admit)
 	}},
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -11,6 +11,7 @@
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/order"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -26,6 +27,7 @@
 	views   *view.Holder
 	gates   *gates
 	metrics *metric.Metrics
+	orders  *order.Giver
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
@@ -35,8 +37,8 @@
 	draining bool
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics) *control {
-	return &control{self: self, log: log, views: views, gates: gates, metrics: metrics, events: make(chan func(), 16)}
+func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, orders *order.Giver) *control {
+	return &control{self: self, log: log, views: views, gates: gates, metrics: metrics, orders: orders, events: make(chan func(), 16)}
 }
 
 // run owns the state until the context ends; its end is reported on done.
@@ -122,6 +124,7 @@
 func (c *control) apply() {
 	if c.document != nil {
 		c.gates.configure(c.document, leaving(c.hosts))
+		c.orders.Configure(c.document, c.version, givers(c.hosts))
 	}
 	c.publish()
 }
@@ -151,6 +154,16 @@
 	return hosts
 }
 
+// givers returns the names of the hosts that give model orders.
+func givers(list wire.Hosts) (names []string) {
+	for _, h := range list.Hosts {
+		if h.Kind == wire.KindEntry && h.State == wire.StateLive {
+			names = append(names, h.Host)
+		}
+	}
+	return names
+}
+
 // leaving returns the addresses of targets that the host list says are leaving.
 func leaving(list wire.Hosts) map[string]bool {
 	addresses := make(map[string]bool)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/order"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/runner"
@@ -35,6 +36,7 @@
 	front    *front.Front
 	peers    *peer.Server
 	control  *control
+	orders   *order.Giver
 	start    time.Time
 	// linger is how long a draining host still takes requests.
 	linger time.Duration
@@ -76,7 +78,8 @@
 		return nil, errors.Join(err, d.callers.Close())
 	}
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, log, d.views, d.gates, d.metrics)
+	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
+	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.orders)
 	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
 	return d, nil
 }
@@ -92,11 +95,12 @@
 	event.Log(d.log, event.HostStarted, "host", d.settings.Host(), "caller", d.Address(), "peer", d.hosts.Addr().String())
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	ends := make(chan error, 4)
+	ends := make(chan error, 5)
 	go d.front.Serve(d.callers, ends)
 	go d.peers.Serve(d.hosts, ends)
 	go d.control.run(inner, ends)
 	go d.watch(inner, ends)
+	go d.orders.Run(inner, ends)
 
 	select {
 	case <-ctx.Done():
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -41,6 +41,10 @@
 	DocumentRefused = register(1102, 0, "configuration refused", "A published configuration has mistakes; the last accepted one stays in force.")
 	PlatformFailed  = register(1201, 1, "platform read failed", "A read of the configuration service or host list failed; it is repeated after a delay.")
 	HostsTaken      = register(1202, 1, "host list read", "A newer host list was read.")
+	OrderGiven      = register(1401, 0, "order given", "An engine took a model order.")
+	OrderLate       = register(1402, 0, "late order found", "An engine holds an order with an older fencing token than it held before; it is given the newer order again.")
+	OrderFenced     = register(1403, 0, "order refused", "An engine refused an order for its older fencing token; this host has yet to learn of a newer configuration.")
+	OrderFailed     = register(1404, 1, "order failed", "A report could not be read or an order not given; it is tried again in the next time slot of the engine.")
 	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
 )
 
--- /dev/null
+++ b/io/integration/order_test.go
@@ -0,0 +1,108 @@
+package integration_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// orders returns the ledger of orders of a target stand-in.
+func orders(t *testing.T, address string) (list []standin.Ordered) {
+	t.Helper()
+	response, err := http.Get("http://" + address + standin.PathOrders)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if err := json.NewDecoder(response.Body).Decode(&list); err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// waitOrder waits for an order with the fencing token at or after an index of the ledger
+// and returns the index after it.
+func waitOrder(t *testing.T, address string, from int, fence uint64, taken bool) int {
+	t.Helper()
+	for {
+		for i, o := range orders(t, address) {
+			if i >= from && o.Order.Fence == fence && o.Taken == taken {
+				return i + 1
+			}
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// TestLateOrder guards against an engine that is left with an order of an old version: the
+// order of a host that was paused while it sent it arrives after the order of a newer
+// version. An engine that checks fencing tokens refuses it; one that does not takes it and
+// is corrected by the other host.
+func TestLateOrder(t *testing.T) {
+	for name, fencing := range map[string]bool{"checks tokens": true, "ignores tokens": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			arguments := []string{"--load", "1ms", "--loads", "60000"}
+			if fencing {
+				arguments = append(arguments, "--fencing")
+			}
+			engine, platform := startTarget(t, arguments...), startPlatform(t)
+			p := newProxy(t, engine)
+			publish := func(model string) {
+				put(t, platform, standin.PathPublish, fmt.Appendf(nil,
+					"[document]\npreset = ordinary\nloads = 6000\n[preset ordinary]\n[pool engines]\nkind = engine\nfencing = %t\nmodels = %s\n%s",
+					fencing, model, targetSection("e1", "engines", p.address())))
+			}
+			a, b := startHost(t, "a", "a", platform), startHost(t, "b", "b", platform)
+			putJSON(t, platform, standin.PathList, []wire.Listed{listed(a, "a"), listed(b, "b")})
+			publish("m1")
+			waitOrder(t, engine, 0, 1, true)
+			a.line(`"event":1002`)
+			b.line(`"event":1002`)
+
+			// Host a is paused with its order of version 2 on the way.
+			b.signal(syscall.SIGSTOP)
+			hold := faults{silenceUp: true, match: "POST " + wire.PathOrder}
+			p.set(hold)
+			publish("m2")
+			p.waitHeld()
+			a.signal(syscall.SIGSTOP)
+			hold.onlyOld = true
+			p.set(hold)
+
+			// Host b orders version 3; then the order of a arrives.
+			publish("m3")
+			b.signal(syscall.SIGCONT)
+			newer := waitOrder(t, engine, 0, 3, true)
+			p.set(faults{})
+			late := waitOrder(t, engine, newer, 2, !fencing)
+			if !fencing {
+				waitOrder(t, engine, late, 3, true)
+			}
+			a.signal(syscall.SIGCONT)
+			a.line(`"event":1101,"version":"3-`)
+			is.Equal(lastTaken(t, engine).Models, []string{"m3"})
+		})
+	}
+}
+
+// lastTaken waits until the last order that the target took is not the late one.
+func lastTaken(t *testing.T, address string) (last wire.Order) {
+	t.Helper()
+	for last.Fence != 3 {
+		for _, o := range orders(t, address) {
+			if o.Taken {
+				last = o.Order
+			}
+		}
+	}
+	return last
+}
--- a/io/integration/proxy_test.go
+++ b/io/integration/proxy_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"bytes"
 	"io"
 	"net"
 	"sync"
@@ -17,7 +18,9 @@
 	// changed wakes the copying goroutines when the faults change.
 	changed *sync.Cond
 	faults  faults
-	conns   map[net.Conn]*link
+	// held counts the reads that are held back now.
+	held  int
+	conns map[net.Conn]*link
 }
 
 // faults say what happens to bytes and to new connections.
@@ -30,6 +33,8 @@
 	// onlyOld keeps only connections opened before the fault silent, as when something
 	// between the two ends has lost track of them.
 	onlyOld bool
+	// match limits the silence to reads that contain the text.
+	match string
 	// delay holds each read back.
 	delay time.Duration
 }
@@ -131,7 +136,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
-			p.hold(l, silenced)
+			p.hold(l, buffer[:n], silenced)
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -140,19 +145,37 @@
 			if err != io.EOF {
 				return
 			}
-			p.hold(l, silenced)
+			p.hold(l, nil, silenced)
 			return
 		}
 	}
 }
 
 // hold waits while bytes are held back, and for the delay.
-func (p *proxy) hold(l *link, silenced func(faults) bool) {
+func (p *proxy) hold(l *link, data []byte, silenced func(faults) bool) {
 	p.mutex.Lock()
-	for silenced(p.faults) && (l.old || !p.faults.onlyOld) && p.conns[l.client] != nil {
+	waits := false
+	for silenced(p.faults) && (l.old || !p.faults.onlyOld) && p.conns[l.client] != nil && bytes.Contains(data, []byte(p.faults.match)) {
+		if !waits {
+			waits = true
+			p.held++
+			p.changed.Broadcast()
+		}
 		p.changed.Wait()
 	}
+	if waits {
+		p.held--
+	}
 	delay := p.faults.delay
 	p.mutex.Unlock()
 	time.Sleep(delay)
 }
+
+// waitHeld waits until a read is held back.
+func (p *proxy) waitHeld() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for p.held == 0 {
+		p.changed.Wait()
+	}
+}
--- /dev/null
+++ b/io/order/client.go
@@ -0,0 +1,81 @@
+package order
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasward/core/order"
+	"sassafrasward/io/wire"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("order")
+
+// ErrFenced is the error of an order that an engine refused for its old fencing token.
+var ErrFenced = errs.New("the engine holds an order with a newer fencing token")
+
+const (
+	callTimeout = 2 * time.Second
+	maxReport   = 1 << 20 // bytes
+)
+
+// client speaks the target protocol for reports and orders.
+type client struct {
+	http *http.Client
+}
+
+func newClient() *client {
+	// A new connection for each call: orders are rare, and a connection that was idle
+	// between two slots may have gone silent.
+	return &client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// report returns what the engine says that it holds.
+func (c *client) report(ctx context.Context, address string) (report order.Report, err error) {
+	defer func() { err = Error.Wrap(err) }()
+	var answer wire.Report
+	if err := c.call(ctx, http.MethodGet, address+wire.PathReport, nil, &answer); err != nil {
+		return report, err
+	}
+	return order.NewReport(answer.Fence, answer.Models, answer.Role), nil
+}
+
+// give sends the order. The error is ErrFenced if the engine refuses its token.
+func (c *client) give(ctx context.Context, d order.Desired) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	body, err := json.Marshal(wire.Order{Fence: d.Fence(), Models: d.Models(), Role: d.Role()})
+	if err != nil {
+		return err
+	}
+	var answer wire.Order
+	return c.call(ctx, http.MethodPost, d.Address()+wire.PathOrder, body, &answer)
+}
+
+func (c *client) call(ctx context.Context, method, url string, body []byte, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+url, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	request.Header.Set("Content-Type", wire.ContentJSON)
+	response, err := c.http.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return json.NewDecoder(io.LimitReader(response.Body, maxReport)).Decode(answer)
+	case http.StatusConflict:
+		return ErrFenced
+	default:
+		return errs.New("status %d", response.StatusCode)
+	}
+}
--- a/io/standin/command.go
+++ b/io/standin/command.go
@@ -25,6 +25,8 @@
 	Base      time.Duration `long:"base" default:"0" description:"time of each call"`
 	Each      time.Duration `long:"each" default:"0" description:"time of each token"`
 	Recognise bool          `long:"recognise" description:"recognise repeated keys"`
+	Load      time.Duration `long:"load" default:"0" description:"time of each model load"`
+	Loads     int           `long:"loads" default:"0" description:"model loads per minute that the weight store serves; 0 for no limit"`
 	Fencing   bool          `long:"fencing" description:"refuse orders with an old fencing token"`
 }
 
@@ -32,7 +34,11 @@
 	if o.Kind == "platform" {
 		return NewPlatform().Handler()
 	}
-	return NewTarget(o.Name, WithSlots(o.Slots), WithPace(o.Base, o.Each),
+	var store *Store
+	if o.Loads > 0 {
+		store = NewStore(o.Loads)
+	}
+	return NewTarget(o.Name, WithSlots(o.Slots), WithPace(o.Base, o.Each), WithStore(store, o.Load),
 		WithRecognise(o.Recognise), WithFencing(o.Fencing)).Handler()
 }
 
--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -45,7 +45,7 @@
 	queued  int
 	ledger  []Entry
 	answers map[string]wire.Ran
-	order   wire.Order
+	engine  engine
 }
 
 // TargetOption configures a Target.
@@ -90,6 +90,9 @@
 	mux.HandleFunc("GET "+PathLedger, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, t.Ledger())
 	})
+	mux.HandleFunc("GET "+PathOrders, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Orders())
+	})
 	return mux
 }
 
@@ -226,21 +229,5 @@
 	load := t.load()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	writeJSON(w, http.StatusOK, wire.Report{Load: load, Fence: t.order.Fence, Models: t.order.Models, Role: t.order.Role})
-}
-
-func (t *Target) take(w http.ResponseWriter, r *http.Request) {
-	var order wire.Order
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.fencing && order.Fence < t.order.Fence {
-		writeJSON(w, http.StatusConflict, t.order)
-		return
-	}
-	t.order = order
-	writeJSON(w, http.StatusOK, t.order)
+	writeJSON(w, http.StatusOK, wire.Report{Load: load, Fence: t.engine.order.Fence, Models: t.engine.held, Role: t.engine.order.Role})
 }
