--- a/core/document/document.go
+++ b/core/document/document.go
@@ -92,6 +92,9 @@
 // Loads returns how many model loads per minute the weight store serves.
 func (d *Document) Loads() int { return d.loads }
 
+// FindPreset returns the preset with the given name.
+func (d *Document) FindPreset(name string) (p Preset, ok bool) { return get(d.presets, name) }
+
 // Presets returns the names of all presets in order.
 func (d *Document) Presets() []string { return d.presets.Keys() }
 
--- a/io/cli/help.go
+++ b/io/cli/help.go
@@ -35,3 +35,9 @@
 
 Example:
   sassafrasward demo`
+
+const replayHelp = `Replays a recorded trace through the schedulers in virtual time, or against daemons and stand-ins over loopback with --live, and prints a report. Ends with 1 if a stated outcome of the trace is missed.
+
+Examples:
+  sassafrasward replay --trace traces/rush.trace --seed 1
+  sassafrasward replay --trace traces/rush.trace --seed 1 --compare`
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -12,6 +12,7 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/order"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -28,6 +29,7 @@
 	gates   *gates
 	metrics *metric.Metrics
 	orders  *order.Giver
+	owner   *owner.Owner
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
@@ -37,8 +39,11 @@
 	draining bool
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, orders *order.Giver) *control {
-	return &control{self: self, log: log, views: views, gates: gates, metrics: metrics, orders: orders, events: make(chan func(), 16)}
+func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner, orders *order.Giver) *control {
+	return &control{
+		self: self, log: log, views: views, gates: gates, metrics: metrics, owner: owner, orders: orders,
+		events: make(chan func(), 16),
+	}
 }
 
 // run owns the state until the context ends; its end is reported on done.
@@ -51,6 +56,7 @@
 			change()
 		case <-ticker.C:
 			c.gates.tick()
+			c.owner.Tick()
 		case <-ctx.Done():
 			done <- nil
 			return
@@ -116,6 +122,7 @@
 
 func (c *control) takeHosts(list wire.Hosts) {
 	c.hosts = list
+	c.owner.SetHosts(list)
 	event.Log(c.log, event.HostsTaken, "version", list.Version, "hosts", len(list.Hosts))
 	c.apply()
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -13,6 +13,7 @@
 	"sassafrasward/io/front"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/order"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/runner"
@@ -35,6 +36,8 @@
 	platform *platform.Client
 	front    *front.Front
 	peers    *peer.Server
+	pool     *peer.Pool
+	owner    *owner.Owner
 	control  *control
 	orders   *order.Giver
 	start    time.Time
@@ -70,17 +73,20 @@
 	d.gates = newGates(d.clock)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
-	run := runner.New(d.clock, d.gates, target.New(), d.metrics)
+	run := runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)
 	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
 		return nil, err
 	}
 	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
 		return nil, errors.Join(err, d.callers.Close())
 	}
+	d.pool = peer.NewPool()
+	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
+	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
 	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
-	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.orders)
-	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
+	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.owner, d.orders)
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
 	return d, nil
 }
 
@@ -110,6 +116,7 @@
 	}
 	cancel()
 	d.peers.Stop()
+	d.pool.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
@@ -131,7 +138,7 @@
 	case <-timer.C:
 	case <-ctx.Done():
 	}
-	err = d.front.Shutdown(ctx)
+	err = errors.Join(d.owner.Drain(ctx), d.front.Shutdown(ctx))
 	if err == nil {
 		return nil
 	}
