Document operations, log events and terms from the registries

Cause: no page said how to configure, start, steer and stop the system; the event of a refused request was in the catalogue but never written, and events of level 1 could not be switched on.

--- a/core/document/fault.go
+++ b/core/document/fault.go
@@ -29,3 +29,27 @@
 func Faults() []Fault {
 	return []Fault{Syntax, Size, Section, Key, Value, Missing, Duplicate, Reference}
 }
+
+// Doc returns the meaning of the kind.
+func (f Fault) Doc() string {
+	switch f {
+	case Syntax:
+		return "The bytes are not INI."
+	case Size:
+		return "The document is larger than the size limit."
+	case Section:
+		return "The section is unknown or has a wrong name."
+	case Key:
+		return "The section has no such key."
+	case Value:
+		return "The value is out of its range."
+	case Missing:
+		return "A required key is absent."
+	case Duplicate:
+		return "A section or key appears more than once."
+	case Reference:
+		return "The value names nothing in the document."
+	default:
+		return ""
+	}
+}
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -76,7 +76,7 @@
 	{Field, outcome.NotRun, http.StatusBadRequest, "A field is unknown, missing or out of range."},
 	{Method, outcome.NotRun, http.StatusNotFound, "The path or method does not exist."},
 	{Joining, outcome.NotRun, http.StatusServiceUnavailable, "The host has not yet heard from enough other hosts to know the newest configuration."},
-	{Draining, outcome.NotRun, http.StatusServiceUnavailable, "The host is stopping and takes no new requests."},
+	{Draining, outcome.NotRun, http.StatusServiceUnavailable, "The host is stopping and takes no new requests of this kind."},
 	{Deadline, outcome.Failed, http.StatusGatewayTimeout, "The deadline passed before the whole answer was there."},
 	{Late, outcome.NotRun, http.StatusServiceUnavailable, "Admission control expects that the request cannot be answered in time."},
 	{Overload, outcome.NotRun, http.StatusServiceUnavailable, "The queue of a pool is at its bound."},
@@ -139,3 +139,23 @@
 func Retries() []Retry {
 	return []Retry{RetryBusy, RetryCrashed, RetrySilent, RetryCrossed, RetryFailed, RetryHedge}
 }
+
+// Doc returns the documentation of the retry reason.
+func (r Retry) Doc() string {
+	switch r {
+	case RetryBusy:
+		return "The target said that it did not start the work."
+	case RetryCrashed:
+		return "The connection to the target broke while the call ran."
+	case RetrySilent:
+		return "The target did not answer in time."
+	case RetryCrossed:
+		return "The answer of another call arrived."
+	case RetryFailed:
+		return "The target reported that the work failed."
+	case RetryHedge:
+		return "A second call was started while the first still ran."
+	default:
+		return ""
+	}
+}
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -29,9 +29,9 @@
 	err io.Writer
 }
 
-// log returns a logger that writes one JSON object a line.
-func (e *environment) log() logr.Logger {
-	return funcr.NewJSON(func(line string) { _, _ = fmt.Fprintln(e.err, line) }, funcr.Options{LogTimestamp: true})
+// log returns a logger that writes one JSON object a line; verbosity 1 includes details.
+func (e *environment) log(verbosity int) logr.Logger {
+	return funcr.NewJSON(func(line string) { _, _ = fmt.Fprintln(e.err, line) }, funcr.Options{LogTimestamp: true, Verbosity: verbosity})
 }
 
 // Run runs the program with the given arguments and returns its exit code.
--- a/io/cli/serve.go
+++ b/io/cli/serve.go
@@ -14,6 +14,7 @@
 type serve struct {
 	env      *environment
 	Settings string `long:"settings" required:"true" description:"settings file of the host (INI)"`
+	Verbose  []bool `long:"verbose" short:"v" description:"write log events of level 1 as well"`
 }
 
 // Execute implements flags.Commander.
@@ -22,7 +23,7 @@
 	if err != nil {
 		return mistakes(s.Settings, err)
 	}
-	d, err := daemon.New(settings, s.env.log())
+	d, err := daemon.New(settings, s.env.log(len(s.Verbose)))
 	if err != nil {
 		return err
 	}
@@ -55,5 +56,5 @@
 
 // Execute implements flags.Commander.
 func (d *demonstrate) Execute([]string) error {
-	return demo.Run(d.env.ctx, d.env.out, d.env.log())
+	return demo.Run(d.env.ctx, d.env.out, d.env.log(0))
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -86,7 +86,7 @@
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
 	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
 	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.owner, d.orders)
-	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner), front.WithLog(log))
 	return d, nil
 }
 
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -14,6 +14,9 @@
 // Number returns the number by which operators look the event up.
 func (e Event) Number() int { return e.number }
 
+// Level returns 0 for events that operators must see and 1 for details.
+func (e Event) Level() int { return e.level }
+
 // Message returns the text of the log line.
 func (e Event) Message() string { return e.message }
 
@@ -33,7 +36,7 @@
 var (
 	HostStarted     = register(1001, 0, "host started", "The process listens for callers and other hosts.")
 	HostServing     = register(1002, 0, "host serves", "The host knows the newest configuration and takes requests.")
-	HostDraining    = register(1003, 0, "host drains", "A planned stop began: the host is no longer named to callers, refuses new commands as draining and still serves callers with an older address answer.")
+	HostDraining    = register(1003, 0, "host drains", "A planned stop began: the host is no longer named to callers, issues no keys and still serves callers with an older address answer.")
 	HostStopped     = register(1004, 0, "host stopped", "All requests ended and the process exits.")
 	ListenFailed    = register(1005, 0, "listener failed", "A server ended with an error; the process exits.")
 	HostHalted      = register(1006, 0, "host ended at once", "A second signal or the limit drain ended a planned stop before all requests ended; the process exits with code 1.")
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -12,12 +12,14 @@
 	"strings"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
 
 	"sassafrasward/core/document"
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
+	"sassafrasward/io/event"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/runner"
 	"sassafrasward/io/view"
@@ -51,6 +53,7 @@
 	views   *view.Holder
 	runner  Executor
 	metrics *metric.Metrics
+	log     logr.Logger
 	status  func() any
 	body    int64
 	self    wire.Host
@@ -67,12 +70,15 @@
 // WithStatus sets the function whose result is served as the status of the host.
 func WithStatus(status func() any) Option { return func(f *Front) { f.status = status } }
 
+// WithLog sets the logger; the default writes nothing.
+func WithLog(log logr.Logger) Option { return func(f *Front) { f.log = log } }
+
 // WithKeys sets the issuer of command keys.
 func WithKeys(keys Keys) Option { return func(f *Front) { f.keys = keys } }
 
 // New returns a server for callers of the host self.
 func New(self wire.Host, views *view.Holder, r Executor, metrics *metric.Metrics, options ...Option) *Front {
-	f := &Front{self: self, views: views, runner: r, metrics: metrics, body: 1 << 20, status: func() any { return nil }}
+	f := &Front{self: self, views: views, runner: r, metrics: metrics, log: logr.Discard(), body: 1 << 20, status: func() any { return nil }}
 	for _, o := range options {
 		o(f)
 	}
@@ -259,6 +265,7 @@
 		return http.StatusOK
 	}
 	f.metrics.Refuse(why)
+	event.Log(f.log, event.RequestRefused, "request", answer.Request, "reason", answer.Reason, "outcome", answer.Outcome, "detail", answer.Detail)
 	return why.Rule().Status()
 }
 
