Show a preset switch, model orders and a planned stop in the demo

Cause: the demo ran requests on one host only. Ruled out: separate processes for the hosts; the program starts no other process. Change: two hosts; after the requests the demo prints the model orders, switches to the preset maintenance and back, and stops one host while a report streams from it. Before: requests on one host.

--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -128,3 +128,19 @@
 	is.Equal(reports[0].Status.Pools[0].Queued, 4)
 	is.True(reports[1].Error != "")
 }
+
+// TestDemo guards against a demo that fails, does not end, or leaves out a part of what the
+// system does.
+func TestDemo(t *testing.T) {
+	is := is.New(t)
+	code, out, _ := run("", "demo")
+	is.Equal(code, 0)
+	for _, text := range []string{
+		"a damage summary, streamed: done", "an inspection report: done", "not-run workspace",
+		"runs in the targets' ledgers: 1", "model order to assistants2: models [summary]",
+		"not-run closed maintenance", "a report of 300 tokens through the planned stop of host demo1: done",
+		"an availability check after the stop: done",
+	} {
+		is.True(strings.Contains(out, text))
+	}
+}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -93,6 +93,9 @@
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.callers.Addr().String() }
 
+// Peer returns the address on which other hosts are served.
+func (d *Daemon) Peer() string { return d.hosts.Addr().String() }
+
 func (d *Daemon) clock() time.Duration { return time.Since(d.start) }
 
 // Run serves until the context ends, then stops gracefully.
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -15,8 +15,6 @@
 	"github.com/zeebo/errs"
 
 	"sassafrasward/io/caller"
-	"sassafrasward/io/daemon"
-	"sassafrasward/io/setting"
 	"sassafrasward/io/standin"
 	"sassafrasward/io/wire"
 )
@@ -39,11 +37,15 @@
 
 // world holds the running parts of the demo.
 type world struct {
-	out     io.Writer
-	servers []*http.Server
-	cancel  context.CancelFunc
-	ended   chan error
-	client  *caller.Client
+	out      io.Writer
+	servers  []*http.Server
+	platform *standin.Platform
+	// published is the configuration as first published.
+	published []byte
+	hosts     []*host
+	client    *caller.Client
+	// engines are the targets whose ledgers show the model orders.
+	engines []*standin.Target
 	// deposits are the targets whose ledgers show that a command ran once.
 	deposits []*standin.Target
 }
@@ -52,23 +54,33 @@
 // stops everything.
 func Run(ctx context.Context, out io.Writer, log logr.Logger) (err error) {
 	defer func() { err = Error.Wrap(err) }()
+	_, _ = fmt.Fprintln(out, "Two hosts, a platform and ten targets run on loopback in this process.")
 	w := &world{out: out}
 	defer func() { err = errors.Join(err, w.close()) }()
 	if err := w.start(ctx, log); err != nil {
 		return err
 	}
-	return w.requests(ctx)
+	for _, part := range []func(context.Context) error{w.requests, w.orders, w.steer, w.plannedStop} {
+		if err := part(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func (w *world) start(ctx context.Context, log logr.Logger) (err error) {
 	platform := standin.NewPlatform()
+	w.platform = platform
 	document := published
 	for _, pool := range pools {
 		for i := range perPool {
 			name := fmt.Sprintf("%s%d", pool, i+1)
 			target := standin.NewTarget(name, standin.WithPace(targetBase, targetToken))
-			if pool == "deposits" {
+			switch pool {
+			case "deposits":
 				w.deposits = append(w.deposits, target)
+			case "assistants":
+				w.engines = append(w.engines, target)
 			}
 			address, err := w.serve(target.Handler())
 			if err != nil {
@@ -77,25 +89,13 @@
 			document += fmt.Sprintf("\n[target %s]\npool = %s\naddress = %s\nzone = a\n", name, pool, address)
 		}
 	}
-	platform.Publish([]byte(document))
+	w.published = []byte(document)
+	platform.Publish(w.published)
 	address, err := w.serve(platform.Handler())
 	if err != nil {
 		return err
 	}
-	s, err := setting.Parse([]byte("[host]\nname = demo\nzone = a\ncaller = 127.0.0.1:0\npeer = 127.0.0.1:0\n[platform]\naddress = " + address + "\n"))
-	if err != nil {
-		return err
-	}
-	d, err := daemon.New(s, log, daemon.WithLinger(0))
-	if err != nil {
-		return err
-	}
-	platform.SetHosts([]wire.Listed{{Host: "demo", Address: d.Address(), Zone: "a", Kind: wire.KindEntry, State: wire.StateLive}})
-	inner, cancel := context.WithCancel(ctx)
-	w.cancel, w.ended = cancel, make(chan error, 1)
-	go func() { w.ended <- d.Run(inner) }()
-	w.client = caller.New([]string{d.Address()}, caller.WithZone("a"))
-	return nil
+	return w.startHosts(ctx, address, log)
 }
 
 func (w *world) serve(handler http.Handler) (address string, err error) {
@@ -109,11 +109,10 @@
 	return listener.Addr().String(), nil
 }
 
-// close stops the host gracefully, then the stand-ins.
+// close stops the hosts gracefully, then the stand-ins.
 func (w *world) close() (err error) {
-	if w.cancel != nil {
-		w.cancel()
-		err = <-w.ended
+	for i := range w.hosts {
+		err = errors.Join(err, w.stop(i))
 	}
 	for _, s := range w.servers {
 		err = errors.Join(err, s.Close())
