Write log lines one after the other

Cause: the logger of the program wrote from several goroutines to its writer without a lock. Ruled out: a locked buffer in the test; the writer that is given to cli.Run need not be safe for concurrent use. Change: the log function holds a mutex while it writes a line. Before: TestDemo reports data races with -race. Conclusion: lines cannot mix, whatever the writer is.

--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"sync"
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
@@ -30,8 +31,14 @@
 }
 
 // log returns a logger that writes one JSON object a line; verbosity 1 includes details.
+// Lines of several goroutines are written one after the other.
 func (e *environment) log(verbosity int) logr.Logger {
-	return funcr.NewJSON(func(line string) { _, _ = fmt.Fprintln(e.err, line) }, funcr.Options{LogTimestamp: true, Verbosity: verbosity})
+	var mutex sync.Mutex
+	return funcr.NewJSON(func(line string) {
+		mutex.Lock()
+		defer mutex.Unlock()
+		_, _ = fmt.Fprintln(e.err, line)
+	}, funcr.Options{LogTimestamp: true, Verbosity: verbosity})
 }
 
 // Run runs the program with the given arguments and returns its exit code.
