--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -11,6 +11,7 @@
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/order"
 	"sassafrasward/io/owner"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
@@ -27,6 +28,7 @@
 	views   *view.Holder
 	gates   *gates
 	metrics *metric.Metrics
+	orders  *order.Giver
 	owner   *owner.Owner
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
@@ -37,9 +39,9 @@
 	draining bool
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner) *control {
+func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner, orders *order.Giver) *control {
 	return &control{
-		self: self, log: log, views: views, gates: gates, metrics: metrics, owner: owner,
+		self: self, log: log, views: views, gates: gates, metrics: metrics, owner: owner, orders: orders,
 		events: make(chan func(), 16),
 	}
 }
@@ -129,6 +131,7 @@
 func (c *control) apply() {
 	if c.document != nil {
 		c.gates.configure(c.document, leaving(c.hosts))
+		c.orders.Configure(c.document, c.version, givers(c.hosts))
 	}
 	c.publish()
 }
@@ -158,6 +161,16 @@
 	return hosts
 }
 
+// givers returns the names of the hosts that give model orders.
+func givers(list wire.Hosts) (names []string) {
+	for _, h := range list.Hosts {
+		if h.Kind == wire.KindEntry && h.State == wire.StateLive {
+			names = append(names, h.Host)
+		}
+	}
+	return names
+}
+
 // leaving returns the addresses of targets that the host list says are leaving.
 func leaving(list wire.Hosts) map[string]bool {
 	addresses := make(map[string]bool)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/order"
 	"sassafrasward/io/owner"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
@@ -38,6 +39,7 @@
 	pool     *peer.Pool
 	owner    *owner.Owner
 	control  *control
+	orders   *order.Giver
 	start    time.Time
 	// linger is how long a draining host still takes requests.
 	linger time.Duration
@@ -82,14 +84,18 @@
 	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
 	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.owner)
-	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
+	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
+	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.owner, d.orders)
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner), front.WithLog(log))
 	return d, nil
 }
 
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.callers.Addr().String() }
 
+// Peer returns the address on which other hosts are served.
+func (d *Daemon) Peer() string { return d.hosts.Addr().String() }
+
 func (d *Daemon) clock() time.Duration { return time.Since(d.start) }
 
 // Run serves until the context ends, then stops gracefully.
@@ -98,11 +104,12 @@
 	event.Log(d.log, event.HostStarted, "host", d.settings.Host(), "caller", d.Address(), "peer", d.hosts.Addr().String())
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	ends := make(chan error, 4)
+	ends := make(chan error, 5)
 	go d.front.Serve(d.callers, ends)
 	go d.peers.Serve(d.hosts, ends)
 	go d.control.run(inner, ends)
 	go d.watch(inner, ends)
+	go d.orders.Run(inner, ends)
 
 	select {
 	case <-ctx.Done():
--- a/io/integration/command_fault_test.go
+++ b/io/integration/command_fault_test.go
@@ -38,7 +38,7 @@
 	c.hold()
 	first := c.start(i, request)
 	c.ran(1)
-	c.deposits.holds()
+	c.deposits.waitHeld()
 	return first
 }
 
@@ -162,7 +162,7 @@
 			first := c.start(1, deposit(key, 0))
 			c.ran(one.runs)
 			if name != "during" {
-				c.deposits.holds()
+				c.deposits.waitHeld()
 			}
 			c.deposits.cut()
 			c.release()
--- a/io/integration/command_pair_test.go
+++ b/io/integration/command_pair_test.go
@@ -101,7 +101,7 @@
 	s := &pairRun{c: c, key: c.key(0)}
 	c.deposits.set(faults{silenceUp: row.up, silenceDown: !row.up})
 	s.late = append(s.late, c.start(0, deposit(s.key, 2*short)), c.start(1, deposit(s.key, 2*short)))
-	c.deposits.holds()
+	c.deposits.waitHeld()
 	pairFaults[row.first].strike(s)
 	pairFaults[row.second].strike(s)
 	for range 2 {
