Hand over finished commands also when a planned stop is cut short

Cause: a stop that a second signal or its limit ends left all finished commands of the host unknown, and a successor that stopped took the records that it had inherited with it. Ruled out: waiting for the running commands, which the operator cut off. Change: Drain hands over what is finished within 1 s when its context ends. TestCommandHalt also covers the second stop, which the export of inherited records serves. Before: finished command unknown for done with the handover of a cut stop off (host 2 after the first stop) and with the export of inherited records off (after the second). If no command runs, the context may have ended while Drain takes the other branch, and the handover then runs under an ended context.

--- a/io/integration/command_fault_test.go
+++ b/io/integration/command_fault_test.go
@@ -303,3 +303,31 @@
 	}
 	c.once(2, running)
 }
+
+// TestCommandHalt guards against finished commands that are unknown because a second
+// signal ended the planned stop while another command ran, or because the successor
+// stopped as well.
+func TestCommandHalt(t *testing.T) {
+	c := startCommands(t, 3, false)
+	done, running := c.key(0), c.key(0)
+	expect(t, c.send(1, deposit(done, 0)), outcome.Done, reason.None)
+	c.hold()
+	first := c.start(0, deposit(running, 0))
+	c.ran(2)
+	c.halt(0)
+	<-first
+	c.release()
+	expect(t, c.send(2, deposit(done, 0)), outcome.Done, reason.None)
+	expect(t, c.send(2, deposit(running, 0)), outcome.Unknown, reason.Owner)
+	c.halt(1)
+	expect(t, c.send(2, deposit(done, 0)), outcome.Done, reason.None)
+	c.once(2, running)
+}
+
+// halt begins the planned stop of host i and ends it at once.
+func (c *commands) halt(i int) {
+	c.hosts[i].signal(syscall.SIGTERM)
+	c.hosts[i].line(`"event":1003`)
+	c.hosts[i].signal(syscall.SIGTERM)
+	<-c.hosts[i].ended
+}
--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -18,6 +18,8 @@
 	recordBytes = 256
 	// handoverLimit bounds one attempt to hand over to one host.
 	handoverLimit = 5 * time.Second
+	// haltLimit bounds the handover of a stop that ends before its commands do.
+	haltLimit = time.Second
 )
 
 // Close refuses commands that have not begun from now on.
@@ -33,13 +35,19 @@
 
 // Drain refuses new commands, waits for running ones and hands the finished records to
 // the first live host of the list that takes them: its own, and those that it inherited.
+// If the context ends first, it hands over what is finished and returns the error of the
+// context.
 func (o *Owner) Drain(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	o.Close()
 	select {
 	case <-o.idle:
 	case <-ctx.Done():
-		return ctx.Err()
+		// Commands that still run are cut off; the successor answers them as unknown.
+		err = ctx.Err()
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), haltLimit)
+		defer cancel()
 	}
 	o.mutex.Lock()
 	now := o.clock()
@@ -48,7 +56,7 @@
 	if len(records) > 0 {
 		o.handover(ctx, records)
 	}
-	return nil
+	return err
 }
 
 // handover gives the records to the first host that takes them. Without one, resends are
