Hand over under a context of its own if the stop was cut short

Cause: with no command running, the end of the stop's context and the idle owner are both ready, and the handover could run under the ended context. Ruled out: preferring one branch of the select; the context may end right after it. Change: Drain looks at the context after the wait; its error is that of the context only if a command still runs. Conclusion: both stops of the test keep the finished command.

--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -43,8 +43,10 @@
 	select {
 	case <-o.idle:
 	case <-ctx.Done():
+	}
+	if ctx.Err() != nil {
 		// Commands that still run are cut off; the successor answers them as unknown.
-		err = ctx.Err()
+		err = o.busy(ctx.Err())
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), haltLimit)
 		defer cancel()
@@ -59,6 +61,16 @@
 	return err
 }
 
+// busy returns the error if a command still runs.
+func (o *Owner) busy(err error) error {
+	select {
+	case <-o.idle:
+		return nil
+	default:
+		return err
+	}
+}
+
 // handover gives the records to the first host that takes them. Without one, resends are
 // answered as unknown, which is no reason for the stop to fail.
 func (o *Owner) handover(ctx context.Context, records []command.Record) {
