Add the membership and gossip state machine

Cause: hosts know of each other only through the platform's host list, which lags, and each host reads the configuration alone; an old value or a restart could bring back an older configuration. Ruled out: an order between incarnations of a host, because an incarnation is random; a process is a member of its own instead, and a process that answers at the address of another shows that the other has ended. Change: core/member with member, leaving, crash, handover and load facts, SWIM detection over a graph of four rings, flood of new facts, digest with rate-limited repair, majority join, choice of watchers. Own counters, no clock. Before: no membership.

--- /dev/null
+++ b/core/member/state.go
@@ -0,0 +1,341 @@
+package member
+
+import (
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sassafrasward/core/document"
+)
+
+const (
+	defaultPeriod = time.Second
+	// hardSends is low because a new fact goes to all neighbours first and a repair
+	// brings what is missed.
+	hardSends = 4
+	softSends = 3
+	// floodGap bounds how often new facts go to all neighbours.
+	floodGap = 200 * time.Millisecond
+	// pauseLimit is the gap between two ticks after which the process counts as paused.
+	// It is below the 3 s within which a leaving target must get no more work.
+	pauseLimit = 2 * time.Second
+	// packetFacts and packetLoads bound the regular part of a packet.
+	packetFacts = 64
+	packetLoads = 128
+
+	randomPeriods  = 10 // between exchanges with a random host
+	contactPeriods = 5  // between exchanges with a host that is listed but not alive
+	repairPeriods  = 5  // between repairs
+	suspectPeriods = 5  // until a suspected host is dead
+	relays         = 3
+	// joinContacts is how many listed hosts a joining host calls in a period; it hears
+	// from half of 370 in six periods.
+	joinContacts = 32
+)
+
+// Levels of load. A level is the bit length of the number of running requests, so that a
+// step is a factor of two.
+const (
+	MaxLevel = 15
+	// loadPeriods is the shortest time between two loads of a member. At 370 members it
+	// keeps the loads to 13 a second.
+	loadPeriods = 30
+)
+
+// Level returns the load level of a number of running requests.
+func Level(running int) uint32 { return uint32(min(bits.Len(uint(max(running, 0))), MaxLevel)) }
+
+// State is the membership of one host. It is not safe for concurrent use.
+type State struct {
+	random *rand.Rand
+	period time.Duration
+	// self is the own member; the same row is in members.
+	self    Member
+	seeds   []string
+	alone   bool
+	version document.Version
+	// pulling counts the running pulls of each version.
+	pulling map[document.Version]int
+	// refused is the last version whose document was not accepted.
+	refused document.Version
+
+	members   *store[uint64, Member]
+	loads     *store[uint64, Load]
+	leavings  *store[string, Leaving]
+	crashes   *store[string, Crash]
+	handovers *store[uint64, Handover]
+	list      List
+
+	// changed is set by each change that a reader can see.
+	changed bool
+	// dirty is set when digest has to be computed again.
+	dirty  bool
+	digest Digest
+
+	now, lastTick, nextPeriod, lastFlood, lastRepair time.Duration
+	periods                                          int
+	// graph holds the names of the neighbours; nil after a change of the members.
+	graph []string
+	// order is the rest of the current round over the neighbours.
+	order []string
+	// suspected holds when this host learned of each suspicion.
+	suspected map[uint64]time.Duration
+	// probing holds the number of relays that have not yet failed, by target.
+	probing map[uint64]int
+	// woke is when the last pause ended; failures of sends that began before do not count.
+	woke time.Duration
+
+	join  join
+	watch watch
+}
+
+// Option configures a State.
+type Option func(*State)
+
+// WithPeriod sets the time between regular exchanges.
+func WithPeriod(period time.Duration) Option { return func(s *State) { s.period = period } }
+
+// WithSeeds sets peer addresses to call in addition to the host list.
+func WithSeeds(seeds ...string) Option { return func(s *State) { s.seeds = seeds } }
+
+// WithAlone lets the host serve before it has heard from other hosts.
+func WithAlone(alone bool) Option { return func(s *State) { s.alone = alone } }
+
+// New returns the state of a host that has just started. Of self, the incarnation, name,
+// zone and addresses are used.
+func New(now time.Duration, random *rand.Rand, self Member, options ...Option) *State {
+	self.Counter, self.Phase, self.Stage, self.Life = 1, Alive, Joining, 0
+	s := &State{
+		random: random, period: defaultPeriod, self: self,
+		pulling:   make(map[document.Version]int),
+		members:   newStore[uint64, Member](hardSends),
+		loads:     newStore[uint64, Load](softSends),
+		leavings:  newStore[string, Leaving](hardSends),
+		crashes:   newStore[string, Crash](hardSends),
+		handovers: newStore[uint64, Handover](hardSends),
+		suspected: make(map[uint64]time.Duration), probing: make(map[uint64]int),
+		now: now, lastTick: now, dirty: true, changed: true,
+		join: newJoin(), watch: newWatch(now),
+	}
+	for _, o := range options {
+		o(s)
+	}
+	s.nextPeriod = now + time.Duration(random.Int64N(int64(s.period)))
+	s.members.put(now, self, false)
+	return s
+}
+
+// Self returns the own member.
+func (s *State) Self() Member { return s.self }
+
+// Version returns the configuration in force.
+func (s *State) Version() document.Version { return s.version }
+
+// Changed reports whether anything that a reader can see has changed since the last call.
+func (s *State) Changed() bool {
+	changed := s.changed
+	s.changed = false
+	return changed
+}
+
+// Members returns all members, dead ones included, by incarnation.
+func (s *State) Members() []Member {
+	return s.members.take(s.now, -1, func(*row[Member]) bool { return true })
+}
+
+// Load returns the load level of a member.
+func (s *State) Load(incarnation uint64) uint32 {
+	l, _ := s.loads.get(incarnation)
+	return l.Level
+}
+
+// Leaves reports whether the machine at the address is leaving.
+func (s *State) Leaves(address string) bool {
+	l, _ := s.leavings.get(address)
+	return l.Leaves
+}
+
+// Leavings returns the addresses of all leaving machines.
+func (s *State) Leavings() (addresses []string) {
+	for _, r := range s.leavings.rows.All() {
+		if r.fact.Leaves {
+			addresses = append(addresses, r.fact.Address)
+		}
+	}
+	return addresses
+}
+
+// Peer returns the peer address and the incarnation of the newest live process of a host.
+func (s *State) Peer(host string) (address string, incarnation uint64, ok bool) {
+	var since time.Duration
+	for _, r := range s.members.rows.All() {
+		if r.fact.Name == host && r.fact.Phase != Dead && (!ok || r.since > since) {
+			address, incarnation, since, ok = s.dial(r.fact), r.fact.Incarnation, r.since, true
+		}
+	}
+	return address, incarnation, ok
+}
+
+// Route returns the address by which this host reaches a member; the fallback for a
+// member that it does not know.
+func (s *State) Route(incarnation uint64, fallback string) string {
+	if m, ok := s.members.get(incarnation); ok {
+		return s.dial(m)
+	}
+	return fallback
+}
+
+// Successor returns who answers from the records of an incarnation that has ended.
+func (s *State) Successor(owner uint64) (h Handover, ok bool) { return s.handovers.get(owner) }
+
+// Handovers returns all handovers by owner.
+func (s *State) Handovers() []Handover {
+	return s.handovers.take(s.now, -1, func(*row[Handover]) bool { return true })
+}
+
+// Crashes returns how many crashes the fingerprint caused at all hosts.
+func (s *State) Crashes() map[uint64]uint64 {
+	counts, epochs := make(map[uint64]uint64), make(map[uint64]uint64)
+	for _, r := range s.crashes.rows.All() {
+		f := r.fact
+		if f.Epoch > epochs[f.Fingerprint] {
+			epochs[f.Fingerprint], counts[f.Fingerprint] = f.Epoch, 0
+		}
+		if f.Epoch == epochs[f.Fingerprint] {
+			counts[f.Fingerprint] += f.Count
+		}
+	}
+	return counts
+}
+
+// Crashed tells all hosts of a crash that the fingerprint may have caused.
+func (s *State) Crashed(now time.Duration, fingerprint uint64) {
+	own, _ := s.crashes.get(Crash{Fingerprint: fingerprint, Observer: s.self.Incarnation}.key())
+	epoch := s.epoch(fingerprint)
+	if own.Epoch < epoch {
+		own.Count = 0
+	}
+	putIn(s, now, s.crashes, Crash{Fingerprint: fingerprint, Observer: s.self.Incarnation, Epoch: epoch, Count: own.Count + 1}, false)
+}
+
+// Cleared tells all hosts that a suspect completed, if there are crashes of it.
+func (s *State) Cleared(now time.Duration, fingerprint uint64) {
+	if s.Crashes()[fingerprint] == 0 {
+		return
+	}
+	putIn(s, now, s.crashes, Crash{Fingerprint: fingerprint, Observer: s.self.Incarnation, Epoch: s.epoch(fingerprint) + 1}, false)
+}
+
+func (s *State) epoch(fingerprint uint64) (epoch uint64) {
+	for _, r := range s.crashes.rows.All() {
+		if r.fact.Fingerprint == fingerprint {
+			epoch = max(epoch, r.fact.Epoch)
+		}
+	}
+	return epoch
+}
+
+// HandOver tells all hosts which host answers from the records of this one.
+func (s *State) HandOver(now time.Duration, successor uint64, host string) {
+	putIn(s, now, s.handovers, Handover{Owner: s.self.Incarnation, Successor: successor, Host: host}, false)
+}
+
+// Drain tells all hosts that this one stops.
+func (s *State) Drain(now time.Duration) { s.setStage(now, Draining) }
+
+func (s *State) setStage(now time.Duration, stage Stage) {
+	if s.self.Stage == stage || s.self.Stage == Draining {
+		return
+	}
+	s.self.Stage = stage
+	s.raise(now)
+}
+
+// raise publishes the own member with a higher counter.
+func (s *State) raise(now time.Duration) {
+	s.self.Counter++
+	putIn(s, now, s.members, s.self, false)
+}
+
+// SetLevel tells other hosts of the own load, at most once in 30 periods.
+func (s *State) SetLevel(now time.Duration, level uint32) {
+	own, ok := s.loads.get(s.self.Incarnation)
+	if (ok && now < s.watch.nextLoad) || own.Level == level {
+		return
+	}
+	s.watch.nextLoad = now + loadPeriods*s.period
+	s.loads.put(now, Load{Incarnation: s.self.Incarnation, Pulse: own.Pulse + 1, Level: level, Beat: own.Beat}, false)
+	s.changed = true
+}
+
+// SetVersion states the configuration in force and tells all neighbours. An older
+// version is ignored.
+func (s *State) SetVersion(now time.Duration, v document.Version) {
+	if !v.Newer(s.version) {
+		return
+	}
+	s.now = max(s.now, now)
+	s.version = v
+	s.changed = true
+	s.watch.flood = true
+}
+
+// live returns all members that are not dead, this host included.
+func (s *State) live() (list []Member) {
+	for _, r := range s.members.rows.All() {
+		if r.fact.Phase != Dead {
+			list = append(list, r.fact)
+		}
+	}
+	return list
+}
+
+// others returns all live members but the own host.
+func (s *State) others() []Member {
+	return slices.DeleteFunc(s.live(), func(m Member) bool { return m.Name == s.self.Name })
+}
+
+func names(members []Member) (list []string) {
+	for _, m := range members {
+		list = append(list, m.Name)
+	}
+	return list
+}
+
+// dial returns the peer address of a member. The host list goes before what the member
+// says of itself.
+func (s *State) dial(m Member) string {
+	if e, ok := s.list.entry(m.Name); ok && e.Peer != "" {
+		return e.Peer
+	}
+	return m.Peer
+}
+
+// putIn merges a fact into one of the tables of s.
+func putIn[K uint64 | string, F fact[K, F]](s *State, now time.Duration, in *store[K, F], f F, bulk bool) bool {
+	if !in.put(now, f, bulk) {
+		return false
+	}
+	s.touch()
+	return true
+}
+
+// touch notes a change of the tables.
+func (s *State) touch() {
+	s.changed, s.dirty = true, true
+	s.graph, s.watch.ranked = nil, nil
+}
+
+// sums returns the digest of the tables.
+func (s *State) sums() Digest {
+	if s.dirty {
+		s.digest = Digest{}
+		s.members.digest(&s.digest)
+		s.leavings.digest(&s.digest)
+		s.crashes.digest(&s.digest)
+		s.handovers.digest(&s.digest)
+		s.dirty = false
+	}
+	return s.digest
+}
