Carry gossip packets over gRPC

Cause: the membership state machine needs a transport between hosts. Ruled out: a separate call for probes and one for documents, because the design has one Exchange call; both are fields of the packet. Reusing a connection on which a call failed, because it may have gone silent while new ones work.

Before: io/peer had no service. Conclusion: the interface is ready for the daemon.

--- a/io/event/event.go
+++ b/io/event/event.go
@@ -40,6 +40,10 @@
 	DocumentRefused = register(1102, 0, "configuration refused", "A published configuration has mistakes; the last accepted one stays in force.")
 	PlatformFailed  = register(1201, 1, "platform read failed", "A read of the configuration service or host list failed; it is repeated after a delay.")
 	HostsTaken      = register(1202, 1, "host list read", "A newer host list was read.")
+	DocumentForged  = register(1401, 0, "document does not match its version", "Another host sent a configuration that does not hash to the version it stated; it was not used.")
+	MemberChanged   = register(1402, 0, "member changed", "Another host joined, drains, is suspected, died or came back.")
+	WatchStarted    = register(1403, 1, "platform watch started", "This host is one of those that watch the platform.")
+	WatchStopped    = register(1404, 1, "platform watch stopped", "Other hosts watch the platform; this one learns from them.")
 	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
 )
 
--- /dev/null
+++ b/io/gossip/codec.go
@@ -0,0 +1,89 @@
+package gossip
+
+import (
+	"time"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/member"
+	"sassafrasward/io/gossip/message"
+)
+
+// encode returns the packet as a message.
+func encode(p member.Packet) *message.Packet {
+	hash := p.Version.Hash()
+	m := &message.Packet{
+		From: encodeMember(p.From), Number: p.Version.Number(), Digest: p.Digest[:],
+		Repair: p.Repair, Differ: p.Differ,
+	}
+	if p.Version != (document.Version{}) {
+		m.Hash = hash[:]
+	}
+	for _, f := range p.Members {
+		m.Members = append(m.Members, encodeMember(f))
+	}
+	for _, f := range p.Loads {
+		m.Loads = append(m.Loads, &message.Load{Incarnation: f.Incarnation, Pulse: f.Pulse, Level: f.Level, Beat: f.Beat})
+	}
+	for _, f := range p.Leavings {
+		m.Leavings = append(m.Leavings, &message.Leaving{Address: f.Address, Version: f.Version, Leaves: f.Leaves, Life: encodeLife(f.Life)})
+	}
+	for _, f := range p.Crashes {
+		m.Crashes = append(m.Crashes, &message.Crash{Fingerprint: f.Fingerprint, Observer: f.Observer, Epoch: f.Epoch, Count: f.Count, Life: encodeLife(f.Life)})
+	}
+	for _, f := range p.Handovers {
+		m.Handovers = append(m.Handovers, &message.Handover{Owner: f.Owner, Successor: f.Successor, Host: f.Host, Life: encodeLife(f.Life)})
+	}
+	return m
+}
+
+func encodeMember(f member.Member) *message.Member {
+	return &message.Member{
+		Incarnation: f.Incarnation, Name: f.Name, Address: f.Address, Peer: f.Peer, Zone: f.Zone,
+		Counter: f.Counter, Phase: uint32(f.Phase), Stage: uint32(f.Stage), Life: encodeLife(f.Life),
+	}
+}
+
+// decode returns the packet in a message, and whether it is well formed.
+func decode(m *message.Packet) (p member.Packet, ok bool) {
+	if m.GetFrom().GetIncarnation() == 0 || len(m.GetDigest()) != member.Buckets {
+		return p, false
+	}
+	p = member.Packet{From: decodeMember(m.GetFrom()), Repair: m.GetRepair(), Differ: m.GetDiffer()}
+	copy(p.Digest[:], m.GetDigest())
+	if len(m.GetHash()) > 0 {
+		var hash [32]byte
+		if copy(hash[:], m.GetHash()) != len(hash) {
+			return p, false
+		}
+		p.Version = document.MakeVersion(m.GetNumber(), hash)
+	}
+	for _, f := range m.GetMembers() {
+		p.Members = append(p.Members, decodeMember(f))
+	}
+	for _, f := range m.GetLoads() {
+		p.Loads = append(p.Loads, member.Load{Incarnation: f.GetIncarnation(), Pulse: f.GetPulse(), Level: min(f.GetLevel(), member.MaxLevel), Beat: f.GetBeat()})
+	}
+	for _, f := range m.GetLeavings() {
+		p.Leavings = append(p.Leavings, member.Leaving{Address: f.GetAddress(), Version: f.GetVersion(), Leaves: f.GetLeaves(), Life: decodeLife(f.GetLife())})
+	}
+	for _, f := range m.GetCrashes() {
+		p.Crashes = append(p.Crashes, member.Crash{Fingerprint: f.GetFingerprint(), Observer: f.GetObserver(), Epoch: f.GetEpoch(), Count: f.GetCount(), Life: decodeLife(f.GetLife())})
+	}
+	for _, f := range m.GetHandovers() {
+		p.Handovers = append(p.Handovers, member.Handover{Owner: f.GetOwner(), Successor: f.GetSuccessor(), Host: f.GetHost(), Life: decodeLife(f.GetLife())})
+	}
+	return p, true
+}
+
+// decodeMember bounds phase and stage, so that a newer sender cannot put a host in a
+// state that this one does not know.
+func decodeMember(f *message.Member) member.Member {
+	return member.Member{
+		Incarnation: f.GetIncarnation(), Name: f.GetName(), Address: f.GetAddress(), Peer: f.GetPeer(), Zone: f.GetZone(),
+		Counter: f.GetCounter(), Phase: min(member.Phase(f.GetPhase()), member.Dead),
+		Stage: min(member.Stage(f.GetStage()), member.Draining), Life: decodeLife(f.GetLife()),
+	}
+}
+
+func encodeLife(d time.Duration) uint64  { return uint64(d.Milliseconds()) }
+func decodeLife(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- /dev/null
+++ b/io/gossip/snapshot.go
@@ -0,0 +1,125 @@
+package gossip
+
+import (
+	"context"
+	"time"
+
+	"sassafrasward/core/member"
+)
+
+// Directory is what the rest of the daemon needs to know of other hosts. It is safe for
+// concurrent use.
+type Directory interface {
+	// Peer returns the peer address and the incarnation of the newest live process of a
+	// host.
+	Peer(host string) (address string, incarnation uint64, ok bool)
+	// Successor returns which process answers from the records of an incarnation that
+	// has ended.
+	Successor(owner uint64) (h member.Handover, ok bool)
+	// HandOver tells all hosts which process answers from the records of this host.
+	HandOver(ctx context.Context, successor uint64, host string)
+	// Crashes returns how many target crashes a fingerprint caused at all hosts.
+	Crashes(fingerprint uint64) uint64
+	// Crashed tells all hosts of a crash that the fingerprint may have caused.
+	Crashed(ctx context.Context, fingerprint uint64)
+	// Cleared tells all hosts that a suspect completed.
+	Cleared(ctx context.Context, fingerprint uint64)
+}
+
+var _ Directory = (*Node)(nil)
+
+// Snapshot is the published part of the state. It does not change.
+type Snapshot struct {
+	members   []Member
+	leavings  []string
+	peers     map[string]route
+	handovers map[uint64]member.Handover
+	crashes   map[uint64]uint64
+}
+
+// Member is a member with its load level.
+type Member struct {
+	member.Member
+	Level uint32
+}
+
+type route struct {
+	address     string
+	incarnation uint64
+}
+
+// Members returns all members by incarnation, dead ones included.
+func (s *Snapshot) Members() []Member { return s.members }
+
+// Leavings returns the addresses of leaving machines.
+func (s *Snapshot) Leavings() []string { return s.leavings }
+
+// Snapshot returns the newest snapshot.
+func (n *Node) Snapshot() *Snapshot { return n.current.Load() }
+
+// Publish replaces the snapshot if something has changed, and reports whether it has. It
+// is called on the owner.
+func (n *Node) Publish() bool {
+	if !n.state.Changed() {
+		return false
+	}
+	s := &Snapshot{leavings: n.state.Leavings(), peers: make(map[string]route), handovers: make(map[uint64]member.Handover), crashes: n.state.Crashes()}
+	for _, m := range n.state.Members() {
+		s.members = append(s.members, Member{Member: m, Level: n.state.Load(m.Incarnation)})
+		if address, incarnation, ok := n.state.Peer(m.Name); ok {
+			s.peers[m.Name] = route{address: address, incarnation: incarnation}
+		}
+	}
+	for _, h := range n.state.Handovers() {
+		s.handovers[h.Owner] = h
+	}
+	n.current.Store(s)
+	return true
+}
+
+// Peer implements Directory.
+func (n *Node) Peer(host string) (address string, incarnation uint64, ok bool) {
+	r, ok := n.Snapshot().peers[host]
+	return r.address, r.incarnation, ok
+}
+
+// Successor implements Directory.
+func (n *Node) Successor(owner uint64) (h member.Handover, ok bool) {
+	h, ok = n.Snapshot().handovers[owner]
+	return h, ok
+}
+
+// Crashes implements Directory.
+func (n *Node) Crashes(fingerprint uint64) uint64 { return n.Snapshot().crashes[fingerprint] }
+
+// HandOver implements Directory.
+func (n *Node) HandOver(ctx context.Context, successor uint64, host string) {
+	n.change(ctx, func(now time.Duration) { n.state.HandOver(now, successor, host) })
+}
+
+// Crashed implements Directory.
+func (n *Node) Crashed(ctx context.Context, fingerprint uint64) {
+	n.change(ctx, func(now time.Duration) { n.state.Crashed(now, fingerprint) })
+}
+
+// Cleared implements Directory.
+func (n *Node) Cleared(ctx context.Context, fingerprint uint64) {
+	n.change(ctx, func(now time.Duration) { n.state.Cleared(now, fingerprint) })
+}
+
+// change runs a change on the owner, passes its facts to all neighbours and publishes
+// the result before it returns.
+func (n *Node) change(ctx context.Context, change func(now time.Duration)) {
+	done := make(chan struct{})
+	n.owner.Post(ctx, func() {
+		change(n.owner.Clock())
+		n.Tick()
+		n.Publish()
+		close(done)
+	})
+	select {
+	case <-done:
+	case <-ctx.Done():
+	case <-n.ctx.Done():
+	}
+}
--- /dev/null
+++ b/io/peer/count.go
@@ -0,0 +1,65 @@
+package peer
+
+import (
+	"context"
+	"net"
+
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/grpc"
+)
+
+// Counters count the bytes on connections between hosts, protocol overhead included.
+type Counters struct {
+	sent     metrics.Counter
+	received metrics.Counter
+}
+
+// NewCounters returns counters of bytes sent and received.
+func NewCounters(sent, received metrics.Counter) Counters {
+	return Counters{sent: sent, received: received}
+}
+
+// Listen returns the listener with its connections counted.
+func (c Counters) Listen(l net.Listener) net.Listener { return counted{Listener: l, counters: c} }
+
+// Dial returns the option that counts the connections of a Pool.
+func (c Counters) Dial() grpc.DialOption {
+	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		var d net.Dialer
+		conn, err := d.DialContext(ctx, "tcp", address)
+		if err != nil {
+			return nil, err
+		}
+		return countedConn{Conn: conn, counters: c}, nil
+	})
+}
+
+type counted struct {
+	net.Listener
+	counters Counters
+}
+
+func (l counted) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countedConn{Conn: conn, counters: l.counters}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counters Counters
+}
+
+func (c countedConn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.counters.received.Inc(int64(n))
+	return n, err
+}
+
+func (c countedConn) Write(b []byte) (n int, err error) {
+	n, err = c.Conn.Write(b)
+	c.counters.sent.Inc(int64(n))
+	return n, err
+}
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -97,6 +97,16 @@
 	return conn, nil
 }
 
+// Drop closes the connection to the address if it is still the given one, so that the
+// next call dials a new one.
+func (p *Pool) Drop(address string, conn *grpc.ClientConn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if e, ok := p.byAddress[address]; ok && e.Value.(entry).conn == conn {
+		p.drop(e)
+	}
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mutex.Lock()
