Run hosts as members of one fleet

Cause: each daemon served as soon as it had read some configuration, and every daemon watched the platform. Ruled out: giving the host list to all hosts by gossip, because members and leaving addresses are what the others need of it. Change: the daemon joins by hearing from more than half of the listed hosts, takes the newest configuration from peers, watches the platform only if it is one of three by rendezvous hashing, and learns leaving targets from peers. core/address chooses the address answer. Before: each host made two waiting calls on the platform.

--- /dev/null
+++ b/core/address/doc.go
@@ -0,0 +1,2 @@
+// Package address chooses which hosts a caller is told to use.
+package address
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -2,13 +2,17 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"sassafrasward/core/address"
 	"sassafrasward/core/document"
+	"sassafrasward/core/member"
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
+	"sassafrasward/io/gossip"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -20,20 +24,33 @@
 // control owns the control state. Only its goroutine touches the fields below events.
 type control struct {
 	self  wire.Host
+	clock func() time.Duration
 	log   logr.Logger
 	views *view.Holder
 	gates *gates
+	// running returns the number of running requests.
+	running func() int
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
+	members  *member.State
+	node     *gossip.Node
+	watcher  *watcher
 	document *document.Document
 	version  document.Version
-	hosts    wire.Hosts
+	// leaving holds the leaving addresses that the gates were last given.
+	leaving  []string
 	draining bool
+	serving  bool
+	// phases holds the members as last logged.
+	phases map[uint64]gossip.Member
 }
 
-func newControl(self wire.Host, log logr.Logger, views *view.Holder, gates *gates) *control {
-	return &control{self: self, log: log, views: views, gates: gates, events: make(chan func(), 16)}
+func newControl(self wire.Host, clock func() time.Duration, log logr.Logger, views *view.Holder, gates *gates, running func() int) *control {
+	return &control{
+		self: self, clock: clock, log: log, views: views, gates: gates, running: running,
+		events: make(chan func(), 16), phases: make(map[uint64]gossip.Member),
+	}
 }
 
 // run owns the state until the context ends; its end is reported on done.
@@ -46,13 +63,39 @@
 			change()
 		case <-ticker.C:
 			c.gates.tick()
+			c.tick(ctx)
 		case <-ctx.Done():
+			c.watcher.set(ctx, false)
+			c.watcher.running.Wait()
 			done <- nil
 			return
 		}
 	}
 }
 
+// tick runs the systems of membership.
+func (c *control) tick(ctx context.Context) {
+	now := c.clock()
+	c.members.SetLevel(now, member.Level(c.running()))
+	c.node.Tick()
+	c.watcher.set(ctx, c.members.Watches(now) || !c.members.Listed())
+	if c.members.Reads(now) {
+		c.watcher.once(ctx)
+	}
+	c.settle()
+}
+
+// Post implements gossip.Owner.
+func (c *control) Post(ctx context.Context, f func()) {
+	c.send(ctx, func() {
+		f()
+		c.settle()
+	})
+}
+
+// Clock implements gossip.Owner.
+func (c *control) Clock() time.Duration { return c.clock() }
+
 // send passes a change to the control goroutine.
 func (c *control) send(ctx context.Context, change func()) {
 	select {
@@ -61,12 +104,42 @@
 	}
 }
 
+// beat tells other hosts that this one reads the platform, if it is a watcher.
+func (c *control) beat() {
+	if now := c.clock(); c.members.Watches(now) {
+		c.members.Beat(now)
+	}
+}
+
+// settle derives gates and view from the membership if it has changed.
+func (c *control) settle() {
+	serving := c.document != nil && c.members.Ready() && !c.draining
+	if serving != c.serving {
+		c.serving = serving
+		c.members.SetServing(c.clock(), serving)
+		if serving {
+			event.Log(c.log, event.HostServing, "host", c.self.Host, "version", c.version.String())
+		}
+	}
+	if !c.node.Publish() {
+		return
+	}
+	c.note()
+	if leaving := c.members.Leavings(); !slices.Equal(leaving, c.leaving) {
+		c.leaving = leaving
+		c.configure()
+	}
+	c.publish()
+}
+
 // drain makes the host refuse new requests and returns when the view says so.
 func (c *control) drain(ctx context.Context) {
 	done := make(chan struct{})
 	c.send(ctx, func() {
 		c.draining = true
-		c.publish()
+		c.members.Drain(c.clock())
+		c.node.Tick()
+		c.settle()
 		close(done)
 	})
 	select {
@@ -75,38 +148,62 @@
 	}
 }
 
-// takeConfig puts a published configuration in force if it is valid and newer.
-func (c *control) takeConfig(cfg platform.Config) {
-	d, err := document.Parse(cfg.Raw())
+// takeConfig puts a configuration that was read from the platform in force if it is
+// valid and newer.
+func (c *control) takeConfig(cfg platform.Config) { c.Take(cfg.Number(), cfg.Raw()) }
+
+// Take implements gossip.Owner: it puts a document in force if it is valid and newer.
+func (c *control) Take(number uint64, raw []byte) (accepted bool) {
+	d, err := document.Parse(raw)
 	if err != nil {
-		event.Fail(c.log, event.DocumentRefused, err, "version", cfg.Number())
-		return
+		event.Fail(c.log, event.DocumentRefused, err, "version", number)
+		return false
 	}
-	v := document.NewVersion(cfg.Number(), d)
-	if c.document != nil && !v.Newer(c.version) {
-		return
+	v := document.NewVersion(number, d)
+	if !v.Newer(c.version) {
+		return true
 	}
-	first := c.document == nil
 	c.document, c.version = d, v
 	event.Log(c.log, event.DocumentTaken, "version", v.String(), "preset", d.Preset().Name())
-	c.apply()
-	if first {
-		event.Log(c.log, event.HostServing, "host", c.self.Host)
-	}
+	c.configure()
+	c.node.Hold(d, v)
+	c.node.Tick()
+	return true
 }
 
 func (c *control) takeHosts(list wire.Hosts) {
-	c.hosts = list
 	event.Log(c.log, event.HostsTaken, "version", list.Version, "hosts", len(list.Hosts))
-	c.apply()
+	c.members.SetList(c.clock(), listOf(list))
+	c.node.Tick()
 }
 
-// apply derives gates and view from the state.
-func (c *control) apply() {
-	if c.document != nil {
-		c.gates.configure(c.document, leaving(c.hosts))
+// listOf returns what membership needs of a host list.
+func listOf(list wire.Hosts) member.List {
+	l := member.List{Version: list.Version}
+	for _, h := range list.Hosts {
+		leaving := h.State == wire.StateLeaving
+		if leaving {
+			l.Leaving = append(l.Leaving, h.Address)
+		} else {
+			l.Live = append(l.Live, h.Address)
+		}
+		if h.Kind == wire.KindEntry {
+			l.Entries = append(l.Entries, member.Entry{Host: h.Host, Address: h.Address, Peer: h.Peer, Leaving: leaving})
+		}
 	}
-	c.publish()
+	return l
+}
+
+// configure makes the gates match the document and the leaving targets.
+func (c *control) configure() {
+	if c.document == nil {
+		return
+	}
+	leaving := make(map[string]bool)
+	for _, a := range c.leaving {
+		leaving[a] = true
+	}
+	c.gates.configure(c.document, leaving)
 }
 
 func (c *control) publish() {
@@ -114,33 +211,35 @@
 	switch {
 	case c.draining:
 		why = reason.Draining
-	case c.document == nil:
+	case !c.serving:
 		why = reason.Joining
 	}
-	c.views.Publish(view.New(c.document, c.version, c.entries(), why))
+	c.views.Publish(view.New(c.document, c.version, c.candidates(), why))
 }
 
-// entries returns the hosts that callers may use, this host first.
-func (c *control) entries() []wire.Host {
-	var hosts []wire.Host
-	if !c.draining {
-		hosts = append(hosts, c.self)
-	}
-	for _, h := range c.hosts.Hosts {
-		if h.Kind == wire.KindEntry && h.State == wire.StateLive && h.Host != c.self.Host {
-			hosts = append(hosts, wire.Host{Host: h.Host, Address: h.Address, Zone: h.Zone})
+// candidates returns the hosts that callers may use.
+func (c *control) candidates() (hosts []address.Candidate) {
+	for _, m := range c.node.Snapshot().Members() {
+		if m.Phase != member.Dead && m.Stage == member.Serving && !c.members.Leaves(m.Address) {
+			hosts = append(hosts, address.Candidate{
+				Host: m.Name, Address: m.Address, Zone: m.Zone, Level: m.Level,
+				Suspected: m.Phase == member.Suspected,
+			})
 		}
 	}
 	return hosts
 }
 
-// leaving returns the addresses of targets that the host list says are leaving.
-func leaving(list wire.Hosts) map[string]bool {
-	addresses := make(map[string]bool)
-	for _, h := range list.Hosts {
-		if h.Kind == wire.KindTarget && h.State == wire.StateLeaving {
-			addresses[h.Address] = true
+// note logs the members that have changed.
+func (c *control) note() {
+	known := make(map[uint64]gossip.Member)
+	for _, m := range c.node.Snapshot().Members() {
+		known[m.Incarnation] = m
+		old, ok := c.phases[m.Incarnation]
+		if m.Name == c.self.Host || (ok && old.Phase == m.Phase && old.Stage == m.Stage) {
+			continue
 		}
+		event.Log(c.log, event.MemberChanged, "host", m.Name, "phase", m.Phase.String(), "stage", m.Stage.String())
 	}
-	return addresses
+	c.phases = known
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/member"
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
+	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
@@ -34,8 +37,12 @@
 	platform *platform.Client
 	front    *front.Front
 	peers    *peer.Server
+	pool     *peer.Pool
+	node     *gossip.Node
 	control  *control
-	start    time.Time
+	// incarnation identifies this process among all processes of all hosts.
+	incarnation uint64
+	start       time.Time
 
 	callers net.Listener
 	hosts   net.Listener
@@ -44,11 +51,11 @@
 // New opens the listeners of a host and returns its daemon.
 func New(settings setting.Settings, log logr.Logger) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now()}
+	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), incarnation: rand.Uint64()}
 	d.gates = newGates(d.clock)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
-	run := runner.New(d.clock, d.gates, target.New(), d.metrics)
+	run := &gauge{Executor: runner.New(d.clock, d.gates, target.New(), d.metrics)}
 	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
 		return nil, err
 	}
@@ -56,7 +63,8 @@
 		return nil, errors.Join(err, d.callers.Close())
 	}
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, log, d.views, d.gates)
+	d.control = newControl(self, d.clock, log, d.views, d.gates, run.count)
+	d.gossip()
 	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
 	return d, nil
 }
@@ -64,6 +72,31 @@
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.callers.Addr().String() }
 
+// Directory returns what this host knows of other hosts.
+func (d *Daemon) Directory() gossip.Directory { return d.node }
+
+// gossip connects the control goroutine to other hosts and to the platform.
+func (d *Daemon) gossip() {
+	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
+	d.hosts = counters.Listen(d.hosts)
+	d.pool = peer.NewPool(counters.Dial())
+	state := member.New(d.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
+		Incarnation: d.incarnation, Name: d.settings.Host(), Zone: d.settings.Zone(),
+		Address: d.callers.Addr().String(), Peer: d.hosts.Addr().String(),
+	}, member.WithSeeds(d.settings.Seeds()...), member.WithAlone(d.settings.Alone()))
+	c := d.control
+	c.members = state
+	c.node = gossip.New(state, c, d.pool, d.log, d.metrics)
+	c.watcher = &watcher{
+		platform: d.platform, log: d.log,
+		config: func(ctx context.Context, cfg platform.Config) { c.Post(ctx, func() { c.takeConfig(cfg) }) },
+		hosts:  func(ctx context.Context, list wire.Hosts) { c.Post(ctx, func() { c.takeHosts(list) }) },
+		alive:  func(ctx context.Context) { c.Post(ctx, func() { c.beat() }) },
+	}
+	d.node = c.node
+	d.node.Register(d.peers.Registrar())
+}
+
 func (d *Daemon) clock() time.Duration { return time.Since(d.start) }
 
 // Run serves until the context ends, then stops gracefully.
@@ -76,7 +109,6 @@
 	go d.front.Serve(d.callers, ends)
 	go d.peers.Serve(d.hosts, ends)
 	go d.control.run(inner, ends)
-	go d.watch(inner, ends)
 
 	select {
 	case <-ctx.Done():
@@ -84,8 +116,11 @@
 	case err = <-ends:
 		event.Fail(d.log, event.ListenFailed, err)
 	}
+	d.node.Flush()
+	d.node.Stop()
 	cancel()
 	d.peers.Stop()
+	d.pool.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
--- /dev/null
+++ b/io/daemon/load.go
@@ -0,0 +1,36 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"sassafrasward/io/front"
+	"sassafrasward/io/runner"
+	"sassafrasward/io/wire"
+)
+
+// gauge counts the running requests of an executor.
+type gauge struct {
+	front.Executor
+	running atomic.Int64
+}
+
+// Run implements front.Executor.
+func (g *gauge) Run(ctx context.Context, job runner.Job) wire.Answer {
+	g.running.Add(1)
+	defer g.running.Add(-1)
+	return g.Executor.Run(ctx, job)
+}
+
+func (g *gauge) count() int { return int(g.running.Load()) }
+
+// cpuTime returns the CPU time that the process has used.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -7,14 +7,17 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/address"
 	"sassafrasward/core/document"
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
@@ -98,10 +101,27 @@
 
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
-	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: lifetime.Milliseconds()}
+	answer := wire.Addresses{Hosts: f.choose(c, v), Lifetime: lifetime.Milliseconds()}
 	return c.JSON(http.StatusOK, answer)
 }
 
+// choose returns the hosts for the caller. A host that issues keys leads its answer,
+// because it owns them.
+func (f *Front) choose(c echo.Context, v *view.View) (hosts []wire.Host) {
+	zone, first := c.QueryParam("zone"), ""
+	if zone == "" {
+		zone = f.self.Zone
+	}
+	if keys, err := strconv.Atoi(c.QueryParam("keys")); err == nil && keys > 0 {
+		first = f.self.Host
+	}
+	random := randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64()))
+	for _, h := range address.Choose(random, zone, first, v.Hosts()) {
+		hosts = append(hosts, wire.Host{Host: h.Host, Address: h.Address, Zone: h.Zone})
+	}
+	return hosts
+}
+
 func (f *Front) pipeline(c echo.Context) error {
 	answer := wire.Answer{Request: newRequestID()}
 	request, p, why, detail := f.admit(c)
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -3,22 +3,23 @@
 import (
 	"sync/atomic"
 
+	"sassafrasward/core/address"
 	"sassafrasward/core/document"
 	"sassafrasward/core/reason"
-	"sassafrasward/io/wire"
 )
 
 // View is a snapshot of control state. It does not change after New.
 type View struct {
 	document *document.Document
 	version  document.Version
-	hosts    []wire.Host
+	// hosts may be told to callers.
+	hosts []address.Candidate
 	// refusal is None if the host serves, otherwise the reason why it does not.
 	refusal reason.Reason
 }
 
 // New returns a snapshot. The document may be nil while the host joins.
-func New(d *document.Document, v document.Version, hosts []wire.Host, refusal reason.Reason) *View {
+func New(d *document.Document, v document.Version, hosts []address.Candidate, refusal reason.Reason) *View {
 	return &View{document: d, version: v, hosts: hosts, refusal: refusal}
 }
 
@@ -28,8 +29,8 @@
 // Version returns the version of the configuration in force.
 func (v *View) Version() document.Version { return v.version }
 
-// Hosts returns the entry hosts that callers may use, this host included.
-func (v *View) Hosts() []wire.Host { return v.hosts }
+// Hosts returns the entry hosts that callers may use, this host included if it serves.
+func (v *View) Hosts() []address.Candidate { return v.hosts }
 
 // Refusal returns None if the host serves, otherwise why it does not.
 func (v *View) Refusal() reason.Reason { return v.refusal }
