--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
+	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -13,7 +16,8 @@
 	"sassafrasward/core/reason"
 	"sassafrasward/io/event"
 	"sassafrasward/io/gossip"
-	"sassafrasward/io/platform"
+	"sassafrasward/io/metric"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
 )
@@ -28,11 +32,17 @@
 	log   logr.Logger
 	views *view.Holder
 	gates *gates
+	// metrics counts the mistakes of refused documents.
+	metrics *metric.Metrics
+	owner   *owner.Owner
 	// running returns the number of running requests.
 	running func() int
 	// events carries changes to the goroutine; each runs on it.
 	events chan func()
 
+	// watching is read by the status.
+	watching atomic.Bool
+
 	members  *member.State
 	node     *gossip.Node
 	watcher  *watcher
@@ -41,14 +51,15 @@
 	// leaving holds the leaving addresses that the gates were last given.
 	leaving  []string
 	draining bool
-	serving  bool
+	// serving holds if the host takes requests; served if it ever did.
+	serving, served bool
 	// phases holds the members as last logged.
 	phases map[uint64]gossip.Member
 }
 
-func newControl(self wire.Host, clock func() time.Duration, log logr.Logger, views *view.Holder, gates *gates, running func() int) *control {
+func newControl(self wire.Host, clock func() time.Duration, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner, running func() int) *control {
 	return &control{
-		self: self, clock: clock, log: log, views: views, gates: gates, running: running,
+		self: self, clock: clock, log: log, views: views, gates: gates, metrics: metrics, owner: owner, running: running,
 		events: make(chan func(), 16), phases: make(map[uint64]gossip.Member),
 	}
 }
@@ -63,6 +74,7 @@
 			change()
 		case <-ticker.C:
 			c.gates.tick()
+			c.owner.Tick()
 			c.tick(ctx)
 		case <-ctx.Done():
 			c.watcher.set(ctx, false)
@@ -78,7 +90,8 @@
 	now := c.clock()
 	c.members.SetLevel(now, member.Level(c.running()))
 	c.node.Tick()
-	c.watcher.set(ctx, c.members.Watches(now) || !c.members.Listed())
+	c.watching.Store(c.members.Watches(now))
+	c.watcher.set(ctx, c.watching.Load() || !c.members.Listed())
 	if c.members.Reads(now) {
 		c.watcher.once(ctx)
 	}
@@ -116,6 +129,7 @@
 	serving := c.document != nil && c.members.Ready() && !c.draining
 	if serving != c.serving {
 		c.serving = serving
+		c.served = c.served || serving
 		c.members.SetServing(c.clock(), serving)
 		if serving {
 			event.Log(c.log, event.HostServing, "host", c.self.Host, "version", c.version.String())
@@ -125,6 +139,7 @@
 		return
 	}
 	c.note()
+	c.owner.SetHosts(c.entries())
 	if leaving := c.members.Leavings(); !slices.Equal(leaving, c.leaving) {
 		c.leaving = leaving
 		c.configure()
@@ -148,14 +163,11 @@
 	}
 }
 
-// takeConfig puts a configuration that was read from the platform in force if it is
-// valid and newer.
-func (c *control) takeConfig(cfg platform.Config) { c.Take(cfg.Number(), cfg.Raw()) }
-
 // Take implements gossip.Owner: it puts a document in force if it is valid and newer.
 func (c *control) Take(number uint64, raw []byte) (accepted bool) {
 	d, err := document.Parse(raw)
 	if err != nil {
+		c.countFaults(err)
 		event.Fail(c.log, event.DocumentRefused, err, "version", number)
 		return false
 	}
@@ -171,6 +183,19 @@
 	return true
 }
 
+// countFaults raises the counter of each kind of mistake in a refused document once.
+func (c *control) countFaults(err error) {
+	var mistakes document.Mistakes
+	_ = errors.As(err, &mistakes)
+	seen := make(map[document.Fault]bool)
+	for _, m := range mistakes {
+		if !seen[m.Fault()] {
+			c.metrics.Counter("document." + m.Fault().String()).Inc(1)
+		}
+		seen[m.Fault()] = true
+	}
+}
+
 func (c *control) takeHosts(list wire.Hosts) {
 	event.Log(c.log, event.HostsTaken, "version", list.Version, "hosts", len(list.Hosts))
 	c.members.SetList(c.clock(), listOf(list))
@@ -209,7 +234,7 @@
 func (c *control) publish() {
 	why := reason.None
 	switch {
-	case c.draining:
+	case c.draining && c.served:
 		why = reason.Draining
 	case !c.serving:
 		why = reason.Joining
@@ -230,6 +255,25 @@
 	return hosts
 }
 
+// entries returns the live members in the shape of a host list, by name.
+func (c *control) entries() (list wire.Hosts) {
+	for _, m := range c.node.Snapshot().Members() {
+		if m.Phase == member.Dead {
+			continue
+		}
+		state := wire.StateLive
+		if m.Stage == member.Draining || c.members.Leaves(m.Address) {
+			state = wire.StateLeaving
+		}
+		list.Hosts = append(list.Hosts, wire.Listed{
+			Host: m.Name, Address: m.Address, Peer: c.members.Route(m.Incarnation, m.Peer),
+			Zone: m.Zone, Kind: wire.KindEntry, State: state,
+		})
+	}
+	slices.SortStableFunc(list.Hosts, func(a, b wire.Listed) int { return strings.Compare(a.Host, b.Host) })
+	return list
+}
+
 // note logs the members that have changed.
 func (c *control) note() {
 	known := make(map[uint64]gossip.Member)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"sassafrasward/io/front"
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/owner"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
 	"sassafrasward/io/runner"
@@ -38,34 +39,63 @@
 	front    *front.Front
 	peers    *peer.Server
 	pool     *peer.Pool
-	node     *gossip.Node
-	control  *control
+	// exchanges has the connections of the gossip, which drops them when a call fails;
+	// that must not cut off a forwarded command.
+	exchanges *peer.Pool
+	owner     *owner.Owner
+	node      *gossip.Node
+	control   *control
+	start     time.Time
 	// incarnation identifies this process among all processes of all hosts.
 	incarnation uint64
-	start       time.Time
+	// linger is how long a draining host still takes requests.
+	linger time.Duration
+	// halted ends when a planned stop is to end at once.
+	halted context.Context
+	halt   context.CancelFunc
 
 	callers net.Listener
 	hosts   net.Listener
 }
 
+// spread is the time in which other hosts learn that this one drains; until then their
+// address answers still name it. It is the limit of invariant 7.
+const spread = 6 * time.Second
+
+// Option configures a Daemon.
+type Option func(*Daemon)
+
+// WithLinger sets how long a draining host still takes requests. The default is the
+// lifetime of an address answer after all other hosts know of the drain.
+func WithLinger(d time.Duration) Option { return func(one *Daemon) { one.linger = d } }
+
 // New opens the listeners of a host and returns its daemon.
-func New(settings setting.Settings, log logr.Logger) (d *Daemon, err error) {
+func New(settings setting.Settings, log logr.Logger, options ...Option) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), incarnation: rand.Uint64()}
+	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), linger: spread + front.Lifetime, incarnation: rand.Uint64()}
+	d.halted, d.halt = context.WithCancel(context.Background())
+	for _, o := range options {
+		o(d)
+	}
 	d.gates = newGates(d.clock)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
-	run := &gauge{Executor: runner.New(d.clock, d.gates, target.New(), d.metrics)}
+	run := &gauge{Executor: runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)}
 	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
 		return nil, err
 	}
 	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
 		return nil, errors.Join(err, d.callers.Close())
 	}
+	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
+	d.hosts = counters.Listen(d.hosts)
+	d.pool, d.exchanges = peer.NewPool(counters.Dial()), peer.NewPool(counters.Dial())
+	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
+	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, d.clock, log, d.views, d.gates, run.count)
+	d.control = newControl(self, d.clock, log, d.views, d.gates, d.metrics, d.owner, run.count)
 	d.gossip()
-	d.front = front.New(self, d.views, run, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status))
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
 	return d, nil
 }
 
@@ -77,21 +107,19 @@
 
 // gossip connects the control goroutine to other hosts and to the platform.
 func (d *Daemon) gossip() {
-	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
-	d.hosts = counters.Listen(d.hosts)
-	d.pool = peer.NewPool(counters.Dial())
-	state := member.New(d.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
+	c := d.control
+	c.members = member.New(d.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
 		Incarnation: d.incarnation, Name: d.settings.Host(), Zone: d.settings.Zone(),
 		Address: d.callers.Addr().String(), Peer: d.hosts.Addr().String(),
 	}, member.WithSeeds(d.settings.Seeds()...), member.WithAlone(d.settings.Alone()))
-	c := d.control
-	c.members = state
-	c.node = gossip.New(state, c, d.pool, d.log, d.metrics)
+	c.node = gossip.New(c.members, c, d.exchanges, d.log, d.metrics)
 	c.watcher = &watcher{
 		platform: d.platform, log: d.log,
-		config: func(ctx context.Context, cfg platform.Config) { c.Post(ctx, func() { c.takeConfig(cfg) }) },
-		hosts:  func(ctx context.Context, list wire.Hosts) { c.Post(ctx, func() { c.takeHosts(list) }) },
-		alive:  func(ctx context.Context) { c.Post(ctx, func() { c.beat() }) },
+		config: func(ctx context.Context, cfg platform.Config) {
+			c.Post(ctx, func() { c.Take(cfg.Number(), cfg.Raw()) })
+		},
+		hosts: func(ctx context.Context, list wire.Hosts) { c.Post(ctx, func() { c.takeHosts(list) }) },
+		alive: func(ctx context.Context) { c.Post(ctx, func() { c.beat() }) },
 	}
 	d.node = c.node
 	d.node.Register(d.peers.Registrar())
@@ -121,15 +149,32 @@
 	cancel()
 	d.peers.Stop()
 	d.pool.Close()
+	d.exchanges.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
 
-// drain refuses new requests, waits for running ones and stops the servers.
-func (d *Daemon) drain() error {
+// Halt ends a planned stop at once and cuts off running requests.
+func (d *Daemon) Halt() { d.halt() }
+
+// drain takes the host out of the address answers, serves callers with older answers,
+// waits for running requests and stops the servers. The limit of the settings or Halt ends
+// it at once.
+func (d *Daemon) drain() (err error) {
 	event.Log(d.log, event.HostDraining, "host", d.settings.Host())
-	ctx, cancel := context.WithTimeout(context.Background(), d.settings.Drain())
+	ctx, cancel := context.WithTimeout(d.halted, d.settings.Drain())
 	defer cancel()
 	d.control.drain(ctx)
-	return d.front.Shutdown(ctx)
+	timer := time.NewTimer(d.linger)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	err = errors.Join(d.owner.Drain(ctx), d.front.Shutdown(ctx))
+	if err == nil {
+		return nil
+	}
+	event.Fail(d.log, event.HostHalted, err, "host", d.settings.Host())
+	return errs.Combine(err, d.front.Close())
 }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
-	"encoding/json"
 	"errors"
 	"fmt"
 	randv2 "math/rand/v2"
@@ -30,8 +29,8 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("front")
 
-// lifetime is how long callers keep an address answer.
-const lifetime = 5 * time.Second
+// Lifetime is how long callers keep an address answer.
+const Lifetime = 5 * time.Second
 
 const readTimeout = 10 * time.Second
 
@@ -40,6 +39,14 @@
 	Run(ctx context.Context, job runner.Job) wire.Answer
 }
 
+// Keys issues command keys and knows which of them have not been used.
+type Keys interface {
+	// Issue returns up to n keys for the workspace and how long they are valid.
+	Issue(workspace string, n int) (keys []string, lifetime time.Duration)
+	// Fresh reports whether the command of the request's key has surely never begun.
+	Fresh(pipeline string, request wire.Request) bool
+}
+
 // Front is the HTTP server for callers.
 type Front struct {
 	server  *http.Server
@@ -49,6 +56,8 @@
 	status  func() any
 	body    int64
 	self    wire.Host
+	// keys is nil if the host issues no keys.
+	keys Keys
 }
 
 // Option configures a Front.
@@ -60,6 +69,9 @@
 // WithStatus sets the function whose result is served as the status of the host.
 func WithStatus(status func() any) Option { return func(f *Front) { f.status = status } }
 
+// WithKeys sets the issuer of command keys.
+func WithKeys(keys Keys) Option { return func(f *Front) { f.keys = keys } }
+
 // New returns a server for callers of the host self.
 func New(self wire.Host, views *view.Holder, r Executor, metrics *metric.Metrics, options ...Option) *Front {
 	f := &Front{self: self, views: views, runner: r, metrics: metrics, body: 1 << 20, status: func() any { return nil }}
@@ -69,8 +81,10 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = f.fault
+	e.Use(f.release)
 	e.GET(wire.PathAddresses, f.addresses)
 	e.GET(wire.PathStatus, func(c echo.Context) error { return c.JSON(http.StatusOK, f.status()) })
+	e.GET(wire.PathConfig, f.config)
 	e.POST(wire.PathPipelines+":pipeline", f.pipeline)
 	f.server = &http.Server{Handler: e, ReadHeaderTimeout: readTimeout}
 	return f
@@ -85,12 +99,26 @@
 	done <- Error.Wrap(err)
 }
 
+// Close ends the server and cuts off all running requests.
+func (f *Front) Close() error { return Error.Wrap(f.server.Close()) }
+
 // Shutdown waits for running requests to end and stops the server.
 func (f *Front) Shutdown(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	return f.server.Shutdown(ctx)
 }
 
+// release ends each connection with its next answer while the host drains, so that no
+// caller sends a request on a kept connection at the moment when the server closes it.
+func (f *Front) release(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if f.views.Load().Refusal() == reason.Draining {
+			c.Response().Header().Set("Connection", "close")
+		}
+		return next(c)
+	}
+}
+
 // fault answers requests that match no route.
 func (f *Front) fault(err error, c echo.Context) {
 	if c.Response().Committed {
@@ -101,20 +129,22 @@
 
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
-	answer := wire.Addresses{Hosts: f.choose(c, v), Lifetime: lifetime.Milliseconds()}
+	answer := wire.Addresses{Lifetime: Lifetime.Milliseconds()}
+	first := ""
+	if keys, lifetime := f.issue(v, c.QueryParam("workspace"), c.QueryParam("keys")); len(keys) > 0 {
+		answer.Keys, answer.Expiry = keys, lifetime.Milliseconds()
+		first = f.self.Host
+	}
+	answer.Hosts = f.choose(v, c.QueryParam("zone"), first)
 	return c.JSON(http.StatusOK, answer)
 }
 
-// choose returns the hosts for the caller. A host that issues keys leads its answer,
-// because it owns them.
-func (f *Front) choose(c echo.Context, v *view.View) (hosts []wire.Host) {
-	zone, first := c.QueryParam("zone"), ""
+// choose returns the hosts for a caller in the zone; this host's own if it names none. A
+// host that issues keys comes first, because it owns them.
+func (f *Front) choose(v *view.View, zone, first string) (hosts []wire.Host) {
 	if zone == "" {
 		zone = f.self.Zone
 	}
-	if keys, err := strconv.Atoi(c.QueryParam("keys")); err == nil && keys > 0 {
-		first = f.self.Host
-	}
 	random := randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64()))
 	for _, h := range address.Choose(random, zone, first, v.Hosts()) {
 		hosts = append(hosts, wire.Host{Host: h.Host, Address: h.Address, Zone: h.Zone})
@@ -122,12 +152,35 @@
 	return hosts
 }
 
+// config answers with the configuration in force, in the shape that the platform gives it.
+func (f *Front) config(c echo.Context) error {
+	v := f.views.Load()
+	if v.Document() == nil {
+		return f.refuse(c, wire.Answer{}, v.Refusal())
+	}
+	c.Response().Header().Set(wire.HeaderVersion, strconv.FormatUint(v.Version().Number(), 10))
+	return c.Blob(http.StatusOK, echo.MIMETextPlainCharsetUTF8, v.Document().Raw())
+}
+
+// issue returns the keys that an address request asks for; none if the host does not
+// serve or the workspace is not published.
+func (f *Front) issue(v *view.View, workspace, number string) (keys []string, lifetime time.Duration) {
+	n, err := strconv.Atoi(number)
+	if err != nil || n <= 0 || f.keys == nil || v.Refusal() != reason.None {
+		return nil, 0
+	}
+	if _, ok := v.Document().Workspace(workspace); !ok {
+		return nil, 0
+	}
+	return f.keys.Issue(workspace, n)
+}
+
 func (f *Front) pipeline(c echo.Context) error {
 	answer := wire.Answer{Request: newRequestID()}
 	request, p, why, detail := f.admit(c)
 	if why != reason.None {
 		answer.Detail = detail
-		return f.refuse(c, answer, why)
+		return f.refuseRequest(c, answer, why, request)
 	}
 	if strings.Contains(c.Request().Header.Get("Accept"), wire.ContentEvents) {
 		return f.stream(c, runner.NewJob(answer.Request, p, request, nil))
@@ -136,13 +189,19 @@
 	return f.end(c, answer)
 }
 
-// admit reads and checks the request against the configuration in force.
+// admit reads and checks the request against the configuration in force. A draining host
+// still takes requests of callers whose address answer is older than the drain. It runs
+// the commands of its own keys too, since no other host may, until the owner stops.
 func (f *Front) admit(c echo.Context) (request wire.Request, p document.Pipeline, why reason.Reason, detail string) {
 	v := f.views.Load()
-	if v.Refusal() != reason.None {
+	request, why, detail = f.decode(c)
+	draining := v.Refusal() == reason.Draining && v.Document() != nil
+	if v.Refusal() != reason.None && !draining {
 		return request, p, v.Refusal(), ""
 	}
-	request, why, detail = f.decode(c)
+	if preset := v.Document().Preset(); !preset.Accept() {
+		return request, p, reason.Closed, preset.Name()
+	}
 	if why != reason.None {
 		return request, p, why, detail
 	}
@@ -158,20 +217,7 @@
 }
 
 func (f *Front) decode(c echo.Context) (request wire.Request, why reason.Reason, detail string) {
-	decoder := json.NewDecoder(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
-	decoder.DisallowUnknownFields()
-	err := decoder.Decode(&request)
-	var large *http.MaxBytesError
-	switch {
-	case err == nil:
-		return request, reason.None, ""
-	case errors.As(err, &large):
-		return request, reason.Oversize, fmt.Sprintf("the body is larger than %d bytes", f.body)
-	case strings.Contains(err.Error(), "unknown field"):
-		return request, reason.Field, err.Error()
-	default:
-		return request, reason.Malformed, err.Error()
-	}
+	return Decode(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
 }
 
 func check(request wire.Request, p document.Pipeline) (why reason.Reason, detail string) {
@@ -189,6 +235,28 @@
 	return reason.None, ""
 }
 
+// refuseRequest refuses a request before it reaches the owner of its key. If it carries a
+// key whose command may have run before, this host cannot say that it did not run.
+func (f *Front) refuseRequest(c echo.Context, answer wire.Answer, why reason.Reason, request wire.Request) error {
+	answer.Outcome = why.Rule().Outcome().String()
+	answer.Reason = why.String()
+	if request.Key != "" && f.command(c.Param("pipeline")) && (f.keys == nil || !f.keys.Fresh(c.Param("pipeline"), request)) {
+		answer.Outcome = outcome.Unknown.String()
+	}
+	return f.end(c, answer)
+}
+
+// command reports whether the pipeline may have a command stage. It may have one in
+// another configuration if this host's configuration does not have the pipeline.
+func (f *Front) command(pipeline string) bool {
+	doc := f.views.Load().Document()
+	if doc == nil {
+		return true
+	}
+	p, ok := doc.Pipeline(pipeline)
+	return !ok || p.Command()
+}
+
 func (f *Front) refuse(c echo.Context, answer wire.Answer, why reason.Reason) error {
 	answer.Outcome = why.Rule().Outcome().String()
 	answer.Reason = why.String()
