--- a/io/event/event.go
+++ b/io/event/event.go
@@ -51,6 +51,10 @@
 	OrderLate       = register(1502, 0, "late order found", "An engine holds an order with an older fencing token than it held before; it is given the newer order again.")
 	OrderFenced     = register(1503, 0, "order refused", "An engine refused an order for its older fencing token; this host has yet to learn of a newer configuration.")
 	OrderFailed     = register(1504, 1, "order failed", "A report could not be read or an order not given; it is tried again in the next time slot of the engine.")
+	DocumentForged  = register(1601, 0, "document does not match its version", "Another host sent a configuration that does not hash to the version it stated; it was not used.")
+	MemberChanged   = register(1602, 0, "member changed", "Another host joined, drains, is suspected, died or came back.")
+	WatchStarted    = register(1603, 1, "platform watch started", "This host is one of those that watch the platform.")
+	WatchStopped    = register(1604, 1, "platform watch stopped", "Other hosts watch the platform; this one learns from them.")
 	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
 )
 
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/address"
 	"sassafrasward/core/document"
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
@@ -133,13 +135,29 @@
 
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
-	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: Lifetime.Milliseconds()}
+	answer := wire.Addresses{Lifetime: Lifetime.Milliseconds()}
+	first := ""
 	if keys, lifetime := f.issue(v, c.QueryParam("workspace"), c.QueryParam("keys")); len(keys) > 0 {
 		answer.Keys, answer.Expiry = keys, lifetime.Milliseconds()
+		first = f.self.Host
 	}
+	answer.Hosts = f.choose(v, c.QueryParam("zone"), first)
 	return c.JSON(http.StatusOK, answer)
 }
 
+// choose returns the hosts for a caller in the zone; this host's own if it names none. A
+// host that issues keys comes first, because it owns them.
+func (f *Front) choose(v *view.View, zone, first string) (hosts []wire.Host) {
+	if zone == "" {
+		zone = f.self.Zone
+	}
+	random := randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64()))
+	for _, h := range address.Choose(random, zone, first, v.Hosts()) {
+		hosts = append(hosts, wire.Host{Host: h.Host, Address: h.Address, Zone: h.Zone})
+	}
+	return hosts
+}
+
 // config answers with the configuration in force, in the shape that the platform gives it.
 func (f *Front) config(c echo.Context) error {
 	v := f.views.Load()
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -3,34 +3,24 @@
 import (
 	"sync/atomic"
 
+	"sassafrasward/core/address"
 	"sassafrasward/core/document"
 	"sassafrasward/core/reason"
-	"sassafrasward/io/wire"
 )
 
 // View is a snapshot of control state. It does not change after New.
 type View struct {
 	document *document.Document
 	version  document.Version
-	hosts    []wire.Host
-	members  []wire.Listed
+	// hosts may be told to callers.
+	hosts []address.Candidate
 	// refusal is None if the host serves, otherwise the reason why it does not.
 	refusal reason.Reason
 }
 
-// Option sets a property of a View.
-type Option func(*View)
-
-// WithMembers states the host list.
-func WithMembers(members []wire.Listed) Option { return func(v *View) { v.members = members } }
-
 // New returns a snapshot. The document may be nil while the host joins.
-func New(d *document.Document, v document.Version, hosts []wire.Host, refusal reason.Reason, options ...Option) *View {
-	view := &View{document: d, version: v, hosts: hosts, refusal: refusal}
-	for _, o := range options {
-		o(view)
-	}
-	return view
+func New(d *document.Document, v document.Version, hosts []address.Candidate, refusal reason.Reason) *View {
+	return &View{document: d, version: v, hosts: hosts, refusal: refusal}
 }
 
 // Document returns the configuration in force; nil while the host joins.
@@ -39,11 +29,8 @@
 // Version returns the version of the configuration in force.
 func (v *View) Version() document.Version { return v.version }
 
-// Hosts returns the entry hosts that callers may use, this host included.
-func (v *View) Hosts() []wire.Host { return v.hosts }
-
-// Members returns the host list as last read.
-func (v *View) Members() []wire.Listed { return v.members }
+// Hosts returns the entry hosts that callers may use, this host included if it serves.
+func (v *View) Hosts() []address.Candidate { return v.hosts }
 
 // Refusal returns None if the host serves, otherwise why it does not.
 func (v *View) Refusal() reason.Reason { return v.refusal }
