Bound the time of reading a body and writing an answer

Cause: a caller that went silent in the middle of its body, or took no more of its stream, held its request open without limit, and with it a planned stop until the limit drain. A failed flush of a token was ignored. Ruled out: ReadTimeout and WriteTimeout of the server; they count from the start of a request and would cut off long reports. Change: 10 s for a body and 30 s for each write, set before each of them. Conclusion: a silent caller cannot hold up a planned stop.

--- a/io/event/event.go
+++ b/io/event/event.go
@@ -37,7 +37,7 @@
 	HostStarted     = register(1001, 0, "host started", "The process listens for callers and other hosts.")
 	HostServing     = register(1002, 0, "host serves", "The host knows the newest configuration and takes requests.")
 	HostDraining    = register(1003, 0, "host drains", "A planned stop began: the host is no longer named to callers, issues no keys and still serves callers with an older address answer.")
-	HostStopped     = register(1004, 0, "host stopped", "All requests ended and the process exits.")
+	HostStopped     = register(1004, 0, "host stopped", "The process exits; all requests ended unless event 1006 came before.")
 	ListenFailed    = register(1005, 0, "listener failed", "A server ended with an error; the process exits.")
 	HostHalted      = register(1006, 0, "host ended at once", "A second signal or the limit drain ended a planned stop before all requests ended; the process exits with code 1.")
 	DocumentTaken   = register(1101, 0, "configuration accepted", "A newer configuration is in force on this host.")
--- a/io/front/decode.go
+++ b/io/front/decode.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 
 	"sassafrasward/core/reason"
@@ -52,6 +53,8 @@
 	switch {
 	case errors.As(err, &large):
 		return reason.Oversize, fmt.Sprintf("the body is larger than %d bytes", large.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return reason.Malformed, "the body did not arrive in time"
 	case errors.As(err, &kind) && kind.Field != "":
 		return reason.Field, fmt.Sprintf("%s must be of type %s", kind.Field, kind.Type)
 	case strings.HasPrefix(err.Error(), "json: unknown field"):
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -32,7 +32,14 @@
 // Lifetime is how long callers keep an address answer.
 const Lifetime = 5 * time.Second
 
-const readTimeout = 10 * time.Second
+const (
+	// readTimeout bounds the arrival of headers and, again, of the body of a request, so that
+	// a caller that went silent does not hold up a planned stop.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds each write of an answer or token for the same reason. It is longer
+	// because a caller may be slow to take a long report.
+	writeTimeout = 30 * time.Second
+)
 
 // Executor runs a job to its end.
 type Executor interface {
@@ -56,7 +63,9 @@
 	log     logr.Logger
 	status  func() any
 	body    int64
-	self    wire.Host
+	// read and write bound the arrival of a body and each write.
+	read, write time.Duration
+	self        wire.Host
 	// keys is nil if the host issues no keys.
 	keys Keys
 }
@@ -67,6 +76,11 @@
 // WithBody bounds the size of request bodies in bytes.
 func WithBody(bytes int) Option { return func(f *Front) { f.body = int64(bytes) } }
 
+// WithTimeouts bounds the arrival of a request body and each write of an answer or token.
+func WithTimeouts(read, write time.Duration) Option {
+	return func(f *Front) { f.read, f.write = read, write }
+}
+
 // WithStatus sets the function whose result is served as the status of the host.
 func WithStatus(status func() any) Option { return func(f *Front) { f.status = status } }
 
@@ -78,7 +92,7 @@
 
 // New returns a server for callers of the host self.
 func New(self wire.Host, views *view.Holder, r Executor, metrics *metric.Metrics, options ...Option) *Front {
-	f := &Front{self: self, views: views, runner: r, metrics: metrics, log: logr.Discard(), body: 1 << 20, status: func() any { return nil }}
+	f := &Front{self: self, views: views, runner: r, metrics: metrics, log: logr.Discard(), body: 1 << 20, read: readTimeout, write: writeTimeout, status: func() any { return nil }}
 	for _, o := range options {
 		o(f)
 	}
@@ -112,10 +126,12 @@
 	return f.server.Shutdown(ctx)
 }
 
-// release ends each connection with its next answer while the host drains, so that no
+// release is run before each handler. It ends each connection with its next answer while the host drains, so that no
 // caller sends a request on a kept connection at the moment when the server closes it.
 func (f *Front) release(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		// The deadline of the answer before on the same connection may have passed.
+		f.limitWrite(c)
 		if f.views.Load().Refusal() == reason.Draining {
 			c.Response().Header().Set("Connection", "close")
 		}
@@ -205,6 +221,11 @@
 }
 
 func (f *Front) decode(c echo.Context) (request wire.Request, why reason.Reason, detail string) {
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(f.read))
+	// Without a deadline again, or the server would take the silence of a caller that waits
+	// for its answer for a closed connection.
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	return Decode(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
 }
 
@@ -253,9 +274,15 @@
 
 // end counts the answer and writes it.
 func (f *Front) end(c echo.Context, answer wire.Answer) error {
+	f.limitWrite(c)
 	return c.JSON(f.count(answer), answer)
 }
 
+// limitWrite bounds the writes from now on.
+func (f *Front) limitWrite(c echo.Context) {
+	_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Now().Add(f.write))
+}
+
 // count raises the counters of the answer and returns its HTTP status.
 func (f *Front) count(answer wire.Answer) int {
 	o, _ := outcome.Parse(answer.Outcome)
--- a/io/front/front_test.go
+++ b/io/front/front_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -48,15 +49,24 @@
 )
 
 // executor counts the jobs that pass the checks.
-type executor struct{ jobs int }
+type executor struct {
+	jobs int
+	// stream makes a job write tokens until that fails.
+	stream bool
+}
 
-func (e *executor) Run(context.Context, runner.Job) wire.Answer {
+func (e *executor) Run(_ context.Context, job runner.Job) wire.Answer {
 	e.jobs++
+	for i := 0; e.stream; i++ {
+		if err := job.Each()(wire.Token{Index: i, Text: "token"}); err != nil {
+			return wire.Answer{Outcome: outcome.Failed.String(), Reason: reason.Gone.String()}
+		}
+	}
 	return wire.Answer{Outcome: outcome.Done.String()}
 }
 
 // serve runs a front on loopback with the given preset and refusal.
-func serve(t *testing.T, e *executor, preset string, refusal reason.Reason) (base string, m *metric.Metrics) {
+func serve(t *testing.T, e *executor, preset string, refusal reason.Reason, options ...front.Option) (base string, m *metric.Metrics) {
 	t.Helper()
 	d, err := document.Parse([]byte(strings.Replace(published, "preset = ordinary", "preset = "+preset, 1)))
 	if err != nil {
@@ -68,7 +78,7 @@
 	}
 	views, m := view.NewHolder(), metric.New()
 	views.Publish(view.New(d, document.NewVersion(1, d), nil, refusal))
-	f := front.New(wire.Host{}, views, e, m, front.WithBody(bodyLimit))
+	f := front.New(wire.Host{}, views, e, m, append(options, front.WithBody(bodyLimit))...)
 	done := make(chan error, 1)
 	go f.Serve(listener, done)
 	t.Cleanup(func() {
@@ -168,6 +178,33 @@
 	return response.StatusCode, answer
 }
 
+// TestSilentCaller guards against a caller that stops in the middle of its body, or takes
+// no more of its stream, and holds a request open until the limit of a planned stop.
+func TestSilentCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		request string
+		jobs    int
+	}{
+		"half a body":     {request: "Content-Length: 100\r\n\r\n{", jobs: 0},
+		"stream not read": {request: "Accept: text/event-stream\r\nContent-Length: 30\r\n\r\n" + `{"workspace":"thun","input":1}`, jobs: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e := &executor{stream: true}
+			base, m := serve(t, e, "ordinary", reason.None, front.WithTimeouts(time.Millisecond, time.Millisecond))
+			conn, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+			is.NoErr(err)
+			defer func() { _ = conn.Close() }()
+			_, err = conn.Write([]byte("POST " + wire.PathPipelines + "lookup HTTP/1.1\r\nHost: x\r\n" + c.request))
+			is.NoErr(err)
+			for len(m.Values()) == 0 { // until the request ends
+				time.Sleep(time.Millisecond)
+			}
+			is.Equal(e.jobs, c.jobs)
+		})
+	}
+}
+
 // FuzzDecode guards against a panic and against an accepted body that is more or less than
 // one JSON object.
 func FuzzDecode(f *testing.F) {
--- a/io/front/stream.go
+++ b/io/front/stream.go
@@ -15,16 +15,17 @@
 func (f *Front) stream(c echo.Context, job runner.Job) error {
 	c.Response().Header().Set("Content-Type", wire.ContentEvents)
 	c.Response().WriteHeader(http.StatusOK)
-	job = job.Streaming(func(t wire.Token) error { return writeEvent(c, wire.EventToken, t) })
+	job = job.Streaming(func(t wire.Token) error { return f.event(c, wire.EventToken, t) })
 	answer := f.runner.Run(c.Request().Context(), job)
 	f.count(answer)
-	return writeEvent(c, wire.EventEnd, answer)
+	return f.event(c, wire.EventEnd, answer)
 }
 
-func writeEvent(c echo.Context, name string, data any) error {
+// event writes one event; a caller that takes nothing for too long ends the stream.
+func (f *Front) event(c echo.Context, name string, data any) error {
+	f.limitWrite(c)
 	if err := sse.Write(c.Response(), name, data); err != nil {
 		return err
 	}
-	c.Response().Flush()
-	return nil
+	return http.NewResponseController(c.Response()).Flush()
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -80,6 +80,10 @@
 	return j
 }
 
+// Each returns the function that takes the tokens of the last stage; nil if the caller does
+// not stream.
+func (j Job) Each() func(wire.Token) error { return j.each }
+
 // Streaming returns the job with each taking the tokens of its last stage.
 func (j Job) Streaming(each func(wire.Token) error) Job {
 	j.each = each
