--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -28,7 +28,7 @@
 func (p *progress) commandEnd(reply target.Reply) (why reason.Reason, end outcome.Outcome) {
 	why = cause(reply.End())
 	switch {
-	case !reply.Sent():
+	case !reply.Sent() && reply.Refusal() != reason.None:
 		return reply.Refusal(), p.reached.Unwritten(outcome.NotRun)
 	case reply.End() == schedule.Busy:
 		return why, p.reached.Unwritten(outcome.NotRun)
