Let the replay use shares, later stages and the scheduler's cancels

Cause: the replay cancelled the loser of a hedged call itself, so that a copy that probes a slow target never ended; it offered no shares and no time for later stages; a target that is down counted as crashed by each call that could not connect. Ruled out: probes by real calls, which are the tail of the pool themselves. Change: the replay mirrors the runner to come: Step.Cancels ends losers, SetShares, WithAfter from Expect, WithStage; End has Unreached for calls that were not sent. Conclusion: only a target that broke while it ran the call counts for its fingerprint.

--- a/core/balance/balance_test.go
+++ b/core/balance/balance_test.go
@@ -97,13 +97,13 @@
 		}
 	}
 	is.True(probes >= 14 && probes <= 20) // pauses double up to 4 s
-	for range 3 {
-		now += 4 * time.Second
-		is.True(p.Due(now) || !p.Slow())
-		p.Start()
-		p.Observe(now, 1, true)
-	}
+	now += 4 * time.Second
+	is.True(p.Due(now))
+	p.Start()
+	p.Observe(now, 1, true)
 	is.True(!p.Slow())
+	p.Observe(now, 10, false)
+	is.True(p.Slow()) // one slow call after a recovery is enough
 }
 
 // holders returns the targets that are expected to hold the prefix.
--- a/core/balance/pace.go
+++ b/core/balance/pace.go
@@ -9,7 +9,9 @@
 	weight = 0.3
 	// slowRatio marks a target as slow: two samples at the clip reach it, one does not.
 	slowRatio = 2.5
-	// goodRatio ends the mark; it is lower than slowRatio to avoid flapping.
+	// goodRatio is the ratio of a probe that ends the mark; it is lower than slowRatio to
+	// avoid flapping. The average then starts from it, so that one more slow call marks
+	// the target again.
 	goodRatio = 1.7
 	// firstPause and lastPause bound the time between probes of a slow target. A probe
 	// is a real call, so the pause doubles while the target stays slow.
@@ -38,27 +40,20 @@
 // Observe takes the ratio of one call; probe says that the call was a probe.
 func (p *Pace) Observe(now time.Duration, ratio float64, probe bool) {
 	ratio = min(ratio, clip)
-	switch {
-	case p.ratio == 0:
-		p.ratio = max(1, ratio*weight)
-	case probe:
-		p.ratio = (p.ratio + ratio) / 2
-	default:
-		p.ratio += weight * (ratio - p.ratio)
+	if p.ratio == 0 {
+		p.ratio = 1
 	}
+	p.ratio += weight * (ratio - p.ratio)
 	if probe {
 		p.probing = false
 		p.pause = min(2*p.pause, lastPause)
+		p.probe = now + p.pause
 		if ratio < goodRatio {
-			p.pause = 0
+			p.slow, p.ratio = false, goodRatio
 		}
-		p.probe = now + p.pause
 	}
-	switch {
-	case !p.slow && p.ratio > slowRatio:
+	if !p.slow && p.ratio > slowRatio {
 		p.mark(now)
-	case p.slow && p.ratio < goodRatio:
-		p.slow = false
 	}
 }
 
--- a/core/budget/budget.go
+++ b/core/budget/budget.go
@@ -45,6 +45,15 @@
 	return true
 }
 
+// Adjust corrects what was paid for added work by the difference to what it took. Tokens
+// may fall below zero; the debt is earned back first.
+func (b *Budget) Adjust(work float64) {
+	if b.percent > 0 {
+		b.tokens = min(b.tokens-work, b.burst)
+	}
+	b.spent += work
+}
+
 // Spent returns the added work in percent of the original work so far.
 func (b *Budget) Spent() float64 {
 	if b.earned == 0 {
--- a/core/estimate/estimate.go
+++ b/core/estimate/estimate.go
@@ -105,10 +105,14 @@
 	delete(e.rows, oldest)
 }
 
-// Class returns the size class of a size: its power of two.
+// classes is the number of size classes per power of two. Service times of engines follow
+// the size, and wider classes make the usual spread of a class look like slow targets.
+const classes = 4
+
+// Class returns the size class of a size.
 func Class(size float64) int8 {
 	if size < 1 {
 		return 0
 	}
-	return int8(min(math.Ilogb(size), math.MaxInt8))
+	return int8(min(classes*math.Log2(size), math.MaxInt8))
 }
--- a/core/estimate/estimate_test.go
+++ b/core/estimate/estimate_test.go
@@ -69,5 +69,5 @@
 	is.True(e.Trial(2*time.Second, "narrow", time.Second))
 	is.True(!e.Trial(2*time.Second, "narrow", time.Second)) // one trial at a time
 	is.Equal(estimate.Class(0), int8(0))
-	is.Equal(estimate.Class(1000), int8(9))
+	is.Equal(estimate.Class(1000), int8(39))
 }
--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -45,6 +45,8 @@
 	priority int
 	// sent is true once a target was chosen.
 	sent bool
+	// closed is true once the call has ended or was withdrawn.
+	closed bool
 	// used is true for the call whose answer the request took.
 	used bool
 	// set is shared by all calls of one stage of one request.
@@ -122,14 +124,26 @@
 	if f.request.Prefix() != "" {
 		prefix = xxhash.Sum64String(f.request.Prefix())
 	}
-	return schedule.NewCall(a.id, f.request.Workspace(), f.deadline,
+	options := []schedule.CallOption{
 		schedule.WithPipeline(f.pipeline.Name()),
+		schedule.WithStage(f.current().Name()),
 		schedule.WithSize(float64(max(f.request.Size(), 1))),
 		schedule.WithLong(f.pipeline.Long()),
 		schedule.WithPrefix(prefix),
-		schedule.WithFingerprint(xxhash.Sum64String(f.request.String()+"\x00"+f.current().Name())),
+		schedule.WithFingerprint(xxhash.Sum64String(f.request.String() + "\x00" + f.current().Name())),
 		schedule.WithIdempotent(!f.current().Command()),
-		schedule.WithAvoid(f.avoid...))
+		schedule.WithAvoid(f.avoid...),
+	}
+	return schedule.NewCall(a.id, f.request.Workspace(), f.deadline, append(options, schedule.WithAfter(f.after(a.id, options)))...)
+}
+
+// after returns the time that the later stages are expected to need.
+func (f *flow) after(id schedule.ID, options []schedule.CallOption) (d time.Duration) {
+	for _, later := range f.pipeline.Stages()[f.stage+1:] {
+		c := schedule.NewCall(id, f.request.Workspace(), f.deadline, append(options, schedule.WithStage(later.Name()))...)
+		d += f.host.pools[later.Pool()].Expect(f.run.clock.now, c)
+	}
+	return d
 }
 
 // duplicate returns a hedge of the running call.
@@ -150,7 +164,7 @@
 	a.sent, a.since, a.target = true, f.run.clock.now, f.run.standins[target]
 	hop := f.run.trace.Network().Hop(f.host.zone, a.target.zone)
 	f.run.clock.after(hop, func() {
-		if !slices.Contains(f.live, a) {
+		if a.closed {
 			return
 		}
 		a.target.take(a, func(end schedule.End) {
@@ -165,18 +179,27 @@
 	f.live = slices.DeleteFunc(f.live, func(one *attempt) bool { return one == a })
 }
 
-// reply takes the end of a call. The reply of a call that no longer matters is dropped.
+// reply takes the end of a call. The other call of a hedged one goes on until its
+// scheduler withdraws it, and its reply only tells the scheduler.
 func (f *flow) reply(a *attempt, end schedule.End, load schedule.Load) {
-	if !slices.Contains(f.live, a) {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	lost := !slices.Contains(f.live, a)
+	options := []schedule.ResultOption{schedule.WithLoad(load)}
+	if end == schedule.Completed {
+		options = append(options, schedule.WithActual(float64(f.request.Size())))
+	}
+	if lost {
+		f.host.finish(a, end, options...)
 		return
 	}
 	f.drop(a)
 	f.cost.elapsed += f.run.clock.now - a.since
-	options := []schedule.ResultOption{schedule.WithLoad(load)}
 	if end == schedule.Completed {
 		a.used, a.set.used = true, true
-		f.cancelAll(schedule.Cancelled)
-		options = append(options, schedule.WithActual(float64(f.request.Size())))
+		f.live = nil
 	}
 	f.host.finish(a, end, options...)
 	if f.over {
@@ -230,18 +253,29 @@
 	f.live = nil
 	for _, a := range live {
 		if !a.sent {
+			a.closed = true
 			delete(f.host.attempts, a.id)
 			f.host.pools[a.pool].Cancel(f.run.clock.now, a.id)
 			f.cost.wait += f.run.clock.now - a.since
 			continue
 		}
 		f.cost.elapsed += f.run.clock.now - a.since
-		hop := f.run.trace.Network().Hop(f.host.zone, a.target.zone)
-		f.run.clock.after(hop, func() { a.target.cancel(a) })
-		f.host.finish(a, end)
+		a.withdraw(end)
 	}
 }
 
+// withdraw cancels a call that was sent.
+func (a *attempt) withdraw(end schedule.End) {
+	if a.closed {
+		return
+	}
+	a.closed = true
+	f := a.flow
+	hop := f.run.trace.Network().Hop(f.host.zone, a.target.zone)
+	f.run.clock.after(hop, func() { a.target.cancel(a) })
+	f.host.finish(a, end)
+}
+
 // refuse ends a request before the write of the current stage. As in the runner, a
 // request whose command has run is failed.
 func (f *flow) refuse(why reason.Reason) {
--- a/core/replay/host.go
+++ b/core/replay/host.go
@@ -29,9 +29,14 @@
 	for _, t := range r.trace.Document().Targets() {
 		targets[t.Pool()] = append(targets[t.Pool()], schedule.NewTarget(t.Name(), t.Zone(), t.Slots(), false))
 	}
+	shares := make(map[string]int)
+	for _, w := range r.trace.Document().Workspaces() {
+		shares[w.Name()] = w.Share()
+	}
 	for _, p := range r.trace.Document().Pools() {
 		random := rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
-		s := schedule.New(random, schedule.WithPolicy(r.variant.policy(r.trace.Document().Preset())))
+		s := schedule.New(random, schedule.WithZone(zone), schedule.WithPolicy(r.variant.policy(r.trace.Document().Preset())))
+		s.SetShares(shares)
 		s.SetTargets(0, targets[p.Name()])
 		h.order = append(h.order, p.Name())
 		h.pools[p.Name()] = s
@@ -74,6 +79,11 @@
 			a.send(start.Target())
 		}
 	}
+	for _, id := range step.Cancels() {
+		if a, ok := h.attempts[id]; ok {
+			a.withdraw(schedule.Cancelled)
+		}
+	}
 	for _, refusal := range step.Refusals() {
 		if a, ok := h.attempts[refusal.ID()]; ok {
 			delete(h.attempts, a.id)
--- a/core/schedule/objective_test.go
+++ b/core/schedule/objective_test.go
@@ -115,7 +115,7 @@
 				}})
 				m.run(to)
 				tails[i] = p99(m.offered("w", 10*time.Second, to))
-				m.run(3 * to)
+				m.run(to + 5*time.Minute)
 				arrived = attainment(m.offered("long", 0, to))
 			}
 			t.Logf("p99 of short work %v, with long work %v, long work done %.4f", tails[0], tails[1], arrived)
--- a/core/schedule/pick.go
+++ b/core/schedule/pick.go
@@ -15,14 +15,13 @@
 	// farFactor makes a target in another zone count as more loaded, so that the same
 	// zone comes first until its targets are clearly busier.
 	farFactor = 1.15
-	// affinityRoom bounds the load of a target chosen by prefix to this factor of the
-	// mean load, plus one call.
-	affinityRoom = 1.25
+	// affinityFactor makes a target that holds the prefix count as less loaded.
+	affinityFactor = 0.8
 	// longLoad bounds the load of a target, with that of other hosts, up to which long work
 	// beyond its guarantee starts there. Hosts do not see each other's long calls, and
 	// without the bound their parts together leave short work no room.
 	longLoad = 0.8
-	// fade is the age at which reported load of other hosts counts half.
+	// fade is the age at which the reported load of other hosts counts half.
 	fade = 500 * time.Millisecond
 )
 
@@ -139,10 +138,11 @@
 	return score
 }
 
-// load returns the calls per slot if one more started. Load of other hosts fades, as the
-// report of it ages.
+// load returns the calls per slot if one more started. The load of other hosts moves from
+// the last answer of the target to the mean of the pool, as that answer ages.
 func (s *Scheduler) load(now time.Duration, st *state) float64 {
-	others := st.others / (1 + float64(now-st.told)/float64(fade))
+	mean := s.part.Others()
+	others := mean + (st.others-mean)/(1+float64(now-st.told)/float64(fade))
 	return (float64(st.inflight) + 1 + others) / float64(max(st.limit.Slots(), 1))
 }
 
@@ -161,7 +161,7 @@
 // probe returns a slow target that is due for a probe, if the call can stand the delay.
 // It is used only without a hedge budget; otherwise sweep probes with copies of calls.
 func (s *Scheduler) probe(now time.Duration, e *entry, isolated bool) (st *state, ok bool) {
-	if !s.policy.detect || s.policy.hedge > 0 || !e.call.idempotent || e.slow || e.retry || isolated {
+	if !s.policy.detect || s.policy.hedge >= probeShare || !e.call.idempotent || e.slow || e.retry || isolated {
 		return nil, false
 	}
 	for _, st := range s.subset {
@@ -172,32 +172,30 @@
 	return nil, false
 }
 
-// prefer returns a target that holds the prefix of the call, or the one that all hosts
-// choose for it, if its load is bounded.
+// prefer returns the best of the chosen target, the ones that hold the prefix of the call
+// and the one that all hosts choose for it. A cache hit saves part of the service time,
+// and the factor bounds the load that it may cost.
 func (s *Scheduler) prefer(now time.Duration, e *entry, isolated, panicking bool) (st *state, ok bool) {
-	mean := 0.0
-	for _, one := range s.subset {
-		mean += s.load(now, one)
+	st, ok = s.choose(now, e, isolated, panicking)
+	if !ok {
+		return nil, false
 	}
-	mean /= float64(len(s.subset))
-	fits := func(one *state) bool {
-		bound := mean*affinityRoom + 1/float64(max(one.limit.Slots(), 1))
-		return s.load(now, one) <= bound && s.usable(now, one, e, isolated, panicking)
+	least := s.score(now, st)
+	try := func(one *state) {
+		if score := s.score(now, one) * affinityFactor; score < least && s.usable(now, one, e, isolated, panicking) {
+			st, least = one, score
+		}
 	}
 	s.cache.Each(now, e.call.prefix, func(target string) bool {
-		one, known := s.targets.Get(target)
-		if known && !one.target.leaving && fits(one) {
-			st, ok = one, true
+		if one, known := s.targets.Get(target); known {
+			try(one)
 		}
-		return !ok
+		return true
 	})
-	if ok {
-		return st, true
-	}
-	if one := s.home(e.call.prefix); one != nil && fits(one) {
-		return one, true
+	if one := s.home(e.call.prefix); one != nil {
+		try(one)
 	}
-	return nil, false
+	return st, true
 }
 
 // home returns the target that ranks first for the prefix on all hosts.
--- a/core/schedule/queue.go
+++ b/core/schedule/queue.go
@@ -40,11 +40,12 @@
 func (s *Scheduler) enter(now time.Duration, c Call, retry bool) *entry {
 	e := &entry{expectation: s.expect(c), call: c, retry: retry}
 	e.slow = e.long && s.policy.separate
+	// A call that has the time keeps the 95% quantile of its service time, so that few calls
+	// that run end too late, but at most half of what the median leaves: the rest is for its
+	// wait. A tighter call is given an even chance.
 	e.need = e.median
-	// A call that has the time must keep the 95% quantile of its service time, so that
-	// few calls that run end too late. A tighter one is given an even chance.
-	if !e.slow && e.limit()-now >= e.high {
-		e.need = e.high
+	if spare := e.limit() - now - e.median; !e.slow && spare > 0 {
+		e.need = min(e.high, e.median+spare/2)
 	}
 	return e
 }
@@ -74,11 +75,12 @@
 }
 
 // first reports whether a new call may start ahead of the queue of its class.
-func (s *Scheduler) first(e *entry) bool {
+func (s *Scheduler) first(now time.Duration, e *entry) bool {
 	if e.slow {
-		return s.long.Len() == 0 && s.longs < s.longBound()
+		return s.long.Len() == 0 && s.longs < s.longBound() && s.longRoom(now)
 	}
-	return s.short.Len() == 0
+	_, free := s.capacity()
+	return s.short.Len() == 0 && free > 0
 }
 
 // enqueue queues a call that cannot start now, if it is expected to end in time.
@@ -159,6 +161,7 @@
 // capacity returns the calls that the pool runs at its usual pace at the same time for
 // this host, and how many more it could start now.
 func (s *Scheduler) capacity() (slots float64, free int) {
+	published, targets := 0.0, 0
 	panicking := s.panicking()
 	for _, st := range s.subset {
 		if st.pace.Slow() && !panicking && s.policy.detect {
@@ -167,8 +170,15 @@
 		n := s.bound(st)
 		slots += float64(n)
 		free += max(n-st.inflight, 0)
+		published += float64(st.limit.Slots())
+		targets++
+	}
+	if s.policy.adapt {
+		part := max(s.part.Of(published, targets), 1)
+		slots = min(slots, part)
+		free = min(free, int(part)-len(s.running))
 	}
-	return max(slots, 1), free
+	return max(slots, 1), max(free, 0)
 }
 
 // longBound returns how many long calls may be in flight now. It is what the recent peak
@@ -177,7 +187,7 @@
 	if !s.policy.separate {
 		return math.MaxInt
 	}
-	slots, _ := s.capacity()
+	slots := s.longSlots()
 	bound := slots * float64(s.policy.long) / 100
 	floor := max(bound/longFloor, 1)
 	return int(min(max(slots-s.demand*demandRoom, floor), max(bound, 1)))
@@ -185,8 +195,21 @@
 
 // longGuarantee returns the long calls in flight below which long work goes first.
 func (s *Scheduler) longGuarantee() int {
+	return int(max(s.longSlots()*float64(s.policy.long)/100/longFloor, 1))
+}
+
+// longSlots returns the slots that the bound on long work refers to: the strict part of
+// this host, since long calls hold what they got for long.
+func (s *Scheduler) longSlots() float64 {
 	slots, _ := s.capacity()
-	return int(max(slots*float64(s.policy.long)/100/longFloor, 1))
+	if !s.policy.adapt {
+		return slots
+	}
+	published := 0.0
+	for _, st := range s.subset {
+		published += float64(st.limit.Slots())
+	}
+	return max(min(slots, published*s.part.Ratio()), 1)
 }
 
 // shortDemand returns the short calls in flight and waiting.
@@ -233,7 +256,9 @@
 func (s *Scheduler) drainHeld(now time.Duration, step *Step) {
 	kept := s.held[:0]
 	for _, e := range s.held {
-		if e.slow && s.longs >= s.longBound() || !s.launch(now, e, step) {
+		_, free := s.capacity()
+		blocked := free == 0 || e.slow && s.longs >= s.longBound()
+		if blocked || !s.launch(now, e, step) {
 			kept = append(kept, e)
 		}
 	}
--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -93,6 +93,8 @@
 	Crashed // crashed
 	// Silent means that the target did not answer in time.
 	Silent // silent
+	// Unreached means that no connection could be opened, so that nothing was sent.
+	Unreached // unreached
 	// Cancelled means that the host cancelled the call.
 	Cancelled // cancelled
 )
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -1,16 +1,27 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"sassafrasward/core/budget"
+)
 
 const (
 	// sweepPause is the least time between two looks at the calls in flight.
 	sweepPause = 10 * time.Millisecond
-	// overdueFactor is the age of a call, in usual times, from which it counts as a slow
-	// sample before it ends.
-	overdueFactor = 4
+	// overdueFactor is the age of a call, in high quantiles, from which it counts as a slow
+	// sample of the weight overdueRatio before it ends: two of them mark a target.
+	overdueFactor = 1.5
+	overdueRatio  = 4
 	// hedgeFactor is the age in high quantiles from which a call is hedged. At the high
 	// quantile itself, the usual variance would use up the budget.
-	hedgeFactor = 1.5
+	hedgeFactor = 1.25
+	// levelWeight is the weight of the newest ratio in the level of the pool, and levelClip
+	// bounds one ratio, so that slow targets move the level little.
+	levelWeight = 1.0 / 16
+	levelClip   = 3
+	// leastAge is the age below which no call is late. It covers pauses of the processes.
+	leastAge = 20 * time.Millisecond
 	// slowHedgeFactor is the age in median times for calls on a target known to be slow.
 	slowHedgeFactor = 1.5
 	// probeFactor is the age in usual times from which a probe has shown that its target
@@ -31,6 +42,8 @@
 	twin *run
 	// hedge is true for the later run of a hedged call; hedged for the earlier one.
 	hedge, hedged bool
+	// rival is the run that won against this one; nil if there is none.
+	rival *run
 	// probe is true for a run that tests a slow target; lost once its twin has won.
 	probe, lost bool
 	// counted is true once the run counted as a slow sample.
@@ -48,6 +61,7 @@
 		units := s.units(e.work)
 		s.retrying.Earn(units)
 		s.hedging.Earn(units)
+		s.probing.Earn(units)
 	}
 	if e.call.prefix != 0 && s.policy.affinity {
 		s.cache.Note(now, e.call.prefix, st.target.name)
@@ -112,7 +126,12 @@
 			s.suspects.Crash(now, fingerprint)
 		}
 	case Silent:
-		r.state.pace.Observe(now, overdueFactor, r.probe)
+		r.state.pace.Observe(now, overdueRatio, r.probe)
+		// The service time is at least this long. Without such samples the estimate would
+		// know only the calls that were fast enough.
+		if took > r.entry.median {
+			s.measure(now, r, took, 0)
+		}
 	default:
 		s.learnOverdue(now, r)
 		if r.probe && !r.counted {
@@ -124,7 +143,9 @@
 func (s *Scheduler) learnTime(now time.Duration, r *run, took time.Duration, size float64) {
 	slow := r.state.pace.Slow()
 	if r.entry.median > 0 && (!r.counted || r.probe) {
-		r.state.pace.Observe(now, float64(took)/float64(r.entry.usual()), r.probe)
+		ratio := float64(took) / float64(r.entry.usual())
+		s.level += levelWeight * (min(ratio, levelClip) - s.level)
+		r.state.pace.Observe(now, ratio/s.pressure(), r.probe)
 	}
 	// Times of targets that are avoided say nothing of the ones that are used.
 	if !slow || !s.policy.detect || s.panicking() {
@@ -132,17 +153,28 @@
 	}
 }
 
+// pressure returns the factor by which all service times have grown of late, at least 1. A
+// burst of load slows all targets and makes none of them a slow one.
+func (s *Scheduler) pressure() float64 { return max(s.level, 1) }
+
+// stretch returns a multiple of a time under the present pressure, at least leastAge.
+func (s *Scheduler) stretch(factor float64, d time.Duration) time.Duration {
+	return max(time.Duration(factor*s.pressure()*float64(d)), leastAge)
+}
+
+// learnOverdue counts a run that takes far longer than usual as a slow sample. A probe has
+// shown earlier that its target is still slow.
 func (s *Scheduler) learnOverdue(now time.Duration, r *run) {
 	age := now - r.since
-	factor := time.Duration(overdueFactor)
+	limit := s.stretch(overdueFactor, r.entry.high)
 	if r.probe {
-		factor = probeFactor
+		limit = s.stretch(probeFactor, r.entry.usual())
 	}
-	if r.entry.median == 0 || r.counted || age < factor*r.entry.usual() {
+	if r.entry.median == 0 || r.counted || age < limit {
 		return
 	}
 	r.counted = true
-	r.state.pace.Observe(now, float64(factor), r.probe)
+	r.state.pace.Observe(now, overdueRatio, r.probe)
 }
 
 func (s *Scheduler) learnLoad(now time.Duration, st *state, result Result) {
@@ -156,9 +188,25 @@
 	}
 	st.limit.Resize(load.slots)
 	st.limit.Observe(st.inflight+1, load.running, load.queued)
+	s.part.Observe(st.inflight, load.running+load.queued-1)
 	st.others, st.told = float64(max(load.running+load.queued-st.inflight-1, 0)), now
 }
 
+// payer returns the budget that pays for a copy.
+func (s *Scheduler) payer(probe bool) *budget.Budget {
+	if probe {
+		return &s.probing
+	}
+	return &s.hedging
+}
+
+// bill corrects what was paid for the loser of a race to the time that it took.
+func (s *Scheduler) bill(now time.Duration, r *run) {
+	if r.rival != nil {
+		s.payer(r.probe || r.rival.probe).Adjust(s.units(now - r.since - r.entry.work))
+	}
+}
+
 // settle ends the race of a hedged call. A run that failed leaves the race to its twin. A
 // probe that lost goes on until it has shown the pace of its target.
 func (s *Scheduler) settle(r *run, end End, step *Step) {
@@ -167,10 +215,13 @@
 		return
 	}
 	r.twin, twin.twin = nil, nil
+	if end == Completed || end == Rejected {
+		twin.rival = r
+	}
 	switch {
 	case end == Completed && twin.probe && !twin.counted:
 		twin.lost = true
-	case end == Completed || end == Rejected || end == Cancelled:
+	case end == Completed || end == Rejected:
 		step.cancels = append(step.cancels, twin.id)
 	}
 }
@@ -192,7 +243,7 @@
 			s.hedge(now, r, step)
 		}
 	}
-	if s.policy.detect && s.policy.choice && s.policy.hedge > 0 {
+	if s.policy.detect && s.policy.choice && s.policy.hedge >= probeShare {
 		s.sendProbes(now, step)
 	}
 }
@@ -205,7 +256,7 @@
 			continue
 		}
 		for r := s.newest; r != nil; r = r.prev {
-			if r.state != st && s.hedgeable(r) && s.room(now, st, false, false) && s.hedging.Allows(s.units(r.entry.work)) {
+			if r.state != st && s.hedgeable(r) && s.room(now, st, false, false) && s.probing.Allows(s.units(r.entry.work)) {
 				s.copy(now, r, st, true, step)
 				break
 			}
@@ -225,11 +276,11 @@
 	if s.Waiting() > 0 || !s.hedgeable(r) {
 		return false
 	}
-	age, median := float64(now-r.since), float64(r.entry.median)
+	age := now - r.since
 	if r.state.pace.Slow() {
-		return age > slowHedgeFactor*median
+		return age > s.stretch(slowHedgeFactor, r.entry.median)
 	}
-	return age > hedgeFactor*float64(r.entry.high)
+	return age > s.stretch(hedgeFactor, r.entry.high)
 }
 
 func (s *Scheduler) hedge(now time.Duration, r *run, step *Step) {
@@ -245,7 +296,7 @@
 
 // copy starts a second run of the call on another target.
 func (s *Scheduler) copy(now time.Duration, r *run, st *state, probe bool, step *Step) {
-	s.hedging.Spend(s.units(r.entry.work))
+	s.payer(probe).Spend(s.units(r.entry.work))
 	s.hedges++
 	twin := &run{entry: r.entry, state: st, id: hedgeBit | ID(s.hedges), since: now, twin: r, hedge: true, probe: probe}
 	if probe {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -25,6 +25,8 @@
 	retryBurst = 10
 	hedgeBurst = 4
 	hedgeFirst = 1
+	// probeShare is the part of the hedge budget that probes may use, as a divisor.
+	probeShare = 5
 )
 
 // Scheduler schedules the calls of one pool on one host. It is not safe for concurrent
@@ -53,6 +55,8 @@
 	// running has the calls in flight; oldest and newest are the ends of their list.
 	running        map[ID]*run
 	oldest, newest *run
+	// part is this host's part of the slots of the targets.
+	part limit.Part
 	// longs counts the long calls in flight.
 	longs int
 	// demand is the recent peak of short calls in flight and waiting.
@@ -64,6 +68,9 @@
 	sizes    *estimate.Estimator[key]
 	retrying budget.Budget
 	hedging  budget.Budget
+	probing  budget.Budget
+	// level is the recent mean ratio of measured to expected service times in the pool.
+	level    float64
 	cache    *balance.Cache
 	suspects *suspect.Table
 }
@@ -100,14 +107,15 @@
 		random: random, policy: NewPolicy(), seed: random.Uint64(),
 		targets: table.New[string, *state](), running: make(map[ID]*run),
 		short: share.New[string, *entry](), long: share.New[string, *entry](),
-		times: estimate.New[key](), sizes: estimate.New[key](),
+		level: 1, times: estimate.New[key](), sizes: estimate.New[key](),
 		cache: balance.NewCache(), suspects: suspect.New("", nil),
 	}
 	for _, o := range options {
 		o(s)
 	}
 	s.retrying = budget.New(s.policy.retry, retryBurst, retryBurst)
-	s.hedging = budget.New(s.policy.hedge, hedgeFirst, hedgeBurst)
+	s.hedging = budget.New(s.policy.hedge-s.policy.hedge/probeShare, hedgeFirst, hedgeBurst)
+	s.probing = budget.New(s.policy.hedge/probeShare, hedgeFirst, hedgeBurst)
 	return s
 }
 
@@ -116,7 +124,8 @@
 	old := s.policy
 	s.policy = p
 	s.retrying.SetPercent(p.retry)
-	s.hedging.SetPercent(p.hedge)
+	s.hedging.SetPercent(p.hedge - p.hedge/probeShare)
+	s.probing.SetPercent(p.hedge / probeShare)
 	if old.fair == p.fair && old.separate == p.separate {
 		return
 	}
@@ -190,7 +199,7 @@
 		return refuse(reason.Late)
 	}
 	s.demand = max(s.demand, s.shortDemand())
-	if s.first(e) {
+	if s.first(now, e) {
 		if st, probe, ok := s.pick(now, e); ok {
 			s.start(now, e, st, probe)
 			return Decision{verdict: Started, target: st.target.name}
@@ -223,6 +232,7 @@
 	}
 	s.remove(run)
 	s.learn(now, run, r)
+	s.bill(now, run)
 	s.settle(run, r.end, &step)
 	s.drain(now, &step)
 	if now-s.swept >= sweepPause {
@@ -287,7 +297,7 @@
 
 // Added returns the work added by retries and hedges, in percent of the other work.
 func (s *Scheduler) Added() (retries, hedges float64) {
-	return s.retrying.Spent(), s.hedging.Spent()
+	return s.retrying.Spent(), s.hedging.Spent() + s.probing.Spent()
 }
 
 // Suspects returns the table of crash suspects, to which facts of other hosts are told.
