--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -45,9 +45,9 @@
 	running int
 	queued  int
 	ledger  []Entry
+	engine  engine
 	// first has the first run of each key and stage of a target that recognises keys.
 	first map[string]*firstRun
-	order wire.Order
 }
 
 // firstRun is the first run of a key. The answer is set before done is closed; it has no
@@ -99,6 +99,9 @@
 	mux.HandleFunc("GET "+PathLedger, func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, t.Ledger())
 	})
+	mux.HandleFunc("GET "+PathOrders, func(w http.ResponseWriter, _ *http.Request) {
+		writeJSON(w, http.StatusOK, t.Orders())
+	})
 	return mux
 }
 
@@ -272,21 +275,5 @@
 	load := t.load()
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	writeJSON(w, http.StatusOK, wire.Report{Load: load, Fence: t.order.Fence, Models: t.order.Models, Role: t.order.Role})
-}
-
-func (t *Target) take(w http.ResponseWriter, r *http.Request) {
-	var order wire.Order
-	if err := json.NewDecoder(r.Body).Decode(&order); err != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	if t.fencing && order.Fence < t.order.Fence {
-		writeJSON(w, http.StatusConflict, t.order)
-		return
-	}
-	t.order = order
-	writeJSON(w, http.StatusOK, t.order)
+	writeJSON(w, http.StatusOK, wire.Report{Load: load, Fence: t.engine.order.Fence, Models: t.engine.held, Role: t.engine.order.Role})
 }
