Hedge, give up and cancel attempts in the runner

Cause: hedges of the scheduler were not sent, a silent connection held a request until its deadline, and a call that could not connect counted as a crash of its fingerprint. Ruled out: cancelling losers in the runner at once, which ends copies that probe a slow target before they have shown its pace; one client for repeats, whose idle connections may be as dead as the first one.

--- a/core/schedule/expect.go
+++ b/core/schedule/expect.go
@@ -16,6 +16,10 @@
 	// trialPause is the time without a measurement after which one call that looks too
 	// late is tried.
 	trialPause = time.Second
+	// patience is the time in high quantiles after which an attempt is given up, and
+	// leastPatience the shortest such time.
+	patience      = 6
+	leastPatience = 100 * time.Millisecond
 )
 
 // key names a distribution: a pipeline's stage and a size class. Size class any holds all
@@ -101,3 +105,19 @@
 	}
 	return s.wait(e) + e.work
 }
+
+// Patience returns how long an attempt of a call may go without a sign of life before it is
+// given up, so that a repeat over another connection still has its time. An attempt whose
+// repeat would have too little time may use up the deadline.
+func (s *Scheduler) Patience(now time.Duration, c Call) time.Duration {
+	left := c.deadline - c.after - now
+	x := s.expect(c)
+	if x.median == 0 {
+		return left / 2
+	}
+	longest := left - x.median*5/4
+	if longest < max(s.stretch(hedgeFactor, x.high), leastPatience) {
+		return left + c.after
+	}
+	return min(max(s.stretch(patience, x.high), leastPatience), longest)
+}
--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -95,6 +95,8 @@
 	Silent // silent
 	// Unreached means that no connection could be opened, so that nothing was sent.
 	Unreached // unreached
+	// Crossed means that the answer belongs to another call or cannot be read.
+	Crossed // crossed
 	// Cancelled means that the host cancelled the call.
 	Cancelled // cancelled
 )
@@ -120,6 +122,9 @@
 	size float64
 }
 
+// ID returns the call that ended.
+func (r Result) ID() ID { return r.id }
+
 // ResultOption sets a property of a Result.
 type ResultOption func(*Result)
 
--- a/core/schedule/result_string.go
+++ b/core/schedule/result_string.go
@@ -14,12 +14,13 @@
 	_ = x[Crashed-3]
 	_ = x[Silent-4]
 	_ = x[Unreached-5]
-	_ = x[Cancelled-6]
+	_ = x[Crossed-6]
+	_ = x[Cancelled-7]
 }
 
-const _End_name = "completedbusyrejectedcrashedsilentunreachedcancelled"
+const _End_name = "completedbusyrejectedcrashedsilentunreachedcrossedcancelled"
 
-var _End_index = [...]uint8{0, 9, 13, 21, 28, 34, 43, 52}
+var _End_index = [...]uint8{0, 9, 13, 21, 28, 34, 43, 50, 59}
 
 func (i End) String() string {
 	idx := int(i) - 0
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -125,7 +125,7 @@
 		if fingerprint != 0 {
 			s.suspects.Crash(now, fingerprint)
 		}
-	case Unreached:
+	case Unreached, Crossed:
 		r.state.pace.Fail(now, r.probe)
 	case Silent:
 		r.state.pace.Observe(now, overdueRatio, r.probe)
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -285,6 +285,12 @@
 	return 0
 }
 
+// Running reports whether the call is in flight.
+func (s *Scheduler) Running(id ID) bool {
+	_, ok := s.running[id]
+	return ok
+}
+
 // Slow returns the targets that are avoided as slow.
 func (s *Scheduler) Slow() (names []string) {
 	for name, st := range s.targets.All() {
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
 	"sassafrasward/io/metric"
@@ -41,6 +42,8 @@
 	control  *control
 	orders   *order.Giver
 	start    time.Time
+	// tell gets facts about crash suspects for other hosts; nil if they are not told.
+	tell func(suspect.Fact)
 	// linger is how long a draining host still takes requests.
 	linger time.Duration
 	// halted ends when a planned stop is to end at once.
@@ -62,6 +65,12 @@
 // lifetime of an address answer after all other hosts know of the drain.
 func WithLinger(d time.Duration) Option { return func(one *Daemon) { one.linger = d } }
 
+// WithSuspects sets a function that tells other hosts of crash suspects. It must not block.
+func WithSuspects(tell func(suspect.Fact)) Option { return func(one *Daemon) { one.tell = tell } }
+
+// LearnSuspect takes what another host tells of a crash suspect.
+func (d *Daemon) LearnSuspect(f suspect.Fact) { d.gates.learn(f) }
+
 // New opens the listeners of a host and returns its daemon.
 func New(settings setting.Settings, log logr.Logger, options ...Option) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
@@ -70,7 +79,7 @@
 	for _, o := range options {
 		o(d)
 	}
-	d.gates = newGates(d.clock)
+	d.gates = newGates(d.clock, settings.Host(), settings.Zone(), d.tell)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
 	run := runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)
--- a/io/daemon/gates.go
+++ b/io/daemon/gates.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -9,6 +10,7 @@
 
 	"sassafrasward/core/document"
 	"sassafrasward/core/schedule"
+	"sassafrasward/core/suspect"
 	"sassafrasward/io/gate"
 	"sassafrasward/io/wire"
 )
@@ -16,7 +18,14 @@
 // gates is the set of pools of the configuration in force. The control goroutine replaces
 // it as a whole; traffic goroutines read it without waiting.
 type gates struct {
-	clock   func() time.Duration
+	clock func() time.Duration
+	zone  string
+	// origin names this process in facts about crash suspects. Counts start again with
+	// each process, so the name of the host alone would hide crashes after a restart.
+	origin string
+	// tell gets each fact about a crash suspect that other hosts are to learn; nil if they
+	// are not told. It must not block.
+	tell    func(suspect.Fact)
 	current atomic.Pointer[pools]
 }
 
@@ -27,8 +36,8 @@
 	addresses map[string]string
 }
 
-func newGates(clock func() time.Duration) *gates {
-	g := &gates{clock: clock}
+func newGates(clock func() time.Duration, host, zone string, tell func(suspect.Fact)) *gates {
+	g := &gates{clock: clock, zone: zone, origin: fmt.Sprintf("%s.%x", host, rand.Uint64()), tell: tell}
 	g.current.Store(&pools{})
 	return g
 }
@@ -48,11 +57,17 @@
 		next.addresses[t.Name()] = t.Address()
 		targets[t.Pool()] = append(targets[t.Pool()], schedule.NewTarget(t.Name(), t.Zone(), t.Slots(), leaving[t.Address()]))
 	}
+	shares := make(map[string]int)
+	for _, w := range d.Workspaces() {
+		shares[w.Name()] = w.Share()
+	}
 	for _, p := range d.Pools() {
 		one, ok := old.gates[p.Name()]
 		if !ok {
-			one = gate.New(g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), schedule.WithPolicy(policyOf(d.Preset())))
+			one = gate.New(g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+				schedule.WithPolicy(policyOf(d.Preset())), schedule.WithZone(g.zone), schedule.WithSuspects(suspect.New(g.origin, g.tell)))
 		}
+		one.SetShares(shares)
 		one.SetPolicy(policyOf(d.Preset()))
 		one.SetTargets(targets[p.Name()])
 		next.gates[p.Name()] = one
@@ -60,6 +75,14 @@
 	g.current.Store(next)
 }
 
+// learn takes a fact about a crash suspect. A fingerprint belongs to one pool, and the
+// others hold it without effect.
+func (g *gates) learn(f suspect.Fact) {
+	for _, one := range g.current.Load().gates {
+		one.Learn(f)
+	}
+}
+
 // tick runs the periodic decisions of all pools.
 func (g *gates) tick() {
 	for _, one := range g.current.Load().gates {
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -8,6 +8,7 @@
 
 	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
+	"sassafrasward/core/suspect"
 )
 
 // grant tells a waiting call its target or why it is refused.
@@ -24,13 +25,24 @@
 	scheduler *schedule.Scheduler
 	// waiters has one entry for each queued call.
 	waiters map[schedule.ID]chan grant
+	// runners has the calls in flight that can be hedged and cancelled.
+	runners map[schedule.ID]Run
+}
+
+// Run is a call in flight as its owner serves it. Its functions are called under the mutex
+// of the gate and must not block or call the gate.
+type Run interface {
+	// Hedge starts a second call on the target. Its end is reported with Finish.
+	Hedge(id schedule.ID, target string)
+	// Cancel ends the call, because the other call of the pair has won.
+	Cancel()
 }
 
 // New returns a gate without targets. The clock returns the time since process start.
 func New(clock func() time.Duration, random *rand.Rand, options ...schedule.Option) *Gate {
 	return &Gate{
 		clock: clock, scheduler: schedule.New(random, options...),
-		waiters: make(map[schedule.ID]chan grant),
+		waiters: make(map[schedule.ID]chan grant), runners: make(map[schedule.ID]Run),
 	}
 }
 
@@ -45,8 +57,17 @@
 // Acquire waits for a target for the call. A reason other than None says why there is
 // none. The caller reports the end of the call with Finish.
 func (g *Gate) Acquire(ctx context.Context, c schedule.Call) (target string, why reason.Reason) {
+	return g.acquire(ctx, c, (*schedule.Scheduler).Offer)
+}
+
+// Retry waits like Acquire, for one more attempt of a call. It draws on the retry budget.
+func (g *Gate) Retry(ctx context.Context, c schedule.Call) (target string, why reason.Reason) {
+	return g.acquire(ctx, c, (*schedule.Scheduler).Retry)
+}
+
+func (g *Gate) acquire(ctx context.Context, c schedule.Call, ask func(*schedule.Scheduler, time.Duration, schedule.Call) schedule.Decision) (target string, why reason.Reason) {
 	g.mutex.Lock()
-	d := g.scheduler.Offer(g.clock(), c)
+	d := ask(g.scheduler, g.clock(), c)
 	if d.Verdict() != schedule.Queued {
 		g.mutex.Unlock()
 		return d.Target(), d.Reason()
@@ -80,9 +101,54 @@
 	return "", reason.Deadline
 }
 
+// Watch makes a call in flight known by its owner until Finish. It reports false if the
+// call is no longer in flight.
+func (g *Gate) Watch(id schedule.ID, r Run) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.scheduler.Running(id) {
+		return false
+	}
+	g.runners[id] = r
+	return true
+}
+
 // Finish reports the end of a call.
 func (g *Gate) Finish(r schedule.Result) {
-	g.Do(func(now time.Duration, s *schedule.Scheduler) schedule.Step { return s.Finish(now, r) })
+	g.Do(func(now time.Duration, s *schedule.Scheduler) schedule.Step {
+		delete(g.runners, r.ID())
+		return s.Finish(now, r)
+	})
+}
+
+// Expect returns the time that the pool is expected to need for a call.
+func (g *Gate) Expect(c schedule.Call) (d time.Duration) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.scheduler.Expect(g.clock(), c)
+}
+
+// Patience returns how long an attempt of a call may take before it is given up.
+func (g *Gate) Patience(c schedule.Call) time.Duration {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.scheduler.Patience(g.clock(), c)
+}
+
+// Learn takes a fact of another host about a crash suspect.
+func (g *Gate) Learn(f suspect.Fact) {
+	g.Do(func(now time.Duration, s *schedule.Scheduler) schedule.Step {
+		s.Suspects().Learn(now, f)
+		return schedule.Step{}
+	})
+}
+
+// SetShares replaces the weights of the workspaces.
+func (g *Gate) SetShares(shares map[string]int) {
+	g.Do(func(_ time.Duration, s *schedule.Scheduler) schedule.Step {
+		s.SetShares(shares)
+		return schedule.Step{}
+	})
 }
 
 // Tick runs the periodic decisions.
@@ -115,13 +181,31 @@
 
 func (g *Gate) wake(step schedule.Step) {
 	for _, start := range step.Starts() {
-		g.give(start.ID(), grant{target: start.Target()})
+		if start.Hedge() == 0 {
+			g.give(start.ID(), grant{target: start.Target()})
+		} else if r, ok := g.runners[start.Hedge()]; ok {
+			r.Hedge(start.ID(), start.Target())
+		} else {
+			g.discard(start.ID())
+		}
+	}
+	for _, id := range step.Cancels() {
+		if r, ok := g.runners[id]; ok {
+			r.Cancel()
+		} else {
+			g.discard(id)
+		}
 	}
 	for _, refusal := range step.Refusals() {
 		g.give(refusal.ID(), grant{reason: refusal.Reason()})
 	}
 }
 
+// discard hands back the slot of a call that nobody serves.
+func (g *Gate) discard(id schedule.ID) {
+	g.wake(g.scheduler.Finish(g.clock(), schedule.NewResult(id, schedule.Cancelled)))
+}
+
 func (g *Gate) give(id schedule.ID, won grant) {
 	if waiter, ok := g.waiters[id]; ok {
 		delete(g.waiters, id)
--- a/io/runner/command_test.go
+++ b/io/runner/command_test.go
@@ -38,6 +38,9 @@
 command = true
 [stage tell]
 pool = p
+[pipeline plain]
+stages = look
+deadline = 3m
 [pipeline one]
 stages = look, pay
 deadline = 3m
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -14,6 +14,10 @@
 		return reason.Overload
 	case schedule.Crashed:
 		return reason.Crashed
+	case schedule.Unreached:
+		return reason.Crashed
+	case schedule.Crossed:
+		return reason.Crossed
 	case schedule.Silent:
 		return reason.Silent
 	case schedule.Cancelled:
@@ -42,8 +46,10 @@
 	switch end {
 	case schedule.Busy:
 		return reason.RetryBusy
-	case schedule.Crashed:
+	case schedule.Crashed, schedule.Unreached:
 		return reason.RetryCrashed
+	case schedule.Crossed:
+		return reason.RetryCrossed
 	case schedule.Silent:
 		return reason.RetrySilent
 	default:
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -109,9 +109,8 @@
 		reached: outcome.NewProgress(job.pipeline.Command()),
 	}
 	p.answer = wire.Answer{Request: job.id, Outcome: outcome.Done.String()}
-	for i, stage := range job.pipeline.Stages() {
-		last := i == len(job.pipeline.Stages())-1
-		if why, end := r.stage(ctx, p, stage, last); why != reason.None {
+	for i := range job.pipeline.Stages() {
+		if why, end := r.stage(ctx, p, i); why != reason.None {
 			return p.refuse(why, end)
 		}
 	}
@@ -127,106 +126,98 @@
 
 // stage runs one stage, repeated if it is idempotent. The outcome holds if the reason is
 // not None.
-func (r *Runner) stage(ctx context.Context, p *progress, stage document.Stage, last bool) (why reason.Reason, end outcome.Outcome) {
+func (r *Runner) stage(ctx context.Context, p *progress, index int) (why reason.Reason, end outcome.Outcome) {
+	stage := p.job.pipeline.Stages()[index]
 	cost := wire.Stage{Stage: stage.Name()}
 	defer func() { p.answer.Stages = append(p.answer.Stages, cost) }()
 	attempts := maxAttempts
 	if stage.Command() {
 		attempts = 1
 	}
+	last := index == len(p.job.pipeline.Stages())-1
 	var avoid []string
+	fresh := false
 	for cost.Attempts < attempts {
-		cost.Attempts++
-		reply, target, refusal := r.attempt(ctx, p, stage, &cost, last, avoid)
+		c := r.call(p, index, avoid)
+		ended, refusal := r.attempt(ctx, p, &attempt{stage: stage, call: c, last: last, fresh: fresh, retry: cost.Attempts > 0}, &cost)
 		if refusal != reason.None {
 			return refusal, p.reached.Unwritten(refusal.Rule().Outcome())
 		}
-		if reply.End() == schedule.Completed {
-			p.output = reply.Output()
+		if ended.end == schedule.Completed {
+			p.output = ended.reply.Output()
 			p.reached.Complete(stage.Command())
 			return reason.None, outcome.Done
 		}
-		why = cause(reply.End())
-		if reply.Detail() != "" {
-			p.answer.Detail = reply.Detail()
+		why = cause(ended.end)
+		if ended.detail != "" {
+			p.answer.Detail = ended.detail
 		}
 		if stage.Command() {
-			return p.commandEnd(reply)
+			return p.commandEnd(ended.reply)
 		}
-		if reply.End() == schedule.Rejected || ctx.Err() != nil {
+		if ended.end == schedule.Rejected || ctx.Err() != nil {
 			return why, p.reached.Unwritten(outcome.Failed)
 		}
-		avoid = append(avoid, target)
-		r.metrics.Retry(retryReason(reply.End()))
+		avoid = append(avoid, ended.target)
+		// What silenced or broke one connection may have cut off the idle ones as well.
+		fresh = ended.end != schedule.Busy
+		r.metrics.Retry(retryReason(ended.end))
 	}
 	return why, p.reached.Unwritten(outcome.Failed)
 }
 
-// attempt makes one call of a stage.
-func (r *Runner) attempt(ctx context.Context, p *progress, stage document.Stage, cost *wire.Stage, last bool, avoid []string) (reply target.Reply, name string, why reason.Reason) {
-	g := r.gates.Gate(stage.Pool())
-	if g == nil {
-		return target.Reply{}, "", reason.Empty
+// attempt makes one call of a stage, with its hedge if the scheduler gives one.
+func (r *Runner) attempt(ctx context.Context, p *progress, a *attempt, cost *wire.Stage) (ended ended, why reason.Reason) {
+	cost.Attempts++
+	a.gate = r.gates.Gate(a.stage.Pool())
+	if a.gate == nil {
+		return ended, reason.Empty
+	}
+	acquire := a.gate.Acquire
+	if a.retry {
+		acquire = a.gate.Retry
 	}
-	id := schedule.ID(r.last.Add(1))
 	began := r.clock()
-	name, why = g.Acquire(ctx, r.call(id, p, stage, avoid))
+	cost.Target, why = acquire(ctx, a.call)
 	cost.Wait += milliseconds(r.clock() - began)
 	if why != reason.None {
-		return target.Reply{}, "", why
+		return ended, why
 	}
-	cost.Target = name
 	p.reached.Call()
 	began = r.clock()
-	reply = r.send(ctx, p, stage, cost.Attempts, name, last)
+	if a.stage.Command() {
+		ended = r.command(ctx, p, a, cost.Target)
+	} else {
+		ended = r.race(ctx, p, a, cost)
+	}
+	cost.Target = ended.target
 	cost.Elapsed += milliseconds(r.clock() - began)
-	load := reply.Load()
-	g.Finish(schedule.NewResult(id, reply.End(),
-		schedule.WithLoad(schedule.NewLoad(load.Running, load.Queued, load.Slots)),
-		schedule.WithActual(float64(reply.Tokens()))))
-	return reply, name, reason.None
+	return ended, reason.None
 }
 
-func (r *Runner) call(id schedule.ID, p *progress, stage document.Stage, avoid []string) schedule.Call {
-	request := p.job.request
-	return schedule.NewCall(id, request.Workspace, p.deadline,
+func (r *Runner) call(p *progress, index int, avoid []string) schedule.Call {
+	request, stage := p.job.request, p.job.pipeline.Stages()[index]
+	options := []schedule.CallOption{
 		schedule.WithPipeline(p.job.pipeline.Name()),
 		schedule.WithSize(float64(max(request.Size, 1))),
 		schedule.WithLong(p.job.pipeline.Long()),
 		schedule.WithPrefix(hashPrefix(request.Prefix)),
-		schedule.WithFingerprint(xxhash.Sum64String(p.job.pipeline.Name()+"\x00"+stage.Name()+"\x00"+string(request.Input))),
-		schedule.WithIdempotent(!stage.Command()),
-		schedule.WithAvoid(avoid...))
-}
-
-// send writes the call to the target and takes its answer. Tokens that the caller already
-// has are not passed again when a stream is resumed on another target.
-func (r *Runner) send(ctx context.Context, p *progress, stage document.Stage, attempt int, name string, last bool) target.Reply {
-	request := p.job.request
-	run := wire.Run{
-		Request: p.job.id, Stage: stage.Name(), Attempt: attempt,
-		Deadline: (p.deadline - r.clock()).Milliseconds(), Input: p.output,
-		Prefix: request.Prefix, Size: request.Size,
 	}
-	if stage.Command() {
-		run.Key = request.Key
-		reply, err := r.client.Command(ctx, r.gates.Address(name), run, p.deadline)
-		if err != nil {
-			p.answer.Detail = err.Error()
+	later := options[:len(options):len(options)]
+	after := time.Duration(0)
+	for _, one := range p.job.pipeline.Stages()[index+1:] {
+		if g := r.gates.Gate(one.Pool()); g != nil {
+			after += g.Expect(schedule.NewCall(0, request.Workspace, p.deadline, append(later, schedule.WithStage(one.Name()))...))
 		}
-		return reply
-	}
-	var each func(wire.Token) error
-	if last && p.job.each != nil {
-		run.Stream = true
-		run.From = p.streamed
-		each = p.pass
-	}
-	reply, err := r.client.Run(ctx, r.gates.Address(name), run, each)
-	if err != nil {
-		p.answer.Detail = err.Error()
 	}
-	return reply
+	last := index == len(p.job.pipeline.Stages())-1
+	return schedule.NewCall(schedule.ID(r.last.Add(1)), request.Workspace, p.deadline, append(options,
+		schedule.WithStage(stage.Name()),
+		schedule.WithAfter(after),
+		schedule.WithFingerprint(xxhash.Sum64String(p.job.pipeline.Name()+"\x00"+stage.Name()+"\x00"+string(request.Input))),
+		schedule.WithIdempotent(!stage.Command()),
+		schedule.WithStream(last && p.job.each != nil),
+		schedule.WithAvoid(avoid...))...)
 }
 
 // pass hands a token to the caller in order and once.
--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -41,7 +41,9 @@
 	// fencing makes the target refuse orders with an old fencing token.
 	fencing bool
 
-	mutex   sync.Mutex
+	mutex sync.Mutex
+	// cancels ends the attempts that wait or run.
+	cancels map[string]context.CancelFunc
 	running int
 	queued  int
 	ledger  []Entry
@@ -76,7 +78,7 @@
 
 // NewTarget returns a stand-in with 8 slots that answers at once.
 func NewTarget(name string, options ...TargetOption) *Target {
-	t := &Target{name: name, slots: make(chan struct{}, 8), first: make(map[string]*firstRun)}
+	t := &Target{name: name, slots: make(chan struct{}, 8), first: make(map[string]*firstRun), cancels: make(map[string]context.CancelFunc)}
 	for _, o := range options {
 		o(t)
 	}
@@ -94,6 +96,7 @@
 func (t *Target) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST "+wire.PathRun, t.run)
+	mux.HandleFunc("DELETE "+wire.PathRun+"/{request}/{stage}/{attempt}", t.cancel)
 	mux.HandleFunc("GET "+wire.PathReport, t.report)
 	mux.HandleFunc("POST "+wire.PathOrder, t.take)
 	mux.HandleFunc("GET "+PathLedger, func(w http.ResponseWriter, _ *http.Request) {
@@ -113,6 +116,9 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(run.Deadline)*time.Millisecond)
 	defer cancel()
+	name := fmt.Sprintf("%s/%s/%d", run.Request, run.Stage, run.Attempt)
+	t.setCancel(name, cancel)
+	defer t.setCancel(name, nil)
 	if t.recognise && run.Key != "" && !t.claim(ctx, w, run) {
 		return
 	}
@@ -136,6 +142,27 @@
 	t.work(ctx, w, run)
 }
 
+// cancel ends an attempt.
+func (t *Target) cancel(w http.ResponseWriter, r *http.Request) {
+	name := r.PathValue("request") + "/" + r.PathValue("stage") + "/" + r.PathValue("attempt")
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if cancel := t.cancels[name]; cancel != nil {
+		cancel()
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (t *Target) setCancel(name string, cancel context.CancelFunc) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if cancel == nil {
+		delete(t.cancels, name)
+		return
+	}
+	t.cancels[name] = cancel
+}
+
 // work takes the time of the call and answers it, token by token if asked to.
 func (t *Target) work(ctx context.Context, w http.ResponseWriter, run wire.Run) {
 	at := t.record(run)
--- a/io/target/command.go
+++ b/io/target/command.go
@@ -57,18 +57,27 @@
 	}
 	reply = Reply{end: schedule.Crashed, sent: true}
 	if err != nil {
-		reply.end = classify(ctx, err)
+		reply.end = cut(ctx, err)
 		return reply, err
 	}
 	response, err := http.ReadResponse(bufio.NewReader(conn), request)
 	if err != nil {
-		reply.end = classify(ctx, err)
+		reply.end = cut(ctx, err)
 		return reply, err
 	}
 	defer func() { _ = response.Body.Close() }()
 	return settle(ctx, response, run)
 }
 
+// cut returns the end of a command whose answer did not arrive. An answer that cannot be
+// used tells as little of the command as a broken connection.
+func cut(ctx context.Context, err error) schedule.End {
+	if end := classify(ctx, err); end != schedule.Crossed {
+		return end
+	}
+	return schedule.Crashed
+}
+
 func unsent(end schedule.End, why reason.Reason) Reply {
 	return Reply{end: end, refusal: why}
 }
@@ -105,7 +114,7 @@
 func settle(ctx context.Context, response *http.Response, run wire.Run) (reply Reply, err error) {
 	var ran wire.Ran
 	if reply, ran, err = readWhole(response.Body, run); err != nil {
-		return Reply{end: classify(ctx, err), sent: true}, err
+		return Reply{end: cut(ctx, err), sent: true}, err
 	}
 	reply.sent = true
 	o, ok := outcome.Parse(ran.Outcome)
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -5,6 +5,8 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
+	"net"
 	"net/http"
 	"time"
 
@@ -31,7 +33,9 @@
 // Client calls targets. It is safe for concurrent use.
 type Client struct {
 	client *http.Client
-	clock  func() time.Duration
+	// fresh opens a new connection for each call.
+	fresh *http.Client
+	clock func() time.Duration
 }
 
 // Option configures a Client.
@@ -49,7 +53,8 @@
 		MaxIdleConnsPerHost: maxIdle,
 		IdleConnTimeout:     idleTimeout,
 	}
-	c := &Client{client: &http.Client{Transport: transport}, clock: func() time.Duration { return time.Since(start) }}
+	fresh := &http.Transport{DialContext: dialer().DialContext, DisableKeepAlives: true}
+	c := &Client{client: &http.Client{Transport: transport}, fresh: &http.Client{Transport: fresh}, clock: func() time.Duration { return time.Since(start) }}
 	for _, o := range options {
 		o(c)
 	}
@@ -90,6 +95,30 @@
 // Refusal returns why a command was not sent, or None.
 func (r Reply) Refusal() reason.Reason { return r.refusal }
 
+// Fresh returns a client that opens a new connection for each call, for repeats of calls
+// whose connection was silent or broke. Idle connections are closed, since what made one
+// silent may have cut off all.
+func (c *Client) Fresh() *Client {
+	c.client.CloseIdleConnections()
+	return &Client{client: c.fresh, fresh: c.fresh, clock: c.clock}
+}
+
+// Cancel tells the target at address to end an attempt. The connection of the attempt may
+// be silent, so that closing it tells the target nothing.
+func (c *Client) Cancel(ctx context.Context, address string, run wire.Run) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	url := fmt.Sprintf("http://%s%s/%s/%s/%d", address, wire.PathRun, run.Request, run.Stage, run.Attempt)
+	request, err := http.NewRequestWithContext(ctx, http.MethodDelete, url, nil)
+	if err != nil {
+		return err
+	}
+	response, err := c.fresh.Do(request)
+	if err != nil {
+		return err
+	}
+	return response.Body.Close()
+}
+
 // Run calls the target at address. Tokens of a streamed answer are passed to each, which
 // may be nil. The context carries the deadline.
 func (c *Client) Run(ctx context.Context, address string, run wire.Run, each func(wire.Token) error) (reply Reply, err error) {
@@ -117,7 +146,11 @@
 	return reply, err
 }
 
-// classify tells a silent target from a broken connection and a cancelled call.
+// errCrossed is the class of answers to other calls.
+var errCrossed = errs.Class("crossed")
+
+// classify tells a silent target, a refused or broken connection, an answer that cannot be
+// used and a cancelled call from each other.
 func classify(ctx context.Context, err error) schedule.End {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return schedule.Cancelled
@@ -126,13 +159,21 @@
 	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
 		return schedule.Silent
 	}
+	var operation *net.OpError
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &operation) && operation.Op == "dial":
+		return schedule.Unreached
+	case errors.As(err, &syntax), errCrossed.Has(err):
+		return schedule.Crossed
+	}
 	return schedule.Crashed
 }
 
 // check turns an answer into a reply, or an error if it belongs to another call.
 func check(ran wire.Ran, run wire.Run) (reply Reply, err error) {
 	if ran.Request != run.Request || ran.Stage != run.Stage || ran.Attempt != run.Attempt {
-		return Reply{}, errs.New("answer of request %s stage %s attempt %d came for request %s stage %s attempt %d",
+		return Reply{}, errCrossed.New("answer of request %s stage %s attempt %d came for request %s stage %s attempt %d",
 			ran.Request, ran.Stage, ran.Attempt, run.Request, run.Stage, run.Attempt)
 	}
 	reply = Reply{output: ran.Output, load: ran.Load, detail: ran.Detail, end: schedule.Rejected}
