Tell a target that was not reached from one that crashed

Ruled out: the end Busy, which is the target's own word and does not make it avoided. Change: schedule.Unreached; it counts against the target and not against the fingerprint. Conclusion: only a connection that broke while the call ran makes a suspect.

--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -91,6 +91,8 @@
 	Rejected // rejected
 	// Crashed means that the connection broke while the call ran.
 	Crashed // crashed
+	// Unreached means that no connection was made, so that the call did not run.
+	Unreached // unreached
 	// Silent means that the target did not answer in time.
 	Silent // silent
 	// Cancelled means that the host cancelled the call.
--- a/core/schedule/result_string.go
+++ b/core/schedule/result_string.go
@@ -12,13 +12,14 @@
 	_ = x[Busy-1]
 	_ = x[Rejected-2]
 	_ = x[Crashed-3]
-	_ = x[Silent-4]
-	_ = x[Cancelled-5]
+	_ = x[Unreached-4]
+	_ = x[Silent-5]
+	_ = x[Cancelled-6]
 }
 
-const _End_name = "completedbusyrejectedcrashedsilentcancelled"
+const _End_name = "completedbusyrejectedcrashedunreachedsilentcancelled"
 
-var _End_index = [...]uint8{0, 9, 13, 21, 28, 34, 43}
+var _End_index = [...]uint8{0, 9, 13, 21, 28, 37, 43, 52}
 
 func (i End) String() string {
 	idx := int(i) - 0
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -111,6 +111,8 @@
 		if fingerprint != 0 {
 			s.suspects.Crash(now, fingerprint)
 		}
+	case Unreached:
+		r.state.pace.Fail(now, r.probe)
 	case Silent:
 		r.state.pace.Observe(now, overdueFactor, r.probe)
 	default:
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -12,7 +12,7 @@
 	switch end {
 	case schedule.Busy:
 		return reason.Overload
-	case schedule.Crashed:
+	case schedule.Crashed, schedule.Unreached:
 		return reason.Crashed
 	case schedule.Silent:
 		return reason.Silent
@@ -54,7 +54,7 @@
 	switch end {
 	case schedule.Busy:
 		return reason.RetryBusy
-	case schedule.Crashed:
+	case schedule.Crashed, schedule.Unreached:
 		return reason.RetryCrashed
 	case schedule.Silent:
 		return reason.RetrySilent
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"net"
 	"net/http"
 	"time"
 
@@ -117,7 +118,8 @@
 	return reply, err
 }
 
-// classify tells a silent target from a broken connection and a cancelled call.
+// classify tells a silent target from a broken connection, one that was not made, and a
+// cancelled call.
 func classify(ctx context.Context, err error) schedule.End {
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return schedule.Cancelled
@@ -126,6 +128,10 @@
 	if ctx.Err() != nil || (errors.As(err, &timeout) && timeout.Timeout()) {
 		return schedule.Silent
 	}
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return schedule.Unreached
+	}
 	return schedule.Crashed
 }
 
