--- a/core/replay/host.go
+++ b/core/replay/host.go
@@ -32,7 +32,8 @@
 	}
 	for _, p := range r.trace.Document().Pools() {
 		random := rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
-		s := schedule.New(random, schedule.WithPolicy(r.variant.policy(h.preset)))
+		s := schedule.New(random, schedule.WithPolicy(r.variant.policy(h.preset)), schedule.WithZone(zone))
+		s.SetShares(shares(r.trace.Document()))
 		s.SetTargets(0, targets[p.Name()])
 		h.order = append(h.order, p.Name())
 		h.pools[p.Name()] = s
@@ -40,6 +41,14 @@
 	return h
 }
 
+func shares(d *document.Document) map[string]int {
+	list := make(map[string]int)
+	for _, w := range d.Workspaces() {
+		list[w.Name()] = w.Share()
+	}
+	return list
+}
+
 // id returns a new identity for a call.
 func (h *host) id() schedule.ID {
 	h.last++
@@ -76,6 +85,11 @@
 			a.send(start.Target())
 		}
 	}
+	for _, id := range step.Cancels() {
+		if a, ok := h.attempts[id]; ok {
+			a.withdraw(schedule.Cancelled)
+		}
+	}
 	for _, refusal := range step.Refusals() {
 		if a, ok := h.attempts[refusal.ID()]; ok {
 			delete(h.attempts, a.id)
--- a/core/replay/standin.go
+++ b/core/replay/standin.go
@@ -55,7 +55,7 @@
 // take accepts a call. The end is reported once, unless the call is cancelled.
 func (s *standin) take(a *attempt, end func(schedule.End)) {
 	if s.down {
-		end(schedule.Crashed)
+		end(schedule.Unreached)
 		return
 	}
 	s.advance()
