Report an outcome that a live run cannot measure as not measured

Cause: a live run does not see the slot time of targets, and the load added by retries and hedges came out as 0.0000, met. Ruled out: an estimate from the times of stages, which hold waiting at the target too. After: added NOT MEASURED. Conclusion: no figure without its measurement.

--- a/core/replay/measure.go
+++ b/core/replay/measure.go
@@ -146,8 +146,11 @@
 }
 
 // Added returns the slot time that retries and hedges added divided by that of all other
-// calls.
+// calls. It is not a number if the run could not see into the targets.
 func (r *Result) Added() float64 {
+	if len(r.uses) == 0 {
+		return math.NaN()
+	}
 	var first, repeated time.Duration
 	for _, u := range r.uses {
 		first += u.busy - u.repeated
--- a/io/report/report_test.go
+++ b/io/report/report_test.go
@@ -57,6 +57,17 @@
 	is.NoErr(err)
 	is.True(!met)
 	is.Equal(strings.Count(b.String(), "MISSED"), 2) // goodput and recovery
+
+	// A result without the use of slots says nothing of the load added.
+	one, err := trace.Generate("slow", 1)
+	is.NoErr(err)
+	blind := replay.NewResult(one, replay.Full, 1, 6, nil, nil, nil)
+	verdicts, err = report.Judge(blind, func(*trace.Trace) (*replay.Result, error) { return blind, nil })
+	is.NoErr(err)
+	met, err = report.Verdicts(&b, verdicts)
+	is.NoErr(err)
+	is.True(!met)
+	is.True(strings.Contains(b.String(), "NOT MEASURED"))
 }
 
 // TestPlot guards against a plot that is not an image of the stated size.
--- a/io/report/verdict.go
+++ b/io/report/verdict.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"math"
 
 	"sassafrasward/core/replay"
 	"sassafrasward/core/trace"
@@ -36,7 +37,7 @@
 }
 
 // Verdicts writes the stated outcomes with their measured values and reports whether all
-// were met.
+// were met. One that the run could not measure is not met.
 func Verdicts(out io.Writer, verdicts []Verdict) (met bool, err error) {
 	defer func() { err = Error.Wrap(err) }()
 	p := &printer{out: out}
@@ -44,7 +45,10 @@
 	p.line("\nstated outcomes")
 	for _, v := range verdicts {
 		word := "met"
-		if !v.Met() {
+		switch {
+		case math.IsNaN(v.value):
+			word, met = "NOT MEASURED", false
+		case !v.Met():
 			word, met = "MISSED", false
 		}
 		p.line("  %-32s measured %10.4f  %s", v.expect, v.value, word)
