--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -32,11 +32,10 @@
 	// live has the calls of the stage that wait or run: one, or two with a hedge.
 	live []*attempt
 	// aside has calls that run on after another one gave the answer, such as probes.
-	aside  []*attempt
-	record Record
-	over   bool
-	// ran is true once a command stage completed.
-	ran bool
+	aside   []*attempt
+	reached outcome.Progress
+	record  Record
+	over    bool
 }
 
 // attempt is one call of a stage.
@@ -83,6 +82,7 @@
 		f.end(reason.Closed.Rule().Outcome(), reason.Closed)
 		return
 	}
+	f.reached = outcome.NewProgress(f.pipeline.Command())
 	f.deadline = f.run.clock.now + f.request.Deadline()
 	f.run.clock.after(f.request.Deadline(), f.expire)
 	f.next()
@@ -173,6 +173,7 @@
 		a.since = f.run.clock.now
 	}
 	f.cost.target = target
+	f.reached.Call()
 	a.sent, a.target = true, f.run.standins[target]
 	f.run.clock.after(a.hop(), func() {
 		if _, ok := f.host.attempts[a.id]; !ok {
@@ -235,8 +236,8 @@
 
 // complete goes on to the next stage.
 func (f *flow) complete() {
-	f.ran = f.ran || f.current().Command()
 	f.record.stages = append(f.record.stages, f.cost)
+	f.reached.Complete(f.current().Command())
 	f.stage++
 	f.next()
 }
@@ -251,7 +252,7 @@
 	case f.current().Command():
 		f.end(outcome.Unknown, reason.Crashed)
 	case f.cost.attempts >= maxAttempts:
-		f.end(f.unwritten(outcome.Failed), reason.Crashed)
+		f.end(f.reached.Unwritten(outcome.Failed), reason.Crashed)
 	default:
 		f.avoid = append(f.avoid, a.target.name)
 		f.run.retries[reason.RetryCrashed]++
@@ -273,7 +274,7 @@
 	case f.current().Command():
 		f.end(outcome.Unknown, reason.Silent)
 	default:
-		f.end(f.unwritten(outcome.Failed), reason.Silent)
+		f.end(f.reached.Unwritten(outcome.Failed), reason.Silent)
 	}
 }
 
@@ -307,22 +308,10 @@
 // refuse ends a request before the write of the current stage.
 func (f *flow) refuse(why reason.Reason) {
 	if !f.over && len(f.live) == 0 {
-		f.end(f.unwritten(why.Rule().Outcome()), why)
+		f.end(f.reached.Unwritten(why.Rule().Outcome()), why)
 	}
 }
 
-// unwritten returns the outcome of a request that ended while no command was being
-// written, as in the runner. The plain outcome is that of a request without commands.
-func (f *flow) unwritten(plain outcome.Outcome) outcome.Outcome {
-	switch {
-	case !f.pipeline.Command():
-		return plain
-	case f.ran:
-		return outcome.Unknown
-	}
-	return outcome.NotRun
-}
-
 func (f *flow) end(o outcome.Outcome, why reason.Reason) {
 	if f.over {
 		return
--- a/core/replay/replay_test.go
+++ b/core/replay/replay_test.go
@@ -137,7 +137,8 @@
 
 // TestOutcomes guards against an end that the runner would tell differently: a command
 // whose target crashed is unknown, an idempotent call is repeated until the attempt bound,
-// and a deadline ends a call that waits and one that runs with different reasons.
+// or refused as a suspect after its second crash, and a deadline ends a call that waits and
+// one that runs with different reasons.
 func TestOutcomes(t *testing.T) {
 	const (
 		rate   = "rate engines 100 0 0 0 0 0"
@@ -150,6 +151,7 @@
 	}{
 		{"crash of a command", []string{rate, "crash engine1 50 2000", "request 0 thun booking 0 0 3000 - command"}, "unknown crashed 1"},
 		{"crash of an idempotent call", []string{rate, "crash engine1 50 2000", "request 0 thun summary 0 0 3000 - idempotent"}, "failed crashed 4"},
+		{"second crash of an idempotent call", []string{rate, "crash engine1 50 51", "crash engine1 80 81", "request 0 thun summary 0 0 3000 - idempotent"}, "failed suspect 3"},
 		{"command to a target that is down", []string{rate, "crash engine1 0 2000", "request 60 thun booking 0 0 3000 - command"}, "not-run crashed 1"},
 		{"return before a command", []string{rate, "crash engine1 0 50", "request 60 thun booking 0 0 3000 - command"}, "done none 1"},
 		{"deadline while running", []string{rate, "request 0 thun summary 0 0 90 - idempotent"}, "failed silent 1"},
