Print the load averages beside the benchmark of a daemon

Change: measure.sh prints the load averages. Before: the figures did not tell. After: load averages stand below them.

--- a/measure.sh
+++ b/measure.sh
@@ -101,13 +101,15 @@
 The daemon of BenchmarkProcess and BenchmarkThroughput runs with GOMAXPROCS=1 in a process
 of its own; callers and the target, which answers at once, run in the process of the
 benchmark. Added latency is BenchmarkProcess less BenchmarkDirect; the allocations of the
-daemon are the mallocs/op of BenchmarkInside less those of BenchmarkProcess. The machine was
-not idle.
+daemon are the mallocs/op of BenchmarkInside less those of BenchmarkProcess. Times depend on
+what else the machine does: the load averages stand below the figures, and two commits can
+only be compared by runs in turn.
 
 ```
 $ go test -run XXX -bench . -benchtime 3s ./io/daemon
 PAGE
 go test -run XXX -bench . -benchtime 3s ./io/daemon | grep -v '^ok\|^pkg\|^PASS' | tee "$bin/bench"
+echo "load averages at the end: $(cut -d' ' -f1-3 /proc/loadavg), $(nproc) cores"
 echo '```'
 awk '
 function metric(unit,   i) { for (i = 1; i <= NF; i++) if ($i == unit) return $(i-1) }
