--- a/io/event/event.go
+++ b/io/event/event.go
@@ -14,6 +14,9 @@
 // Number returns the number by which operators look the event up.
 func (e Event) Number() int { return e.number }
 
+// Level returns 0 for events that operators must see and 1 for details.
+func (e Event) Level() int { return e.level }
+
 // Message returns the text of the log line.
 func (e Event) Message() string { return e.message }
 
@@ -33,7 +36,7 @@
 var (
 	HostStarted     = register(1001, 0, "host started", "The process listens for callers and other hosts.")
 	HostServing     = register(1002, 0, "host serves", "The host knows the newest configuration and takes requests.")
-	HostDraining    = register(1003, 0, "host drains", "A planned stop began: the host is no longer named to callers, refuses new commands as draining and still serves callers with an older address answer.")
+	HostDraining    = register(1003, 0, "host drains", "A planned stop began: the host is no longer named to callers, issues no keys and still serves callers with an older address answer.")
 	HostStopped     = register(1004, 0, "host stopped", "All requests ended and the process exits.")
 	ListenFailed    = register(1005, 0, "listener failed", "A server ended with an error; the process exits.")
 	HostHalted      = register(1006, 0, "host ended at once", "A second signal or the limit drain ended a planned stop before all requests ended; the process exits with code 1.")
@@ -44,6 +47,10 @@
 	HandoverGiven   = register(1401, 0, "command records handed over", "A planned stop gave the finished command records of this host to a successor, which answers resends.")
 	HandoverFailed  = register(1402, 0, "handover failed", "A host did not take the command records; the next listed host is tried. Without a successor, resends of finished commands are answered as unknown.")
 	HandoverTaken   = register(1403, 0, "command records taken", "This host answers resends of the commands of a stopped host.")
+	OrderGiven      = register(1501, 0, "order given", "An engine took a model order.")
+	OrderLate       = register(1502, 0, "late order found", "An engine holds an order with an older fencing token than it held before; it is given the newer order again.")
+	OrderFenced     = register(1503, 0, "order refused", "An engine refused an order for its older fencing token; this host has yet to learn of a newer configuration.")
+	OrderFailed     = register(1504, 1, "order failed", "A report could not be read or an order not given; it is tried again in the next time slot of the engine.")
 	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
 )
 
