--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -91,10 +91,10 @@
 	Rejected // rejected
 	// Crashed means that the connection broke while the call ran.
 	Crashed // crashed
-	// Unreached means that no connection was made, so that the call did not run.
-	Unreached // unreached
 	// Silent means that the target did not answer in time.
 	Silent // silent
+	// Unreached means that no connection could be opened, so that nothing was sent.
+	Unreached // unreached
 	// Cancelled means that the host cancelled the call.
 	Cancelled // cancelled
 )
