--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -106,7 +106,7 @@
 func (f *flow) offer() {
 	f.cost.attempts++
 	a := &attempt{id: f.host.id(), flow: f, set: f.set, pool: f.current().Pool(), repeated: f.cost.attempts > 1, since: f.run.clock.now}
-	if f.run.variant.urgent && !f.pipeline.Long() {
+	if !f.run.variant.plain && !f.pipeline.Long() {
 		a.priority = 1
 	}
 	f.live = append(f.live, a)
@@ -175,6 +175,9 @@
 	f.cost.target = target
 	f.reached.Call()
 	a.sent, a.target = true, f.run.standins[target]
+	if !f.current().Command() {
+		f.run.clock.after(f.host.pools[a.pool].Patience(f.run.clock.now, f.call(a)), a.giveUp)
+	}
 	f.run.clock.after(a.hop(), func() {
 		if _, ok := f.host.attempts[a.id]; !ok {
 			return
@@ -191,6 +194,20 @@
 	return a.flow.run.trace.Network().Hop(a.flow.host.zone, a.target.zone)
 }
 
+// giveUp ends a call that showed no sign of life in time, and repeats its stage.
+func (a *attempt) giveUp() {
+	f := a.flow
+	if _, ok := f.host.attempts[a.id]; !ok {
+		return
+	}
+	awaited := slices.Contains(f.live, a)
+	a.withdraw(schedule.Silent)
+	if awaited && !f.over {
+		f.cost.elapsed += f.run.clock.now - a.since
+		f.fail(a, schedule.Silent)
+	}
+}
+
 // withdraw cancels a call that was sent.
 func (a *attempt) withdraw(end schedule.End) {
 	a.flow.drop(a)
@@ -242,20 +259,24 @@
 	f.next()
 }
 
-// fail repeats an idempotent stage whose target crashed or could not be reached, or ends
-// the request. The stand-ins fail in no other way.
+// fail repeats an idempotent stage whose target crashed, was silent or could not be reached,
+// or ends the request. The stand-ins fail in no other way.
 func (f *flow) fail(a *attempt, end schedule.End) {
+	why, repeat := reason.Crashed, reason.RetryCrashed
+	if end == schedule.Silent {
+		why, repeat = reason.Silent, reason.RetrySilent
+	}
 	switch {
 	case len(f.live) > 0: // the hedge still runs
 	case f.current().Command() && end == schedule.Unreached:
-		f.refuse(reason.Crashed)
+		f.refuse(why)
 	case f.current().Command():
-		f.end(outcome.Unknown, reason.Crashed)
+		f.end(outcome.Unknown, why)
 	case f.cost.attempts >= maxAttempts:
-		f.end(f.reached.Unwritten(outcome.Failed), reason.Crashed)
+		f.end(f.reached.Unwritten(outcome.Failed), why)
 	default:
 		f.avoid = append(f.avoid, a.target.name)
-		f.run.retries[reason.RetryCrashed]++
+		f.run.retries[repeat]++
 		f.offer()
 	}
 }
@@ -321,6 +342,12 @@
 		f.record.stages = append(f.record.stages, f.cost)
 	}
 	f.record.outcome, f.record.reason = o, why
+	for _, a := range slices.Clone(f.aside) {
+		// A hedge that probes a slow target outlives the request.
+		if _, ok := f.host.attempts[a.id]; ok && !a.hedge {
+			a.withdraw(schedule.Cancelled)
+		}
+	}
 	f.record.elapsed = f.run.clock.now + f.run.trace.Network().Client() - f.request.At()
 	f.run.open--
 }
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -12,8 +12,12 @@
 	switch end {
 	case schedule.Busy:
 		return reason.Overload
-	case schedule.Crashed, schedule.Unreached:
+	case schedule.Crashed:
+		return reason.Crashed
+	case schedule.Unreached:
 		return reason.Crashed
+	case schedule.Crossed:
+		return reason.Crossed
 	case schedule.Silent:
 		return reason.Silent
 	case schedule.Cancelled:
@@ -44,6 +48,8 @@
 		return reason.RetryBusy
 	case schedule.Crashed, schedule.Unreached:
 		return reason.RetryCrashed
+	case schedule.Crossed:
+		return reason.RetryCrossed
 	case schedule.Silent:
 		return reason.RetrySilent
 	default:
