--- a/core/replay/host.go
+++ b/core/replay/host.go
@@ -30,14 +30,10 @@
 	for _, t := range r.trace.Document().Targets() {
 		targets[t.Pool()] = append(targets[t.Pool()], schedule.NewTarget(t.Name(), t.Zone(), t.Slots(), false))
 	}
-	shares := make(map[string]int)
-	for _, w := range r.trace.Document().Workspaces() {
-		shares[w.Name()] = w.Share()
-	}
 	for _, p := range r.trace.Document().Pools() {
 		random := rand.New(rand.NewPCG(r.random.Uint64(), r.random.Uint64()))
-		s := schedule.New(random, schedule.WithZone(zone), schedule.WithPolicy(r.variant.policy(h.preset)))
-		s.SetShares(shares)
+		s := schedule.New(random, schedule.WithPolicy(r.variant.policy(h.preset)), schedule.WithZone(zone))
+		s.SetShares(shares(r.trace.Document()))
 		s.SetTargets(0, targets[p.Name()])
 		h.order = append(h.order, p.Name())
 		h.pools[p.Name()] = s
@@ -45,6 +41,14 @@
 	return h
 }
 
+func shares(d *document.Document) map[string]int {
+	list := make(map[string]int)
+	for _, w := range d.Workspaces() {
+		list[w.Name()] = w.Share()
+	}
+	return list
+}
+
 // id returns a new identity for a call.
 func (h *host) id() schedule.ID {
 	h.last++
