Test the fleet with real processes under faults

Cause: the membership is proved in virtual time only. Ruled out: a proxy per host, because it cannot tell who calls; each host reads a platform of its own whose list names the other hosts by one proxy per link, and the host list goes before what a member says of its address.

--- /dev/null
+++ b/io/gossip/node_test.go
@@ -0,0 +1,110 @@
+package gossip_test
+
+import (
+	"bytes"
+	"compress/gzip"
+	"context"
+	"crypto/sha256"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/matryer/is"
+
+	"sassafrasward/core/document"
+	"sassafrasward/core/member"
+	"sassafrasward/io/gossip"
+	"sassafrasward/io/gossip/message"
+	"sassafrasward/io/metric"
+	"sassafrasward/io/peer"
+)
+
+// owner runs the steps of a node one at a time and keeps the documents that it is given.
+type owner struct {
+	steps chan func()
+	taken chan []byte
+}
+
+func (o *owner) Post(ctx context.Context, f func()) {
+	select {
+	case o.steps <- f:
+	case <-ctx.Done():
+	}
+}
+
+func (o *owner) Clock() time.Duration { return time.Second }
+
+func (o *owner) Take(_ uint64, raw []byte) bool {
+	o.taken <- raw
+	return true
+}
+
+// liar answers as a member that has a configuration, and sends the given document.
+type liar struct {
+	message.UnimplementedGossipServer
+	hash   [sha256.Size]byte
+	packed []byte
+}
+
+func (l *liar) Exchange(_ context.Context, m *message.Packet) (*message.Packet, error) {
+	if len(m.GetWant()) > 0 {
+		return &message.Packet{Document: l.packed}, nil
+	}
+	return &message.Packet{
+		From: &message.Member{Incarnation: 2, Name: "b", Counter: 1}, Number: 7, Hash: l.hash[:],
+		Digest: make([]uint32, member.Buckets),
+	}, nil
+}
+
+func zip(raw []byte) []byte {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(raw)
+	_ = w.Close()
+	return b.Bytes()
+}
+
+// TestDocument guards against a configuration that takes effect although its bytes do not
+// hash to its version, is cut short, or is larger than a document may be.
+func TestDocument(t *testing.T) {
+	good := []byte("[document]\npreset = ordinary\n")
+	large := bytes.Repeat([]byte("#\n"), document.MaxBytes)
+	for name, c := range map[string]struct {
+		hashed, sent []byte
+		accepted     bool
+	}{
+		"right":          {good, zip(good), true},
+		"other document": {good, zip([]byte("[document]\npreset = peak\n")), false},
+		"not packed":     {good, good, false},
+		"cut short":      {good, zip(good)[:20], false},
+		"too large":      {large, zip(large), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			server := peer.NewServer()
+			message.RegisterGossipServer(server.Registrar(), &liar{hash: sha256.Sum256(c.hashed), packed: c.sent})
+			ended := make(chan error, 1)
+			go server.Serve(listener, ended)
+			defer func() {
+				server.Stop()
+				is.NoErr(<-ended)
+			}()
+			o := &owner{steps: make(chan func()), taken: make(chan []byte, 1)}
+			state := member.New(0, rand.New(rand.NewPCG(1, 1)), member.Member{Incarnation: 1, Name: "a"}, member.WithSeeds(listener.Addr().String()))
+			pool, metrics := peer.NewPool(), metric.New()
+			defer pool.Close()
+			n := gossip.New(state, o, pool, logr.Discard(), metrics)
+			defer n.Stop()
+			n.Tick()
+			(<-o.steps)() // the answer to the exchange
+			(<-o.steps)() // the end of the pull
+			is.Equal(len(o.taken) == 1, c.accepted)
+			is.Equal(metrics.Counter("gossip.documents.refused").Count() == 0, c.accepted)
+			is.True(!c.accepted || bytes.Equal(<-o.taken, good))
+		})
+	}
+}
--- /dev/null
+++ b/io/integration/member_test.go
@@ -0,0 +1,395 @@
+package integration_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/io/daemon"
+	"sassafrasward/io/standin"
+	"sassafrasward/io/wire"
+)
+
+// until polls a condition that a process brings about without a log line.
+func until(done func() bool) {
+	for !done() {
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// taken waits until all hosts have the configuration with the number.
+func taken(number int, hosts ...host) {
+	for _, h := range hosts {
+		h.line(fmt.Sprintf(`"event":1101,"version":"%d-`, number))
+	}
+}
+
+// versions returns the numbers of the configurations that the process took, in order.
+func (p *process) versions() (numbers []int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, line := range p.lines {
+		var number int
+		if _, rest, ok := strings.Cut(line, `"event":1101,"version":"`); ok {
+			_, _ = fmt.Sscanf(rest, "%d-", &number)
+			numbers = append(numbers, number)
+		}
+	}
+	return numbers
+}
+
+// memberState returns what a host believes of the newest process of another one.
+func memberState(t *testing.T, h host, incarnation string) string {
+	t.Helper()
+	for _, m := range status(t, h).Members {
+		if m.Incarnation == incarnation {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// advised returns the names of the hosts in an address answer.
+func advised(t *testing.T, h host) (names []string) {
+	t.Helper()
+	response, err := http.Get("http://" + h.caller + wire.PathAddresses)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var answer wire.Addresses
+	if err := json.NewDecoder(response.Body).Decode(&answer); err != nil {
+		t.Fatal(err)
+	}
+	for _, one := range answer.Hosts {
+		names = append(names, one.Host)
+	}
+	return names
+}
+
+// retrieve runs a summary on one host.
+func (f *fleet) retrieve(is *is.I, h host) {
+	c := &rawCaller{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	answer, err := c.send(context.Background(), h.caller, "summary", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)})
+	is.NoErr(err)
+	is.Equal(answer.Outcome, outcome.Done.String())
+}
+
+// TestStaleRestart guards against an older preset that comes back with a host that
+// restarts empty while the platform gives old values.
+func TestStaleRestart(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	f.publish("peak")
+	taken(2, f.hosts...)
+	f.platform.SetStale(1)
+	f.restart(2)
+	h := f.hosts[2]
+	is.True(strings.Contains(h.line(`"event":1002`), `"version":"2-`)) // serves with the newest
+	is.Equal(status(t, h).Preset, "peak")
+	f.restart(0)
+	f.hosts[0].line(`"event":1002`)
+	is.Equal(status(t, f.hosts[0]).Preset, "peak")
+	f.platform.SetStale(0)
+	f.publish("ordinary")
+	taken(3, f.hosts...)
+
+	// Alone beside the stale platform, a host does not serve.
+	f.platform.SetStale(1)
+	for i := range 2 {
+		f.hosts[i].kill()
+	}
+	f.restart(2)
+	h = f.hosts[2]
+	taken(1, h)
+	c := &rawCaller{client: http.DefaultClient}
+	for range 30 { // each while the host ticks on
+		answer, err := c.send(context.Background(), h.caller, "summary", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)})
+		is.NoErr(err)
+		is.Equal(answer.Reason, "joining")
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestPlatformDown guards against a fleet that depends on the platform: hosts serve, a
+// host that restarts empty joins through its seeds, and the next configuration arrives
+// when the platform is back.
+func TestPlatformDown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	f.platform.SetDown(true)
+	f.hosts[1].kill()
+	f.hosts[1].process = runHost(t, f.hosts[1], zone(1), f.shield.address(), fmt.Sprintf("[join]\nseeds = %s, %s", f.hosts[0].peer, f.hosts[2].peer))
+	f.hosts[1].line(`"event":1002`)
+	for _, h := range f.hosts {
+		f.retrieve(is, h)
+	}
+	f.platform.SetDown(false)
+	f.publish("peak")
+	taken(2, f.hosts...)
+}
+
+// TestPlatformCalls guards against hosts that all read the platform: three of six watch
+// it, and the others learn five configurations without a call.
+func TestPlatformCalls(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6)
+	watching := func() (list []bool) {
+		for _, h := range f.hosts {
+			list = append(list, status(t, h).Watching)
+		}
+		return list
+	}
+	count := func() (n int) {
+		for _, w := range watching() {
+			if w {
+				n++
+			}
+		}
+		return n
+	}
+	until(func() bool {
+		for _, h := range f.hosts {
+			if len(advised(t, h)) != 6 {
+				return false
+			}
+		}
+		return count() == 3
+	})
+	calls := func(h host) int64 { return status(t, h).Counters["platform.calls"] }
+	watches, before, all := watching(), make([]int64, 6), f.platform.Calls()
+	for i, h := range f.hosts {
+		before[i] = calls(h)
+	}
+	began := time.Now()
+	for i := range 5 {
+		f.publish("peak")
+		taken(i+2, f.hosts...)
+	}
+	for i, h := range f.hosts {
+		if !watches[i] {
+			is.Equal(calls(h), before[i])
+		}
+	}
+	t.Logf("%d calls at the start of 6 hosts, %d for 5 configurations", all, f.platform.Calls()-all)
+	// One for each change and watcher, and two that wait; these are repeated every 30 s.
+	waits := 1 + int(time.Since(began)/(30*time.Second))
+	is.True(f.platform.Calls()-all <= 3*(5+2*waits))
+}
+
+// TestHostReplaced guards against callers that are told to use dead or draining hosts,
+// and against a replacement that other hosts do not take.
+func TestHostReplaced(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	h := f.hosts[1]
+	old := status(t, h).Incarnation
+	until(func() bool { return slices.Contains(advised(t, f.hosts[0]), h.name) })
+	h.kill()
+	until(func() bool { return memberState(t, f.hosts[0], old) == "dead" })
+	is.True(!slices.Contains(advised(t, f.hosts[0]), h.name))
+
+	f.hosts[1] = host{name: h.name, caller: freeAddress(t), peer: freeAddress(t)}
+	f.platform.SetHosts([]wire.Listed{listed(f.hosts[0], "a"), listed(f.hosts[1], "b"), listed(f.hosts[2], "c")})
+	f.hosts[1].process = runHost(t, f.hosts[1], "b", f.shield.address())
+	f.hosts[1].line(`"event":1002`)
+	for _, other := range []host{f.hosts[0], f.hosts[2]} {
+		until(func() bool { return slices.Contains(advised(t, other), h.name) })
+		is.Equal(memberState(t, other, old), "dead")
+	}
+	f.hosts[1].signal(syscall.SIGTERM)
+	f.hosts[0].line(fmt.Sprintf(`"event":1502,"host":%q,"phase":"alive","stage":"draining"`, h.name))
+	until(func() bool { return !slices.Contains(advised(t, f.hosts[0]), h.name) })
+}
+
+// TestPausedHost guards against a host that was paused and goes on with an old
+// configuration when it wakes: it stops serving until it has heard from another host, and
+// serves again, as the same process, with the newest configuration.
+func TestPausedHost(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	h := f.hosts[0]
+	incarnation := status(t, h).Incarnation
+	f.pause(0)
+	until(func() bool { return memberState(t, f.hosts[1], incarnation) == "dead" })
+	f.publish("peak")
+	taken(2, f.hosts[1:]...)
+	f.resume(0)
+	h.line(fmt.Sprintf(`"event":1002,"host":%q,"version":"2-`, h.name))
+	until(func() bool { return memberState(t, f.hosts[1], incarnation) == "serving" })
+	is.Equal(status(t, h).Incarnation, incarnation)
+	f.retrieve(is, h)
+}
+
+// TestLeavingOverHosts guards against a leaving target that one of the hosts still uses
+// after all hosts had time to learn of it from those that read the host list.
+func TestLeavingOverHosts(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 6)
+	list := func(state string) (all []wire.Listed) {
+		for i, h := range f.hosts {
+			all = append(all, listed(h, zone(i)))
+		}
+		for i := range 2 {
+			all = append(all, wire.Listed{Host: fmt.Sprintf("t%d", i), Address: f.proxies[i].address(), Zone: "a", Kind: wire.KindTarget, State: wire.StateLive})
+		}
+		all[6].State = state
+		return all
+	}
+	stop, ended := make(chan struct{}), make(chan struct{})
+	for _, h := range f.hosts {
+		go func() {
+			defer func() { ended <- struct{}{} }()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					f.retrieve(is, h)
+				}
+			}
+		}()
+	}
+	until(func() bool { return len(f.targets[0].Ledger()) > 100 })
+	knows := func(leaves bool) func() bool {
+		return func() bool {
+			return !slices.ContainsFunc(f.hosts, func(h host) bool {
+				return slices.Contains(status(t, h).Leaving, f.proxies[0].address()) != leaves
+			})
+		}
+	}
+	began := time.Now()
+	f.platform.SetHosts(list(wire.StateLeaving))
+	until(knows(true))
+	t.Logf("all 6 hosts know of the leaving target %v after the host list", time.Since(began).Round(time.Millisecond))
+	// A call that was given to the target just before may still be on its way; each of the
+	// callers ends at least one call before the count is taken.
+	other := len(f.targets[1].Ledger())
+	until(func() bool { return len(f.targets[1].Ledger()) > other+100 })
+	leaving := len(f.targets[0].Ledger())
+	until(func() bool { return len(f.targets[1].Ledger()) > other+600 })
+	is.Equal(len(f.targets[0].Ledger()), leaving) // no new work
+	f.platform.SetHosts(list(wire.StateLive))
+	until(knows(false))
+	until(func() bool { return len(f.targets[0].Ledger()) > leaving })
+	close(stop)
+	for range f.hosts {
+		<-ended
+	}
+}
+
+// split is four hosts, each with a platform of its own whose list names the other hosts
+// by proxies, so that each link between two hosts can be cut alone.
+type split struct {
+	platforms []*standin.Platform
+	hosts     []host
+	// links holds the proxies by calling and called host.
+	links map[[2]int]*proxy
+}
+
+func newSplit(t *testing.T) *split {
+	t.Helper()
+	s := &split{links: make(map[[2]int]*proxy)}
+	for i := range 4 {
+		s.hosts = append(s.hosts, host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t), peer: freeAddress(t)})
+	}
+	for i := range s.hosts {
+		p := standin.NewPlatform()
+		server := httptest.NewServer(p.Handler())
+		t.Cleanup(func() {
+			server.CloseClientConnections()
+			server.Close()
+		})
+		var list []wire.Listed
+		for j, h := range s.hosts {
+			one := listed(h, "a")
+			if i != j {
+				s.links[[2]int{i, j}] = newProxy(t, h.peer)
+				one.Peer = s.links[[2]int{i, j}].address()
+			}
+			list = append(list, one)
+		}
+		p.SetHosts(list)
+		p.Publish([]byte(fourStages))
+		s.platforms = append(s.platforms, p)
+		s.hosts[i].process = runHost(t, s.hosts[i], "a", strings.TrimPrefix(server.URL, "http://"))
+	}
+	for _, h := range s.hosts {
+		h.line(`"event":1002`)
+	}
+	return s
+}
+
+// publish puts a configuration in force on the platform of one host.
+func (s *split) publish(i int, comment string) {
+	s.platforms[i].Publish([]byte(fourStages + "# " + comment + "\n"))
+}
+
+// cut sets the faults on the links between the first two and the last two hosts. Bytes
+// that were held back before are lost.
+func (s *split) cut(set faults) {
+	for ends, p := range s.links {
+		if (ends[0] < 2) != (ends[1] < 2) {
+			p.cut()
+			p.set(set)
+		}
+	}
+}
+
+// TestPartitionHeals guards against a fleet that stays split after a partition, and
+// against a side that goes back to a lower configuration or keeps it.
+func TestPartitionHeals(t *testing.T) {
+	is := is.New(t)
+	s := newSplit(t)
+	state := func(h host, of daemon.Status) string { return memberState(t, h, of.Incarnation) }
+	far, near := status(t, s.hosts[3]), status(t, s.hosts[0])
+	s.cut(faults{silenceUp: true, silenceDown: true})
+	until(func() bool { return state(s.hosts[0], far) == "dead" && state(s.hosts[3], near) == "dead" })
+	for i := range s.hosts {
+		s.publish(i, "both sides")
+	}
+	s.publish(2, "the far side")
+	s.publish(3, "the far side")
+	taken(2, s.hosts[:2]...)
+	taken(3, s.hosts[2:]...)
+	for _, h := range s.hosts {
+		is.Equal(status(t, h).State, daemon.StateServing)
+	}
+	s.cut(faults{})
+	taken(3, s.hosts...)
+	until(func() bool { return state(s.hosts[0], far) == "serving" && state(s.hosts[3], near) == "serving" })
+	for _, h := range s.hosts {
+		is.True(slices.IsSorted(h.versions()))
+	}
+}
+
+// TestSilentLinks guards against hosts that are taken for dead, or miss a configuration,
+// because open connections have gone silent while new ones work.
+func TestSilentLinks(t *testing.T) {
+	is := is.New(t)
+	s := newSplit(t)
+	before := status(t, s.hosts[3])
+	for _, p := range s.links {
+		p.set(faults{silenceUp: true, silenceDown: true, onlyOld: true})
+	}
+	s.publish(0, "news")
+	taken(2, s.hosts...)
+	until(func() bool { return memberState(t, s.hosts[0], before.Incarnation) == "serving" })
+	for _, h := range s.hosts {
+		h.mutex.Lock()
+		for _, line := range h.lines {
+			is.True(!strings.Contains(line, `"phase":"dead"`))
+		}
+		h.mutex.Unlock()
+	}
+}
