--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -17,6 +17,7 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/order"
 	"sassafrasward/io/owner"
 	"sassafrasward/io/view"
 	"sassafrasward/io/wire"
@@ -34,6 +35,7 @@
 	gates *gates
 	// metrics counts the mistakes of refused documents.
 	metrics *metric.Metrics
+	orders  *order.Giver
 	owner   *owner.Owner
 	// running returns the number of running requests.
 	running func() int
@@ -48,18 +50,19 @@
 	watcher  *watcher
 	document *document.Document
 	version  document.Version
-	// leaving holds the leaving addresses that the gates were last given.
-	leaving  []string
-	draining bool
+	// leaving holds the leaving addresses, and givers the hosts that give model orders, as
+	// last passed on.
+	leaving, givers []string
+	draining        bool
 	// serving holds if the host takes requests; served if it ever did.
 	serving, served bool
 	// phases holds the members as last logged.
 	phases map[uint64]gossip.Member
 }
 
-func newControl(self wire.Host, clock func() time.Duration, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner, running func() int) *control {
+func newControl(self wire.Host, clock func() time.Duration, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner, orders *order.Giver, running func() int) *control {
 	return &control{
-		self: self, clock: clock, log: log, views: views, gates: gates, metrics: metrics, owner: owner, running: running,
+		self: self, clock: clock, log: log, views: views, gates: gates, metrics: metrics, owner: owner, orders: orders, running: running,
 		events: make(chan func(), 16), phases: make(map[uint64]gossip.Member),
 	}
 }
@@ -132,6 +135,7 @@
 		c.served = c.served || serving
 		c.members.SetServing(c.clock(), serving)
 		if serving {
+			c.configure()
 			event.Log(c.log, event.HostServing, "host", c.self.Host, "version", c.version.String())
 		}
 	}
@@ -140,8 +144,9 @@
 	}
 	c.note()
 	c.owner.SetHosts(c.entries())
-	if leaving := c.members.Leavings(); !slices.Equal(leaving, c.leaving) {
-		c.leaving = leaving
+	leaving, givers := c.members.Leavings(), c.giving()
+	if !slices.Equal(leaving, c.leaving) || !slices.Equal(givers, c.givers) {
+		c.leaving, c.givers = leaving, givers
 		c.configure()
 	}
 	c.publish()
@@ -219,7 +224,7 @@
 	return l
 }
 
-// configure makes the gates match the document and the leaving targets.
+// configure makes the gates and the orders match the document and the members.
 func (c *control) configure() {
 	if c.document == nil {
 		return
@@ -229,6 +234,9 @@
 		leaving[a] = true
 	}
 	c.gates.configure(c.document, leaving)
+	if c.serving {
+		c.orders.Configure(c.document, c.version, c.givers)
+	}
 }
 
 func (c *control) publish() {
@@ -274,6 +282,16 @@
 	return list
 }
 
+// giving returns the names of the hosts that give model orders: those that serve. A host
+// that joins may hold an old configuration.
+func (c *control) giving() (names []string) {
+	for _, h := range c.candidates() {
+		names = append(names, h.Host)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // note logs the members that have changed.
 func (c *control) note() {
 	known := make(map[uint64]gossip.Member)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"sassafrasward/io/front"
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/order"
 	"sassafrasward/io/owner"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/platform"
@@ -45,6 +46,7 @@
 	owner     *owner.Owner
 	node      *gossip.Node
 	control   *control
+	orders    *order.Giver
 	start     time.Time
 	// incarnation identifies this process among all processes of all hosts.
 	incarnation uint64
@@ -93,9 +95,10 @@
 	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
 	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
-	d.control = newControl(self, d.clock, log, d.views, d.gates, d.metrics, d.owner, run.count)
+	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
+	d.control = newControl(self, d.clock, log, d.views, d.gates, d.metrics, d.owner, d.orders, run.count)
 	d.gossip()
-	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner))
+	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner), front.WithLog(log))
 	return d, nil
 }
 
@@ -125,6 +128,9 @@
 	d.node.Register(d.peers.Registrar())
 }
 
+// Peer returns the address on which other hosts are served.
+func (d *Daemon) Peer() string { return d.hosts.Addr().String() }
+
 func (d *Daemon) clock() time.Duration { return time.Since(d.start) }
 
 // Run serves until the context ends, then stops gracefully.
@@ -133,10 +139,11 @@
 	event.Log(d.log, event.HostStarted, "host", d.settings.Host(), "caller", d.Address(), "peer", d.hosts.Addr().String())
 	inner, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
-	ends := make(chan error, 4)
+	ends := make(chan error, 5)
 	go d.front.Serve(d.callers, ends)
 	go d.peers.Serve(d.hosts, ends)
 	go d.control.run(inner, ends)
+	go d.orders.Run(inner, ends)
 
 	select {
 	case <-ctx.Done():
--- a/io/integration/member_test.go
+++ b/io/integration/member_test.go
@@ -208,7 +208,7 @@
 		is.Equal(memberState(t, other, old), "dead")
 	}
 	f.hosts[1].signal(syscall.SIGTERM)
-	f.hosts[0].line(fmt.Sprintf(`"event":1502,"host":%q,"phase":"alive","stage":"draining"`, h.name))
+	f.hosts[0].line(fmt.Sprintf(`"event":1602,"host":%q,"phase":"alive","stage":"draining"`, h.name))
 	until(func() bool { return !slices.Contains(advised(t, f.hosts[0]), h.name) })
 }
 
--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -40,7 +40,7 @@
 
 // process is one program under test.
 type process struct {
-	t       *testing.T
+	t       testing.TB
 	command *exec.Cmd
 	ended   chan struct{}
 
@@ -51,7 +51,7 @@
 }
 
 // startProcess runs a program and collects the lines of its output.
-func startProcess(t *testing.T, name string, arguments ...string) *process {
+func startProcess(t testing.TB, name string, arguments ...string) *process {
 	t.Helper()
 	p := &process{t: t, command: exec.Command(filepath.Join(binaries, name), arguments...), ended: make(chan struct{}), grown: make(chan struct{})}
 	reader, writer, err := os.Pipe()
@@ -116,13 +116,13 @@
 }
 
 // startPlatform runs the platform stand-in and returns its address.
-func startPlatform(t *testing.T) string {
+func startPlatform(t testing.TB) string {
 	t.Helper()
 	return startProcess(t, "standin", "--kind", "platform").line("127.0.0.1:")
 }
 
 // startTarget runs a target stand-in and returns its address.
-func startTarget(t *testing.T, arguments ...string) string {
+func startTarget(t testing.TB, arguments ...string) string {
 	t.Helper()
 	return startProcess(t, "standin", append([]string{"--kind", "target"}, arguments...)...).line("127.0.0.1:")
 }
@@ -135,7 +135,7 @@
 	peer   string
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -146,14 +146,14 @@
 }
 
 // startHost runs a daemon with the given extra settings lines in its host section.
-func startHost(t *testing.T, name, zone, platform string, extra ...string) host {
+func startHost(t testing.TB, name, zone, platform string, extra ...string) host {
 	t.Helper()
 	h := host{name: name, caller: freeAddress(t), peer: freeAddress(t)}
 	h.process = runHost(t, h, zone, platform, extra...)
 	return h
 }
 
-func runHost(t *testing.T, h host, zone, platform string, extra ...string) *process {
+func runHost(t testing.TB, h host, zone, platform string, extra ...string) *process {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "host.ini")
 	settings := fmt.Sprintf("[host]\nname = %s\nzone = %s\ncaller = %s\npeer = %s\n%s\n[platform]\naddress = %s\n", h.name, zone, h.caller, h.peer, strings.Join(extra, "\n"), platform)
@@ -166,7 +166,7 @@
 }
 
 // put sends an administrative change to a stand-in.
-func put(t *testing.T, address, path string, body []byte) {
+func put(t testing.TB, address, path string, body []byte) {
 	t.Helper()
 	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(body))
 	if err != nil {
@@ -183,7 +183,7 @@
 }
 
 // putJSON sends an administrative change as JSON.
-func putJSON(t *testing.T, address, path string, data any) {
+func putJSON(t testing.TB, address, path string, data any) {
 	t.Helper()
 	body, err := json.Marshal(data)
 	if err != nil {
@@ -193,7 +193,7 @@
 }
 
 // ledger returns the runs of a target stand-in.
-func ledger(t *testing.T, address string) (entries []standin.Entry) {
+func ledger(t testing.TB, address string) (entries []standin.Entry) {
 	t.Helper()
 	response, err := http.Get("http://" + address + standin.PathLedger)
 	if err != nil {
