--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -50,9 +50,10 @@
 	watcher  *watcher
 	document *document.Document
 	version  document.Version
-	// leaving holds the leaving addresses that the gates were last given.
-	leaving  []string
-	draining bool
+	// leaving holds the leaving addresses, and givers the hosts that give model orders, as
+	// last passed on.
+	leaving, givers []string
+	draining        bool
 	// serving holds if the host takes requests; served if it ever did.
 	serving, served bool
 	// phases holds the members as last logged.
@@ -134,6 +135,7 @@
 		c.served = c.served || serving
 		c.members.SetServing(c.clock(), serving)
 		if serving {
+			c.configure()
 			event.Log(c.log, event.HostServing, "host", c.self.Host, "version", c.version.String())
 		}
 	}
@@ -141,13 +143,10 @@
 		return
 	}
 	c.note()
-	entries := c.entries()
-	c.owner.SetHosts(entries)
-	if c.document != nil {
-		c.orders.Configure(c.document, c.version, givers(entries))
-	}
-	if leaving := c.members.Leavings(); !slices.Equal(leaving, c.leaving) {
-		c.leaving = leaving
+	c.owner.SetHosts(c.entries())
+	leaving, givers := c.members.Leavings(), c.giving()
+	if !slices.Equal(leaving, c.leaving) || !slices.Equal(givers, c.givers) {
+		c.leaving, c.givers = leaving, givers
 		c.configure()
 	}
 	c.publish()
@@ -225,7 +224,7 @@
 	return l
 }
 
-// configure makes the gates match the document and the leaving targets.
+// configure makes the gates and the orders match the document and the members.
 func (c *control) configure() {
 	if c.document == nil {
 		return
@@ -235,7 +234,9 @@
 		leaving[a] = true
 	}
 	c.gates.configure(c.document, leaving)
-	c.orders.Configure(c.document, c.version, givers(c.entries()))
+	if c.serving {
+		c.orders.Configure(c.document, c.version, c.givers)
+	}
 }
 
 func (c *control) publish() {
@@ -262,16 +263,6 @@
 	return hosts
 }
 
-// givers returns the names of the live hosts, which give model orders.
-func givers(list wire.Hosts) (names []string) {
-	for _, h := range list.Hosts {
-		if h.State == wire.StateLive {
-			names = append(names, h.Host)
-		}
-	}
-	return names
-}
-
 // entries returns the live members in the shape of a host list, by name.
 func (c *control) entries() (list wire.Hosts) {
 	for _, m := range c.node.Snapshot().Members() {
@@ -291,6 +282,16 @@
 	return list
 }
 
+// giving returns the names of the hosts that give model orders: those that serve. A host
+// that joins may hold an old configuration.
+func (c *control) giving() (names []string) {
+	for _, h := range c.candidates() {
+		names = append(names, h.Host)
+	}
+	slices.Sort(names)
+	return slices.Compact(names)
+}
+
 // note logs the members that have changed.
 func (c *control) note() {
 	known := make(map[uint64]gossip.Member)
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -114,9 +114,6 @@
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.callers.Addr().String() }
 
-// Peer returns the address on which other hosts are served.
-func (d *Daemon) Peer() string { return d.hosts.Addr().String() }
-
 // Directory returns what this host knows of other hosts.
 func (d *Daemon) Directory() gossip.Directory { return d.node }
 
@@ -140,6 +137,9 @@
 	d.node.Register(d.peers.Registrar())
 }
 
+// Peer returns the address on which other hosts are served.
+func (d *Daemon) Peer() string { return d.hosts.Addr().String() }
+
 func (d *Daemon) clock() time.Duration { return time.Since(d.start) }
 
 // Run serves until the context ends, then stops gracefully.
--- a/io/integration/document_test.go
+++ b/io/integration/document_test.go
@@ -56,7 +56,7 @@
 }
 
 // status returns the status of a daemon.
-func status(t *testing.T, h host) (s daemon.Status) {
+func status(t testing.TB, h host) (s daemon.Status) {
 	t.Helper()
 	response, err := http.Get("http://" + h.caller + wire.PathStatus)
 	if err != nil {
