--- a/core/schedule/pick.go
+++ b/core/schedule/pick.go
@@ -9,21 +9,21 @@
 )
 
 const (
-	// tries is the number of random candidates. Three random choices come closer to the
-	// best of a subset than two at no measurable cost.
-	tries = 3
+	// tries is the number of random candidates. On a model of 6 hosts and 10 targets at 3
+	// times capacity, 3 candidates leave 6% of the slots idle and 8 leave 2%.
+	tries = 8
 	// farFactor makes a target in another zone count as more loaded, so that the same
 	// zone comes first until its targets are clearly busier.
 	farFactor = 1.15
-	// affinityRoom bounds the load of a target chosen by prefix to this factor of the
-	// mean load, plus one call.
-	affinityRoom = 1.25
+	// affinityFactor makes a target that holds the prefix count as less loaded.
+	affinityFactor = 0.8
 	// longLoad bounds the load of a target, with that of other hosts, up to which long work
 	// beyond its guarantee starts there. Hosts do not see each other's long calls, and
 	// without the bound their parts together leave short work no room.
 	longLoad = 0.8
-	// fade is the age at which reported load of other hosts counts half.
-	fade = 500 * time.Millisecond
+	// fade is the age at which the reported load of other hosts counts half. At 500 ms, the
+	// p99 with 2 slowed targets of 10 is 1.5 to 1.7 times the usual one; at 100 ms, 1.1 to 1.3.
+	fade = 100 * time.Millisecond
 )
 
 // bound returns how many calls of this host the target may run.
@@ -136,17 +136,21 @@
 // score is the expected relative delay on a target: calls per slot, own ones in flight
 // first, times the recent latency relative to the usual one.
 func (s *Scheduler) score(now time.Duration, st *state) float64 {
-	score := s.load(now, st) * st.pace.Ratio()
+	score := s.load(now, st)
+	if s.policy.detect {
+		score *= st.pace.Ratio()
+	}
 	if !st.near {
 		score *= farFactor
 	}
 	return score
 }
 
-// load returns the calls per slot if one more started. Load of other hosts fades, as the
-// report of it ages.
+// load returns the calls per slot if one more started. The load of other hosts moves from
+// the last answer of the target to the mean of the pool, as that answer ages.
 func (s *Scheduler) load(now time.Duration, st *state) float64 {
-	others := st.others / (1 + float64(now-st.told)/float64(fade))
+	mean := s.part.Others()
+	others := mean + (st.others-mean)/(1+float64(now-st.told)/float64(fade))
 	return (float64(st.inflight) + 1 + others) / float64(max(st.limit.Slots(), 1))
 }
 
@@ -165,7 +169,7 @@
 // probe returns a slow target that is due for a probe, if the call can stand the delay.
 // It is used only without a hedge budget; otherwise sweep probes with copies of calls.
 func (s *Scheduler) probe(now time.Duration, e *entry, isolated bool) (st *state, ok bool) {
-	if !s.policy.detect || s.policy.hedge > 0 || !e.call.idempotent || e.slow || e.retry || isolated {
+	if !s.policy.detect || s.policy.hedge >= probeShare || !e.call.idempotent || e.slow || e.retry || isolated {
 		return nil, false
 	}
 	for _, st := range s.subset {
@@ -176,32 +180,30 @@
 	return nil, false
 }
 
-// prefer returns a target that holds the prefix of the call, or the one that all hosts
-// choose for it, if its load is bounded.
+// prefer returns the best of the chosen target, the ones that hold the prefix of the call
+// and the one that all hosts choose for it. A cache hit saves part of the service time,
+// and the factor bounds the load that it may cost.
 func (s *Scheduler) prefer(now time.Duration, e *entry, isolated, panicking bool) (st *state, ok bool) {
-	mean := 0.0
-	for _, one := range s.subset {
-		mean += s.load(now, one)
+	st, ok = s.choose(now, e, isolated, panicking)
+	if !ok {
+		return nil, false
 	}
-	mean /= float64(len(s.subset))
-	fits := func(one *state) bool {
-		bound := mean*affinityRoom + 1/float64(max(one.limit.Slots(), 1))
-		return s.load(now, one) <= bound && s.usable(now, one, e, isolated, panicking)
+	least := s.score(now, st)
+	try := func(one *state) {
+		if score := s.score(now, one) * affinityFactor; score < least && s.usable(now, one, e, isolated, panicking) {
+			st, least = one, score
+		}
 	}
 	s.cache.Each(now, e.call.prefix, func(target string) bool {
-		one, known := s.targets.Get(target)
-		if known && !one.target.leaving && fits(one) {
-			st, ok = one, true
+		if one, known := s.targets.Get(target); known {
+			try(one)
 		}
-		return !ok
+		return true
 	})
-	if ok {
-		return st, true
-	}
-	if one := s.home(e.call.prefix); one != nil && fits(one) {
-		return one, true
+	if one := s.home(e.call.prefix); one != nil {
+		try(one)
 	}
-	return nil, false
+	return st, true
 }
 
 // home returns the target that ranks first for the prefix on all hosts.
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -3,14 +3,18 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/member"
+	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
+	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/order"
 	"sassafrasward/io/owner"
@@ -37,10 +41,18 @@
 	front    *front.Front
 	peers    *peer.Server
 	pool     *peer.Pool
-	owner    *owner.Owner
-	control  *control
-	orders   *order.Giver
-	start    time.Time
+	// exchanges has the connections of the gossip, which drops them when a call fails;
+	// that must not cut off a forwarded command.
+	exchanges *peer.Pool
+	owner     *owner.Owner
+	node      *gossip.Node
+	control   *control
+	orders    *order.Giver
+	start     time.Time
+	// incarnation identifies this process among all processes of all hosts.
+	incarnation uint64
+	// tell gets facts about crash suspects for other hosts; nil if they are not told.
+	tell func(suspect.Fact)
 	// linger is how long a draining host still takes requests.
 	linger time.Duration
 	// halted ends when a planned stop is to end at once.
@@ -62,30 +74,39 @@
 // lifetime of an address answer after all other hosts know of the drain.
 func WithLinger(d time.Duration) Option { return func(one *Daemon) { one.linger = d } }
 
+// WithSuspects sets a function that tells other hosts of crash suspects. It must not block.
+func WithSuspects(tell func(suspect.Fact)) Option { return func(one *Daemon) { one.tell = tell } }
+
+// LearnSuspect takes what another host tells of a crash suspect.
+func (d *Daemon) LearnSuspect(f suspect.Fact) { d.gates.learn(f) }
+
 // New opens the listeners of a host and returns its daemon.
 func New(settings setting.Settings, log logr.Logger, options ...Option) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), linger: spread + front.Lifetime}
+	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), linger: spread + front.Lifetime, incarnation: rand.Uint64()}
 	d.halted, d.halt = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(d)
 	}
-	d.gates = newGates(d.clock)
+	d.gates = newGates(d.clock, settings.Host(), settings.Zone(), d.tell)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
-	run := runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)
+	run := &gauge{Executor: runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)}
 	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
 		return nil, err
 	}
 	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
 		return nil, errors.Join(err, d.callers.Close())
 	}
-	d.pool = peer.NewPool()
+	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
+	d.hosts = counters.Listen(d.hosts)
+	d.pool, d.exchanges = peer.NewPool(counters.Dial()), peer.NewPool(counters.Dial())
 	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
 	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
 	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
-	d.control = newControl(self, log, d.views, d.gates, d.metrics, d.owner, d.orders)
+	d.control = newControl(self, d.clock, log, d.views, d.gates, d.metrics, d.owner, d.orders, run.count)
+	d.gossip()
 	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner), front.WithLog(log))
 	return d, nil
 }
@@ -93,6 +114,29 @@
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.callers.Addr().String() }
 
+// Directory returns what this host knows of other hosts.
+func (d *Daemon) Directory() gossip.Directory { return d.node }
+
+// gossip connects the control goroutine to other hosts and to the platform.
+func (d *Daemon) gossip() {
+	c := d.control
+	c.members = member.New(d.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
+		Incarnation: d.incarnation, Name: d.settings.Host(), Zone: d.settings.Zone(),
+		Address: d.callers.Addr().String(), Peer: d.hosts.Addr().String(),
+	}, member.WithSeeds(d.settings.Seeds()...), member.WithAlone(d.settings.Alone()))
+	c.node = gossip.New(c.members, c, d.exchanges, d.log, d.metrics)
+	c.watcher = &watcher{
+		platform: d.platform, log: d.log,
+		config: func(ctx context.Context, cfg platform.Config) {
+			c.Post(ctx, func() { c.Take(cfg.Number(), cfg.Raw()) })
+		},
+		hosts: func(ctx context.Context, list wire.Hosts) { c.Post(ctx, func() { c.takeHosts(list) }) },
+		alive: func(ctx context.Context) { c.Post(ctx, func() { c.beat() }) },
+	}
+	d.node = c.node
+	d.node.Register(d.peers.Registrar())
+}
+
 // Peer returns the address on which other hosts are served.
 func (d *Daemon) Peer() string { return d.hosts.Addr().String() }
 
@@ -108,7 +152,6 @@
 	go d.front.Serve(d.callers, ends)
 	go d.peers.Serve(d.hosts, ends)
 	go d.control.run(inner, ends)
-	go d.watch(inner, ends)
 	go d.orders.Run(inner, ends)
 
 	select {
@@ -117,9 +160,12 @@
 	case err = <-ends:
 		event.Fail(d.log, event.ListenFailed, err)
 	}
+	d.node.Flush()
+	d.node.Stop()
 	cancel()
 	d.peers.Stop()
 	d.pool.Close()
+	d.exchanges.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
--- a/io/daemon/status.go
+++ b/io/daemon/status.go
@@ -1,7 +1,11 @@
 package daemon
 
 import (
+	"fmt"
+
+	"sassafrasward/core/member"
 	"sassafrasward/core/reason"
+	"sassafrasward/io/gossip"
 	"sassafrasward/io/wire"
 )
 
@@ -11,26 +15,37 @@
 
 // Status is what a host reports of itself.
 type Status struct {
-	Host    string `json:"host"`
-	Zone    string `json:"zone"`
-	State   string `json:"state"`
-	Version string `json:"version"`
-	Preset  string `json:"preset"`
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Zone        string `json:"zone"`
+	State       string `json:"state"`
+	Version     string `json:"version"`
+	Preset      string `json:"preset"`
+	// Watching reports whether this host watches the platform for others.
+	Watching bool `json:"watching"`
 	// Hosts are the hosts that callers are told to use.
 	Hosts []wire.Host `json:"hosts"`
-	// Members are all entry hosts that this host knows.
+	// Members are the processes of all entry hosts that this host knows, dead ones
+	// included.
 	Members []Member `json:"members"`
+	// Leaving are the addresses of leaving machines.
+	Leaving []string `json:"leaving,omitempty"`
 	Pools   []Pool   `json:"pools"`
 	// Counters holds metrics by name.
 	Counters map[string]int64 `json:"counters"`
 }
 
-// Member is an entry host as another one knows it.
+// Member is the process of an entry host as another one knows it.
 type Member struct {
-	Host    string `json:"host"`
-	Address string `json:"address"`
-	Zone    string `json:"zone"`
-	State   string `json:"state"`
+	Host        string `json:"host"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+	Peer        string `json:"peer"`
+	Zone        string `json:"zone"`
+	// State is joining, serving or draining; suspected or dead go before these.
+	State string `json:"state"`
+	// Level is the load as the binary logarithm of the number of running requests.
+	Level uint32 `json:"level"`
 }
 
 // Pool is the state of one pool on one host.
@@ -54,9 +69,15 @@
 
 func (d *Daemon) status() any {
 	v := d.views.Load()
+	d.metrics.Gauge("process.cpu.micros").Update(cpuTime().Microseconds())
+	known := d.node.Snapshot()
 	s := Status{
-		Host: d.settings.Host(), Zone: d.settings.Zone(), State: StateServing,
-		Hosts: v.Hosts(), Members: members(v.Members()), Pools: d.gates.report(), Counters: d.metrics.Values(),
+		Host: d.settings.Host(), Incarnation: incarnation(d.incarnation), Zone: d.settings.Zone(), State: StateServing,
+		Watching: d.control.watching.Load(), Members: members(known), Leaving: known.Leavings(),
+		Pools: d.gates.report(), Counters: d.metrics.Values(),
+	}
+	for _, h := range v.Hosts() {
+		s.Hosts = append(s.Hosts, wire.Host{Host: h.Host, Address: h.Address, Zone: h.Zone})
 	}
 	if v.Refusal() != reason.None {
 		s.State = v.Refusal().String()
@@ -68,12 +89,19 @@
 	return s
 }
 
-// members returns the entry hosts of a host list.
-func members(listed []wire.Listed) (list []Member) {
-	for _, h := range listed {
-		if h.Kind == wire.KindEntry {
-			list = append(list, Member{Host: h.Host, Address: h.Address, Zone: h.Zone, State: h.State})
+// members returns all members by incarnation.
+func members(known *gossip.Snapshot) (list []Member) {
+	for _, m := range known.Members() {
+		one := Member{
+			Host: m.Name, Incarnation: incarnation(m.Incarnation), Address: m.Address, Peer: m.Peer, Zone: m.Zone,
+			State: m.Stage.String(), Level: m.Level,
 		}
+		if m.Phase != member.Alive {
+			one.State = m.Phase.String()
+		}
+		list = append(list, one)
 	}
 	return list
 }
+
+func incarnation(i uint64) string { return fmt.Sprintf("%016x", i) }
--- a/io/front/front.go
+++ b/io/front/front.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"errors"
 	"fmt"
+	randv2 "math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -16,6 +17,7 @@
 	"github.com/labstack/echo/v4"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/address"
 	"sassafrasward/core/document"
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
@@ -32,7 +34,14 @@
 // Lifetime is how long callers keep an address answer.
 const Lifetime = 5 * time.Second
 
-const readTimeout = 10 * time.Second
+const (
+	// readTimeout bounds the arrival of headers and, again, of the body of a request, so that
+	// a caller that went silent does not hold up a planned stop.
+	readTimeout = 10 * time.Second
+	// writeTimeout bounds each write of an answer or token for the same reason. It is longer
+	// because a caller may be slow to take a long report.
+	writeTimeout = 30 * time.Second
+)
 
 // Executor runs a job to its end.
 type Executor interface {
@@ -56,7 +65,9 @@
 	log     logr.Logger
 	status  func() any
 	body    int64
-	self    wire.Host
+	// read and write bound the arrival of a body and each write.
+	read, write time.Duration
+	self        wire.Host
 	// keys is nil if the host issues no keys.
 	keys Keys
 }
@@ -67,6 +78,11 @@
 // WithBody bounds the size of request bodies in bytes.
 func WithBody(bytes int) Option { return func(f *Front) { f.body = int64(bytes) } }
 
+// WithTimeouts bounds the arrival of a request body and each write of an answer or token.
+func WithTimeouts(read, write time.Duration) Option {
+	return func(f *Front) { f.read, f.write = read, write }
+}
+
 // WithStatus sets the function whose result is served as the status of the host.
 func WithStatus(status func() any) Option { return func(f *Front) { f.status = status } }
 
@@ -78,7 +94,7 @@
 
 // New returns a server for callers of the host self.
 func New(self wire.Host, views *view.Holder, r Executor, metrics *metric.Metrics, options ...Option) *Front {
-	f := &Front{self: self, views: views, runner: r, metrics: metrics, log: logr.Discard(), body: 1 << 20, status: func() any { return nil }}
+	f := &Front{self: self, views: views, runner: r, metrics: metrics, log: logr.Discard(), body: 1 << 20, read: readTimeout, write: writeTimeout, status: func() any { return nil }}
 	for _, o := range options {
 		o(f)
 	}
@@ -112,10 +128,12 @@
 	return f.server.Shutdown(ctx)
 }
 
-// release ends each connection with its next answer while the host drains, so that no
+// release is run before each handler. It ends each connection with its next answer while the host drains, so that no
 // caller sends a request on a kept connection at the moment when the server closes it.
 func (f *Front) release(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
+		// The deadline of the answer before on the same connection may have passed.
+		f.limitWrite(c)
 		if f.views.Load().Refusal() == reason.Draining {
 			c.Response().Header().Set("Connection", "close")
 		}
@@ -133,13 +151,29 @@
 
 func (f *Front) addresses(c echo.Context) error {
 	v := f.views.Load()
-	answer := wire.Addresses{Hosts: v.Hosts(), Lifetime: Lifetime.Milliseconds()}
+	answer := wire.Addresses{Lifetime: Lifetime.Milliseconds()}
+	first := ""
 	if keys, lifetime := f.issue(v, c.QueryParam("workspace"), c.QueryParam("keys")); len(keys) > 0 {
 		answer.Keys, answer.Expiry = keys, lifetime.Milliseconds()
+		first = f.self.Host
 	}
+	answer.Hosts = f.choose(v, c.QueryParam("zone"), first)
 	return c.JSON(http.StatusOK, answer)
 }
 
+// choose returns the hosts for a caller in the zone; this host's own if it names none. A
+// host that issues keys comes first, because it owns them.
+func (f *Front) choose(v *view.View, zone, first string) (hosts []wire.Host) {
+	if zone == "" {
+		zone = f.self.Zone
+	}
+	random := randv2.New(randv2.NewPCG(randv2.Uint64(), randv2.Uint64()))
+	for _, h := range address.Choose(random, zone, first, v.Hosts()) {
+		hosts = append(hosts, wire.Host{Host: h.Host, Address: h.Address, Zone: h.Zone})
+	}
+	return hosts
+}
+
 // config answers with the configuration in force, in the shape that the platform gives it.
 func (f *Front) config(c echo.Context) error {
 	v := f.views.Load()
@@ -205,6 +239,11 @@
 }
 
 func (f *Front) decode(c echo.Context) (request wire.Request, why reason.Reason, detail string) {
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(f.read))
+	// Without a deadline again, or the server would take the silence of a caller that waits
+	// for its answer for a closed connection.
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	return Decode(http.MaxBytesReader(c.Response(), c.Request().Body, f.body))
 }
 
@@ -253,9 +292,15 @@
 
 // end counts the answer and writes it.
 func (f *Front) end(c echo.Context, answer wire.Answer) error {
+	f.limitWrite(c)
 	return c.JSON(f.count(answer), answer)
 }
 
+// limitWrite bounds the writes from now on.
+func (f *Front) limitWrite(c echo.Context) {
+	_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Now().Add(f.write))
+}
+
 // count raises the counters of the answer and returns its HTTP status.
 func (f *Front) count(answer wire.Answer) int {
 	o, _ := outcome.Parse(answer.Outcome)
--- a/io/integration/drain_test.go
+++ b/io/integration/drain_test.go
@@ -195,9 +195,9 @@
 		work.Go(func() {
 			close(began)
 			answer, tokens, err := post(h.caller, "summary", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`), Size: size}, true)
-			is.NoErr(err)
-			is.Equal(answer.Outcome, outcome.Done.String())
-			is.Equal(tokens, int(size))
+			if err != nil || answer.Outcome != outcome.Done.String() || tokens != int(size) {
+				t.Errorf("request of %d tokens: %+v, %d tokens, %v", size, answer, tokens, err)
+			}
 		})
 		<-began
 	}
@@ -261,7 +261,7 @@
 // busy waits until the engine runs calls of the host.
 func (p *pair) busy(t *testing.T, h host, calls int) {
 	t.Helper()
-	for status(t, h).Pools[0].Targets[0].Inflight < calls {
+	for !t.Failed() && status(t, h).Pools[0].Targets[0].Inflight < calls {
 		time.Sleep(time.Millisecond)
 	}
 }
