Give up only attempts that are far too late

Calls that were only slow in a surge were given up and sent again, and their ends counted against their targets. Ruled out: no limit at all, which leaves silent connections to the deadline. Change: Patience is at least 3 high quantiles, or the whole time that is left; three quarters of it while nothing is measured. Conclusion: silent connections of calls with a tight deadline are left to hedges.

--- a/core/schedule/expect.go
+++ b/core/schedule/expect.go
@@ -16,9 +16,11 @@
 	// trialPause is the time without a measurement after which one call that looks too
 	// late is tried.
 	trialPause = time.Second
-	// patience is the time in high quantiles after which an attempt is given up, and
-	// leastPatience the shortest such time.
+	// patience is the time in high quantiles after which an attempt is given up,
+	// tightPatience the least such time if the deadline is near, and leastPatience the least
+	// time in all. Giving up calls that are only slow doubles the load of a surge.
 	patience      = 6
+	tightPatience = 3
 	leastPatience = 100 * time.Millisecond
 )
 
@@ -113,10 +115,10 @@
 	left := c.deadline - c.after - now
 	x := s.expect(c)
 	if x.median == 0 {
-		return left / 2
+		return left * 3 / 4
 	}
 	longest := left - x.median*5/4
-	if longest < max(s.stretch(hedgeFactor, x.high), leastPatience) {
+	if longest < max(s.stretch(tightPatience, x.high), leastPatience) {
 		return left + c.after
 	}
 	return min(max(s.stretch(patience, x.high), leastPatience), longest)
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -73,6 +73,32 @@
 	}
 }
 
+// TestPatience guards against a silent connection that uses up the deadline, and against a
+// slow call that is given up though a repeat has no better chance.
+func TestPatience(t *testing.T) {
+	for _, test := range []struct {
+		name        string
+		trained     bool
+		left        time.Duration
+		least, most time.Duration
+	}{
+		{"nothing measured", false, 4 * time.Second, 3 * time.Second, 3 * time.Second},
+		{"much time", true, time.Minute, 600 * ms, 700 * ms},
+		{"time for one repeat", true, 500 * ms, 350 * ms, 400 * ms},
+		{"no time for a repeat", true, 300 * ms, 300 * ms, 300 * ms},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s, now := newScheduler(2, 2, schedule.NewPolicy()), time.Duration(0)
+			if test.trained {
+				now = train(s, 0, 100*ms)
+			}
+			got := s.Patience(now, newCall(1, now+test.left))
+			is.True(got >= test.least && got <= test.most)
+		})
+	}
+}
+
 // TestTrial guards against a pool that refuses all work for good after a slow spell.
 func TestTrial(t *testing.T) {
 	is := is.New(t)
