Wait until a paused process has stopped in tests

Cause: TestOwnerPaused failed at a load average of 53: the host answered a request after SIGSTOP was sent, because its threads run on until one of them takes the signal. After the pause, membership makes the host join again before it serves. Ruled out: a longer pause, which depends on the machine. Change: a stop signal is waited for by the state of all threads; the test accepts joining, which is a true not-run, until the host serves again. Conclusion: the fault was in the test's assumption that a stop takes effect at once.

--- a/io/integration/command_fault_test.go
+++ b/io/integration/command_fault_test.go
@@ -113,7 +113,8 @@
 	expect(t, c.send(1, deposit(forwarded, short)), outcome.Unknown, reason.Owner)
 	c.hosts[0].signal(syscall.SIGCONT)
 	answer := c.send(0, deposit(last, 0))
-	for answer.Reason == reason.Paused.String() { // until the host has read its buffers
+	// Until the host has read its buffers and heard from the other host again.
+	for answer.Reason == reason.Paused.String() || answer.Reason == reason.Joining.String() {
 		answer = c.send(0, deposit(last, 0))
 	}
 	expect(t, answer, outcome.Done, reason.None)
--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -107,7 +108,31 @@
 	return p.command.ProcessState.ExitCode()
 }
 
-func (p *process) signal(s syscall.Signal) { _ = p.command.Process.Signal(s) }
+// signal sends the signal. A stop is waited for: on a busy machine the threads of the
+// process run on until one of them has taken the signal.
+func (p *process) signal(s syscall.Signal) {
+	_ = p.command.Process.Signal(s)
+	for s == syscall.SIGSTOP && !p.stopped() {
+		runtime.Gosched()
+	}
+}
+
+// stopped reports whether all threads of the process are stopped, or it has ended.
+func (p *process) stopped() bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", p.command.Process.Pid))
+	if err != nil {
+		return true
+	}
+	for _, thread := range threads {
+		stat, err := os.ReadFile(thread)
+		// The state follows the name of the program in parentheses.
+		_, state, found := strings.Cut(string(stat), ") ")
+		if err == nil && found && !strings.HasPrefix(state, "T") && !strings.HasPrefix(state, "Z") {
+			return false
+		}
+	}
+	return true
+}
 
 func (p *process) kill() {
 	p.signal(syscall.SIGCONT)
