Find the records of stopped owners through membership

Cause: a resend after a planned stop asked up to 8 listed hosts for the records; at 370 hosts, or after the successor stopped as well, the holder is mostly not among them and a finished command is answered as unknown. Ruled out: asking all hosts, which costs 369 calls for each resend. Change: a handover is announced as a fact of membership and the chain of successors is followed; the listed hosts stay as the fallback. Processes of integration tests end with the test binary. Before: TestSuccessors without the lookup: unknown instead of done. After: done, with the first answer. Conclusion: a resend finds the records over two stops with one call more.

--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -101,7 +101,8 @@
 	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
 	d.hosts = counters.Listen(d.hosts)
 	d.pool, d.exchanges = peer.NewPool(counters.Dial()), peer.NewPool(counters.Dial())
-	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log))
+	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log),
+		owner.WithDirectory(d.incarnation, directory{d}))
 	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
 	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
@@ -117,6 +118,24 @@
 // Directory returns what this host knows of other hosts.
 func (d *Daemon) Directory() gossip.Directory { return d.node }
 
+// directory finds other hosts through the gossip node, which is made after the owner.
+type directory struct{ daemon *Daemon }
+
+// Peer implements owner.Directory.
+func (d directory) Peer(host string) (address string, incarnation uint64, ok bool) {
+	return d.daemon.node.Peer(host)
+}
+
+// Successor implements owner.Directory.
+func (d directory) Successor(owner uint64) (h member.Handover, ok bool) {
+	return d.daemon.node.Successor(owner)
+}
+
+// HandOver implements owner.Directory.
+func (d directory) HandOver(ctx context.Context, successor uint64, host string) {
+	d.daemon.node.HandOver(ctx, successor, host)
+}
+
 // gossip connects the control goroutine to other hosts and to the platform.
 func (d *Daemon) gossip() {
 	c := d.control
--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -60,6 +60,8 @@
 		t.Fatal(err)
 	}
 	p.command.Stdout, p.command.Stderr = writer, writer
+	// Ends the process with the test, also when the test binary itself ends early.
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := p.command.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -81,6 +81,7 @@
 		err := o.give(ctx, h.Peer, records)
 		if err == nil {
 			event.Log(o.log, event.HandoverGiven, "host", h.Host, "records", len(records))
+			o.announce(ctx, h.Host)
 			return
 		}
 		event.Fail(o.log, event.HandoverFailed, err, "host", h.Host)
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -49,6 +49,10 @@
 	peers    *peer.Pool
 	metrics  *metric.Metrics
 	log      logr.Logger
+	// incarnation identifies this process in its keys and for other hosts.
+	incarnation uint64
+	// directory is nil if the host knows no other hosts but the listed ones.
+	directory Directory
 	// listed is the newest host list.
 	listed atomic.Pointer[wire.Hosts]
 	pulse  pulse
@@ -85,15 +89,16 @@
 	_, _ = rand.Read(seed[:])
 	o := &Owner{
 		host: host, clock: clock, executor: executor, views: views, peers: peers, metrics: metrics, log: logr.Discard(),
-		table:     command.NewTable(host, binary.BigEndian.Uint64(seed[:]), seed[8:]),
-		successor: command.NewSuccessor(command.DefaultInherited),
-		flights:   make(map[command.Key]*flight), idle: make(chan struct{}),
+		incarnation: binary.BigEndian.Uint64(seed[:]),
+		successor:   command.NewSuccessor(command.DefaultInherited),
+		flights:     make(map[command.Key]*flight), idle: make(chan struct{}),
 	}
 	o.listed.Store(&wire.Hosts{})
 	o.pulse.last.Store(int64(clock()))
 	for _, option := range options {
 		option(o)
 	}
+	o.table = command.NewTable(host, o.incarnation, seed[8:])
 	return o
 }
 
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -49,7 +49,7 @@
 	now   time.Duration
 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T, options ...owner.Option) *world {
 	w := &world{t: t, started: make(chan string, 8), answers: make(chan wire.Answer)}
 	d, err := document.Parse([]byte(published))
 	if err != nil {
@@ -57,7 +57,7 @@
 	}
 	views := view.NewHolder()
 	views.Publish(view.New(d, document.Version{}, nil, reason.None))
-	w.owner = owner.New("a", w.clock, w, views, peer.NewPool(), metric.New())
+	w.owner = owner.New("a", w.clock, w, views, peer.NewPool(), metric.New(), options...)
 	return w
 }
 
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -115,10 +115,16 @@
 	return o.call(ctx, listed.Peer, job, limit, grace)
 }
 
-// ask looks for the host that holds the records of a stopped owner.
+// ask looks for the host that holds the records of a stopped owner: the one that
+// membership knows of, or else one of the listed hosts.
 func (o *Owner) ask(ctx context.Context, job runner.Job, key command.Key) (answer wire.Answer, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, askLimit)
 	defer cancel()
+	if address, found := o.successorOf(key.Incarnation()); found {
+		if answer, ok := o.call(ctx, address, job, askLimit, 0); ok {
+			return answer, true
+		}
+	}
 	answers := make(chan *wire.Answer, maxAsked)
 	asked := 0
 	for _, h := range o.listed.Load().Hosts {
