--- a/core/limit/limit_test.go
+++ b/core/limit/limit_test.go
@@ -1,6 +1,8 @@
 package limit_test
 
 import (
+	"math"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
@@ -63,3 +65,29 @@
 	is.Equal(l.Slots(), 16)
 	is.Equal(l.Value(), 14)
 }
+
+// TestPart guards against hosts that together overcommit a pool, leave it idle, or keep
+// unequal parts of it: each host has unlimited work and sees only its answers.
+func TestPart(t *testing.T) {
+	const targets, slots = 10, 80
+	for _, hosts := range []int{1, 6, 24} {
+		is := is.New(t)
+		parts, own := make([]limit.Part, hosts), make([]float64, hosts)
+		own[0] = slots // the others come later
+		total := 0.0
+		for range 20_000 {
+			total = 0
+			for i := range parts {
+				total += own[i]
+			}
+			for i := range parts {
+				parts[i].Observe(own[i]/targets, total/targets)
+				own[i] = parts[i].Of(slots, targets)
+			}
+		}
+		is.True(total >= slots)
+		// A host adds 1.2 times the root of its part, and the prior less than a call.
+		is.True(total <= slots+float64(hosts)*(1+1.2*math.Sqrt(total/float64(hosts))))
+		is.True(slices.Max(own) <= 1.2*slices.Min(own))
+	}
+}
--- a/core/replay/variant.go
+++ b/core/replay/variant.go
@@ -10,8 +10,9 @@
 	name   string
 	doc    string
 	policy func(document.Preset) schedule.Policy
-	// urgent makes targets run queued short calls before long ones.
-	urgent bool
+	// plain makes targets run queued calls in the order of arrival instead of short ones
+	// before long ones.
+	plain bool
 }
 
 // Name returns the name of the variant.
@@ -41,7 +42,7 @@
 
 var variants = []Variant{
 	{Full, "all mechanisms as the preset in force sets them", func(p document.Preset) schedule.Policy { return fromPreset(p) }, false},
-	{Baseline, "round robin, first come first served, no admission control, unbounded retries", func(document.Preset) schedule.Policy { return schedule.Baseline() }, false},
+	{Baseline, "round robin, first come first served, no admission control, unbounded retries", func(document.Preset) schedule.Policy { return schedule.Baseline() }, true},
 	without("no-admit", "no admission control", schedule.WithAdmit(false)),
 	without("no-fair", "first come first served instead of queueing by share", schedule.WithFair(false)),
 	without("no-separate", "no bound on the slots of long work", schedule.WithSeparate(false, 100)),
@@ -55,7 +56,7 @@
 	{"no-hedge", "no hedges", func(p document.Preset) schedule.Policy {
 		return fromPreset(p, schedule.WithBudgets(p.Retry(), 0))
 	}, false},
-	{"priority", "full, and targets run queued short calls before long ones", func(p document.Preset) schedule.Policy { return fromPreset(p) }, true},
+	{"no-priority", "targets run queued calls in the order of arrival", func(p document.Preset) schedule.Policy { return fromPreset(p) }, true},
 }
 
 func without(name, doc string, option schedule.PolicyOption) Variant {
--- a/io/live/target.go
+++ b/io/live/target.go
@@ -28,20 +28,28 @@
 	trace *trace.Trace
 	rate  trace.Rate
 	scale float64
-	slots chan struct{}
+	slots int
 
 	mutex   sync.Mutex
 	factor  float64
 	cached  []string
 	running int
-	queued  int
+	// queue holds the waiting calls by priority, then by arrival.
+	queue []*waiter
 	// crashed ends when the target crashes; it is replaced when the target is back.
 	crashed context.Context
 	crash   context.CancelFunc
 }
 
+// waiter is a call that waits for a slot.
+type waiter struct {
+	priority int
+	// ready is closed when the call got a slot.
+	ready chan struct{}
+}
+
 func newTarget(t *trace.Trace, rate trace.Rate, slots int, scale float64) *target {
-	one := &target{trace: t, rate: rate, scale: scale, slots: make(chan struct{}, slots), factor: 1}
+	one := &target{trace: t, rate: rate, scale: scale, slots: slots, factor: 1}
 	one.restore()
 	return one
 }
@@ -70,7 +78,7 @@
 func (t *target) waiting() int {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return t.queued
+	return len(t.queue)
 }
 
 // handler returns the HTTP interface.
@@ -96,7 +104,7 @@
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(run.Deadline)*time.Millisecond)
 	defer cancel()
 	defer context.AfterFunc(crashed, cancel)()
-	started, done := t.work(ctx, t.trace.Requests()[in.Index])
+	started, done := t.work(ctx, t.trace.Requests()[in.Index], run.Priority)
 	switch {
 	case done:
 		answer(w, http.StatusOK, t.ran(run, outcome.Done))
@@ -108,19 +116,11 @@
 }
 
 // work waits for a slot, then takes the time that the request needs.
-func (t *target) work(ctx context.Context, q trace.Request) (started, done bool) {
-	t.count(0, 1)
-	select {
-	case t.slots <- struct{}{}:
-		t.count(1, -1)
-	case <-ctx.Done():
-		t.count(0, -1)
+func (t *target) work(ctx context.Context, q trace.Request, priority int) (started, done bool) {
+	if !t.acquire(ctx, priority) {
 		return false, false
 	}
-	defer func() {
-		<-t.slots
-		t.count(-1, 0)
-	}()
+	defer t.release()
 	left := t.rate.Work(q, t.hit(q.Prefix()))
 	for left > 0 {
 		slowdown := t.slowdown() * t.scale
@@ -160,17 +160,51 @@
 	return ok
 }
 
-func (t *target) count(running, queued int) {
+// acquire waits for a slot and reports whether the call got one.
+func (t *target) acquire(ctx context.Context, priority int) bool {
+	w := &waiter{priority: priority, ready: make(chan struct{})}
+	t.mutex.Lock()
+	at := len(t.queue)
+	for at > 0 && t.queue[at-1].priority < priority {
+		at--
+	}
+	t.queue = slices.Insert(t.queue, at, w)
+	t.admit()
+	t.mutex.Unlock()
+	select {
+	case <-w.ready:
+		return true
+	case <-ctx.Done():
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if i := slices.Index(t.queue, w); i >= 0 {
+		t.queue = slices.Delete(t.queue, i, i+1)
+		return false
+	}
+	return true // the slot was given in the meantime
+}
+
+// admit gives free slots to waiting calls. The mutex is held.
+func (t *target) admit() {
+	for len(t.queue) > 0 && t.running < t.slots {
+		close(t.queue[0].ready)
+		t.queue = t.queue[1:]
+		t.running++
+	}
+}
+
+func (t *target) release() {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	t.running += running
-	t.queued += queued
+	t.running--
+	t.admit()
 }
 
 func (t *target) load() wire.Load {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	return wire.Load{Running: t.running, Queued: t.queued, Slots: cap(t.slots)}
+	return wire.Load{Running: t.running, Queued: len(t.queue), Slots: t.slots}
 }
 
 func (t *target) ran(run wire.Run, o outcome.Outcome) wire.Ran {
--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -18,20 +18,38 @@
 	recordBytes = 256
 	// handoverLimit bounds one attempt to hand over to one host.
 	handoverLimit = 5 * time.Second
+	// haltLimit bounds the handover of a stop that ends before its commands do.
+	haltLimit = time.Second
 )
 
+// Close refuses commands that have not begun from now on.
+func (o *Owner) Close() {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	if !o.draining {
+		event.Log(o.log, event.CommandsClosed, "running", len(o.flights))
+	}
+	o.draining = true
+	o.settle()
+}
+
 // Drain refuses new commands, waits for running ones and hands the finished records to
 // the first live host of the list that takes them: its own, and those that it inherited.
+// If the context ends first, it hands over what is finished and returns the error of the
+// context.
 func (o *Owner) Drain(ctx context.Context) (err error) {
 	defer func() { err = Error.Wrap(err) }()
-	o.mutex.Lock()
-	o.draining = true
-	o.settle()
-	o.mutex.Unlock()
+	o.Close()
 	select {
 	case <-o.idle:
 	case <-ctx.Done():
-		return ctx.Err()
+	}
+	if ctx.Err() != nil {
+		// Commands that still run are cut off; the successor answers them as unknown.
+		err = o.busy(ctx.Err())
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), haltLimit)
+		defer cancel()
 	}
 	o.mutex.Lock()
 	now := o.clock()
@@ -40,7 +58,17 @@
 	if len(records) > 0 {
 		o.handover(ctx, records)
 	}
-	return nil
+	return err
+}
+
+// busy returns the error if a command still runs.
+func (o *Owner) busy(err error) error {
+	select {
+	case <-o.idle:
+		return nil
+	default:
+		return err
+	}
 }
 
 // handover gives the records to the first host that takes them. Without one, resends are
