Tell all hosts of requests that crash targets

Cause: each host counted crashes of a fingerprint alone, so a caller that resends through every host took down two targets at each of them. Ruled out: epochs for cleared suspects as a second model beside the counts of core/suspect; both are now numbers that only grow and merge by maximum. Change: facts of core/suspect spread as membership facts with the incarnation as origin; pools learn them when they change; event 1701 names a refused fingerprint; stand-ins can break off poisoned calls. Before: TestSuspect without the learning fails: the second host answers failed after two more crashes. After: 2 crashes in all for 7 sends through 3 hosts, other requests are served. Conclusion: once told, a fingerprint costs two targets in the fleet; before the facts arrive, each host that gets the request can add two more.

--- a/core/member/fact.go
+++ b/core/member/fact.go
@@ -120,28 +120,29 @@
 	return hash(l.Address, l.Version)
 }
 
-// Crash is the fact that a host saw targets crash while they ran a request. The crashes
-// of a fingerprint are summed over the hosts that have its highest epoch.
+// Crash is the fact that a host saw targets crash while they ran a request, and how many
+// of the crashes a later completed run of the request excused.
 type Crash struct {
 	Fingerprint uint64
-	// Observer is the incarnation of the host; only it raises the count.
+	// Observer is the incarnation of the host that saw the crashes; only it raises their
+	// number. Any host may raise Cleared up to it.
 	Observer uint64
-	// Epoch is raised to clear a fingerprint that completed.
-	Epoch uint64
-	Count uint64
-	Life  time.Duration
+	Crashes  uint64
+	Cleared  uint64
+	Life     time.Duration
 }
 
-// Merge returns the fact that holds when both are known.
+// Merge returns the fact that holds when both are known. Both numbers only grow.
 func (c Crash) Merge(o Crash) Crash {
-	return pick(cmp.Or(cmp.Compare(c.Epoch, o.Epoch), cmp.Compare(c.Count, o.Count)), c, o, c.Life, o.Life)
+	c.Crashes, c.Cleared, c.Life = max(c.Crashes, o.Crashes), max(c.Cleared, o.Cleared), max(c.Life, o.Life)
+	return c
 }
 
 func (c Crash) key() string                       { return fmt.Sprintf("%016x%016x", c.Fingerprint, c.Observer) }
 func (c Crash) life() time.Duration               { return crashLife }
 func (c Crash) left() time.Duration               { return c.Life }
 func (c Crash) withLeft(life time.Duration) Crash { c.Life = life; return c }
-func (c Crash) sum() uint64                       { return hash("", c.Fingerprint, c.Observer, c.Epoch, c.Count) }
+func (c Crash) sum() uint64                       { return hash("", c.Fingerprint, c.Observer, c.Crashes, c.Cleared) }
 
 // Handover is the fact that a host passed the finished records of one incarnation on.
 type Handover struct {
--- a/core/member/merge_test.go
+++ b/core/member/merge_test.go
@@ -28,7 +28,7 @@
 }
 
 func drawCrash(t *rapid.T) member.Crash {
-	return member.Crash{Fingerprint: 1, Observer: 2, Epoch: small(t, "epoch"), Count: small(t, "count"), Life: life(t)}
+	return member.Crash{Fingerprint: 1, Observer: 2, Crashes: small(t, "crashes"), Cleared: small(t, "cleared"), Life: life(t)}
 }
 
 func drawHandover(t *rapid.T) member.Handover {
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -205,47 +205,13 @@
 	return s.handovers.take(s.now, -1, func(*row[Handover]) bool { return true })
 }
 
-// Crashes returns how many crashes the fingerprint caused at all hosts.
-func (s *State) Crashes() map[uint64]uint64 {
-	counts, epochs := make(map[uint64]uint64), make(map[uint64]uint64)
-	for _, r := range s.crashes.rows.All() {
-		f := r.fact
-		if f.Epoch > epochs[f.Fingerprint] {
-			epochs[f.Fingerprint], counts[f.Fingerprint] = f.Epoch, 0
-		}
-		if f.Epoch == epochs[f.Fingerprint] {
-			counts[f.Fingerprint] += f.Count
-		}
-	}
-	return counts
+// Crashes returns what all hosts saw of crash suspects, by fingerprint.
+func (s *State) Crashes() []Crash {
+	return s.crashes.take(s.now, -1, func(*row[Crash]) bool { return true })
 }
 
-// Crashed tells all hosts of a crash that the fingerprint may have caused.
-func (s *State) Crashed(now time.Duration, fingerprint uint64) {
-	own, _ := s.crashes.get(Crash{Fingerprint: fingerprint, Observer: s.self.Incarnation}.key())
-	epoch := s.epoch(fingerprint)
-	if own.Epoch < epoch {
-		own.Count = 0
-	}
-	putIn(s, now, s.crashes, Crash{Fingerprint: fingerprint, Observer: s.self.Incarnation, Epoch: epoch, Count: own.Count + 1}, false)
-}
-
-// Cleared tells all hosts that a suspect completed, if there are crashes of it.
-func (s *State) Cleared(now time.Duration, fingerprint uint64) {
-	if s.Crashes()[fingerprint] == 0 {
-		return
-	}
-	putIn(s, now, s.crashes, Crash{Fingerprint: fingerprint, Observer: s.self.Incarnation, Epoch: s.epoch(fingerprint) + 1}, false)
-}
-
-func (s *State) epoch(fingerprint uint64) (epoch uint64) {
-	for _, r := range s.crashes.rows.All() {
-		if r.fact.Fingerprint == fingerprint {
-			epoch = max(epoch, r.fact.Epoch)
-		}
-	}
-	return epoch
-}
+// Crash tells all hosts what one of them saw of a crash suspect.
+func (s *State) Crash(now time.Duration, c Crash) { putIn(s, now, s.crashes, c, false) }
 
 // HandOver tells all hosts which host answers from the records of this one.
 func (s *State) HandOver(now time.Duration, successor uint64, host string) {
--- a/core/member/state_test.go
+++ b/core/member/state_test.go
@@ -265,19 +265,33 @@
 	is.True(reads > 23*5 && reads < 23*12) // about one read per host and minute
 }
 
+// net returns how many crashes of a fingerprint no completed run has excused.
+func net(n *node, fingerprint uint64) (count uint64) {
+	for _, c := range n.Crashes() {
+		if c.Fingerprint == fingerprint {
+			count += c.Crashes - c.Cleared
+		}
+	}
+	return count
+}
+
 // TestCrashes guards against lost counts when two hosts see crashes at the same time, and
 // against a cleared suspect that stays one.
 func TestCrashes(t *testing.T) {
 	is := is.New(t)
 	w := newWorld(11, 6)
 	is.True(w.run(time.Minute, w.settled))
-	w.nodes[0].Crashed(w.now, 7)
-	w.nodes[1].Crashed(w.now, 7)
-	is.True(w.run(time.Second, func() bool { return w.all(func(n *node) bool { return n.Crashes()[7] == 2 }) }))
-	w.nodes[2].Cleared(w.now, 7)
-	is.True(w.run(time.Second, func() bool { return w.all(func(n *node) bool { return n.Crashes()[7] == 0 }) }))
-	w.nodes[0].Crashed(w.now, 7)
-	is.True(w.run(time.Second, func() bool { return w.all(func(n *node) bool { return n.Crashes()[7] == 1 }) }))
+	all := func(count uint64) func() bool {
+		return func() bool { return w.all(func(n *node) bool { return net(n, 7) == count }) }
+	}
+	w.nodes[0].Crash(w.now, member.Crash{Fingerprint: 7, Observer: 1, Crashes: 1})
+	w.nodes[1].Crash(w.now, member.Crash{Fingerprint: 7, Observer: 2, Crashes: 1})
+	is.True(w.run(time.Second, all(2)))
+	w.nodes[2].Crash(w.now, member.Crash{Fingerprint: 7, Observer: 1, Crashes: 1, Cleared: 1})
+	w.nodes[2].Crash(w.now, member.Crash{Fingerprint: 7, Observer: 2, Crashes: 1, Cleared: 1})
+	is.True(w.run(time.Second, all(0)))
+	w.nodes[0].Crash(w.now, member.Crash{Fingerprint: 7, Observer: 1, Crashes: 2})
+	is.True(w.run(time.Second, all(1)))
 	is.True(w.run(15*time.Minute, func() bool { return w.all(func(n *node) bool { return len(n.Crashes()) == 0 }) }))
 }
 
@@ -304,9 +318,9 @@
 	w := newWorld(13, 6)
 	is.True(w.run(time.Minute, w.settled))
 	w.cut = func(from, to *node) bool { return from == w.nodes[5] || to == w.nodes[5] }
-	w.nodes[0].Crashed(w.now, 1)
+	w.nodes[0].Crash(w.now, member.Crash{Fingerprint: 1, Observer: 1, Crashes: 1})
 	w.run(4*time.Second, never)
 	w.nodes[0].Tick(w.now)
 	w.cut = func(*node, *node) bool { return false }
-	is.True(w.run(30*time.Second, func() bool { return w.nodes[5].Crashes()[1] == 1 }))
+	is.True(w.run(30*time.Second, func() bool { return net(w.nodes[5], 1) == 1 }))
 }
--- a/core/member/store.go
+++ b/core/member/store.go
@@ -71,6 +71,9 @@
 		}
 		return false
 	}
+	if ok {
+		f = old.fact.Merge(f)
+	}
 	next := &row[F]{fact: f, since: now, until: until, sends: s.sends, urgent: !bulk}
 	if bulk {
 		next.sends = 1
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// refuseAt is the number of crashes from which a fingerprint is refused.
-	refuseAt = 2
+	// RefuseAt is the number of crashes from which a fingerprint is refused.
+	RefuseAt = 2
 	// life is how long a fingerprint is remembered after its last crash or refusal. A
 	// caller that keeps sending the request keeps it refused.
 	life = time.Hour
@@ -86,7 +86,7 @@
 		return Clear
 	}
 	switch n := r.crashes(); {
-	case n >= refuseAt:
+	case n >= RefuseAt:
 		r.used = now
 		return Refused
 	case n > 0:
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -37,6 +37,8 @@
 	metrics *metric.Metrics
 	orders  *order.Giver
 	owner   *owner.Owner
+	// suspects passes crash suspects between pools and other hosts.
+	suspects *suspects
 	// running returns the number of running requests.
 	running func() int
 	// events carries changes to the goroutine; each runs on it.
@@ -75,6 +77,9 @@
 		select {
 		case change := <-c.events:
 			change()
+		case f := <-c.suspects.told:
+			c.tellSuspect(f)
+			c.settle()
 		case <-ticker.C:
 			c.gates.tick()
 			c.owner.Tick()
@@ -139,6 +144,7 @@
 		return
 	}
 	c.note()
+	c.learnSuspects()
 	c.owner.SetHosts(c.entries())
 	leaving, givers := c.members.Leavings(), c.giving()
 	if !slices.Equal(leaving, c.leaving) || !slices.Equal(givers, c.givers) {
@@ -231,6 +237,8 @@
 		leaving[a] = true
 	}
 	c.gates.configure(c.document, leaving)
+	c.suspects.known = nil // pools that are new know no suspects
+	c.learnSuspects()
 	if c.serving {
 		c.orders.Configure(c.document, c.version, c.givers)
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"github.com/zeebo/errs"
 
 	"sassafrasward/core/member"
-	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/front"
 	"sassafrasward/io/gossip"
@@ -51,8 +50,6 @@
 	start     time.Time
 	// incarnation identifies this process among all processes of all hosts.
 	incarnation uint64
-	// tell gets facts about crash suspects for other hosts; nil if they are not told.
-	tell func(suspect.Fact)
 	// linger is how long a draining host still takes requests.
 	linger time.Duration
 	// halted ends when a planned stop is to end at once.
@@ -74,12 +71,6 @@
 // lifetime of an address answer after all other hosts know of the drain.
 func WithLinger(d time.Duration) Option { return func(one *Daemon) { one.linger = d } }
 
-// WithSuspects sets a function that tells other hosts of crash suspects. It must not block.
-func WithSuspects(tell func(suspect.Fact)) Option { return func(one *Daemon) { one.tell = tell } }
-
-// LearnSuspect takes what another host tells of a crash suspect.
-func (d *Daemon) LearnSuspect(f suspect.Fact) { d.gates.learn(f) }
-
 // New opens the listeners of a host and returns its daemon.
 func New(settings setting.Settings, log logr.Logger, options ...Option) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
@@ -88,7 +79,8 @@
 	for _, o := range options {
 		o(d)
 	}
-	d.gates = newGates(d.clock, settings.Host(), settings.Zone(), d.tell)
+	known := newSuspects(d.incarnation, d.metrics.Counter("suspect.dropped"))
+	d.gates = newGates(d.clock, settings.Zone(), known)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
 	run := &gauge{Executor: runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)}
@@ -107,6 +99,7 @@
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
 	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
 	d.control = newControl(self, d.clock, log, d.views, d.gates, d.metrics, d.owner, d.orders, run.count)
+	d.control.suspects = known
 	d.gossip()
 	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner), front.WithLog(log))
 	return d, nil
--- a/io/daemon/gates.go
+++ b/io/daemon/gates.go
@@ -1,7 +1,6 @@
 package daemon
 
 import (
-	"fmt"
 	"maps"
 	"math/rand/v2"
 	"slices"
@@ -18,15 +17,10 @@
 // gates is the set of pools of the configuration in force. The control goroutine replaces
 // it as a whole; traffic goroutines read it without waiting.
 type gates struct {
-	clock func() time.Duration
-	zone  string
-	// origin names this process in facts about crash suspects. Counts start again with
-	// each process, so the name of the host alone would hide crashes after a restart.
-	origin string
-	// tell gets each fact about a crash suspect that other hosts are to learn; nil if they
-	// are not told. It must not block.
-	tell    func(suspect.Fact)
-	current atomic.Pointer[pools]
+	clock    func() time.Duration
+	zone     string
+	suspects *suspects
+	current  atomic.Pointer[pools]
 }
 
 // pools does not change once published. Gates of pools that stay are kept, with their
@@ -36,8 +30,8 @@
 	addresses map[string]string
 }
 
-func newGates(clock func() time.Duration, host, zone string, tell func(suspect.Fact)) *gates {
-	g := &gates{clock: clock, zone: zone, origin: fmt.Sprintf("%s.%x", host, rand.Uint64()), tell: tell}
+func newGates(clock func() time.Duration, zone string, known *suspects) *gates {
+	g := &gates{clock: clock, zone: zone, suspects: known}
 	g.current.Store(&pools{})
 	return g
 }
@@ -65,7 +59,7 @@
 		one, ok := old.gates[p.Name()]
 		if !ok {
 			one = gate.New(g.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-				schedule.WithPolicy(policyOf(d.Preset())), schedule.WithZone(g.zone), schedule.WithSuspects(suspect.New(g.origin, g.tell)))
+				schedule.WithPolicy(policyOf(d.Preset())), schedule.WithZone(g.zone), schedule.WithSuspects(g.suspects.table()))
 		}
 		one.SetShares(shares)
 		one.SetPolicy(policyOf(d.Preset()))
--- /dev/null
+++ b/io/daemon/suspect.go
@@ -0,0 +1,96 @@
+package daemon
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/rcrowley/go-metrics"
+
+	"sassafrasward/core/member"
+	"sassafrasward/core/suspect"
+	"sassafrasward/io/event"
+)
+
+// toldBound is the number of facts about crash suspects that may wait for the control
+// goroutine. Beyond it facts are dropped and counted: traffic must not wait.
+const toldBound = 256
+
+// suspects passes facts about crash suspects between the pools of this host and other
+// hosts.
+type suspects struct {
+	// origin is the incarnation of this process in facts. Counts start again with each
+	// process, so that those of the last one stay true.
+	origin string
+	// told has facts of this host for others.
+	told    chan suspect.Fact
+	dropped metrics.Counter
+	// known holds the facts of all hosts as last learned.
+	known []member.Crash
+	// refused holds the fingerprints that were logged as refused.
+	refused map[uint64]bool
+}
+
+func newSuspects(incarnation uint64, dropped metrics.Counter) *suspects {
+	return &suspects{
+		origin: strconv.FormatUint(incarnation, 16), told: make(chan suspect.Fact, toldBound),
+		dropped: dropped, refused: make(map[uint64]bool),
+	}
+}
+
+// table returns the table of crash suspects of one pool.
+func (s *suspects) table() *suspect.Table { return suspect.New(s.origin, s.tell) }
+
+// tell queues a fact for other hosts. It is called by traffic under the mutex of a gate.
+func (s *suspects) tell(f suspect.Fact) {
+	select {
+	case s.told <- f:
+	default:
+		s.dropped.Inc(1)
+	}
+}
+
+// tellSuspect passes a fact of this host on to all others.
+func (c *control) tellSuspect(f suspect.Fact) {
+	observer, err := strconv.ParseUint(f.Origin(), 16, 64)
+	if err != nil {
+		return
+	}
+	c.members.Crash(c.clock(), member.Crash{
+		Fingerprint: f.Fingerprint(), Observer: observer,
+		Crashes: uint64(f.Crashes()), Cleared: uint64(f.Cleared()),
+	})
+	c.node.Tick()
+}
+
+// learnSuspects gives the facts of all hosts to the pools if they have changed.
+func (c *control) learnSuspects() {
+	crashes := slices.Clone(c.node.Snapshot().Crashes())
+	for i := range crashes {
+		crashes[i].Life = 0
+	}
+	if slices.Equal(crashes, c.suspects.known) {
+		return
+	}
+	c.suspects.known = crashes
+	net := make(map[uint64]uint64)
+	for _, crash := range crashes {
+		c.gates.learn(suspect.NewFact(crash.Fingerprint, strconv.FormatUint(crash.Observer, 16), int(crash.Crashes), int(crash.Cleared)))
+		net[crash.Fingerprint] += crash.Crashes - min(crash.Cleared, crash.Crashes)
+	}
+	c.noteRefused(net)
+}
+
+// noteRefused logs fingerprints from the crash on that makes all hosts refuse them.
+func (c *control) noteRefused(net map[uint64]uint64) {
+	refused := make(map[uint64]bool)
+	for fingerprint, crashes := range net {
+		if crashes < suspect.RefuseAt {
+			continue
+		}
+		refused[fingerprint] = true
+		if !c.suspects.refused[fingerprint] {
+			event.Log(c.log, event.SuspectRefused, "fingerprint", strconv.FormatUint(fingerprint, 16), "crashes", crashes)
+		}
+	}
+	c.suspects.refused = refused
+}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -48,6 +48,7 @@
 	HandoverFailed  = register(1402, 0, "handover failed", "A host did not take the command records; the next listed host is tried. Without a successor, resends of finished commands are answered as unknown.")
 	HandoverTaken   = register(1403, 0, "command records taken", "This host answers resends of the commands of a stopped host.")
 	CommandsClosed  = register(1404, 0, "commands refused", "A planned stop reached the point from which this host begins no commands; running ones end.")
+	SuspectRefused  = register(1701, 0, "request crashes targets", "The request with this fingerprint broke several targets that ran it; all hosts refuse it as suspect. Find it by its pipeline and workspace in the callers' logs.")
 	OrderGiven      = register(1501, 0, "order given", "An engine took a model order.")
 	OrderLate       = register(1502, 0, "late order found", "An engine holds an order with an older fencing token than it held before; it is given the newer order again.")
 	OrderFenced     = register(1503, 0, "order refused", "An engine refused an order for its older fencing token; this host has yet to learn of a newer configuration.")
--- a/io/gossip/codec.go
+++ b/io/gossip/codec.go
@@ -28,7 +28,7 @@
 		m.Leavings = append(m.Leavings, &message.Leaving{Address: f.Address, Version: f.Version, Leaves: f.Leaves, Life: encodeLife(f.Life)})
 	}
 	for _, f := range p.Crashes {
-		m.Crashes = append(m.Crashes, &message.Crash{Fingerprint: f.Fingerprint, Observer: f.Observer, Epoch: f.Epoch, Count: f.Count, Life: encodeLife(f.Life)})
+		m.Crashes = append(m.Crashes, &message.Crash{Fingerprint: f.Fingerprint, Observer: f.Observer, Crashes: f.Crashes, Cleared: f.Cleared, Life: encodeLife(f.Life)})
 	}
 	for _, f := range p.Handovers {
 		m.Handovers = append(m.Handovers, &message.Handover{Owner: f.Owner, Successor: f.Successor, Host: f.Host, Life: encodeLife(f.Life)})
@@ -67,7 +67,7 @@
 		p.Leavings = append(p.Leavings, member.Leaving{Address: f.GetAddress(), Version: f.GetVersion(), Leaves: f.GetLeaves(), Life: decodeLife(f.GetLife())})
 	}
 	for _, f := range m.GetCrashes() {
-		p.Crashes = append(p.Crashes, member.Crash{Fingerprint: f.GetFingerprint(), Observer: f.GetObserver(), Epoch: f.GetEpoch(), Count: f.GetCount(), Life: decodeLife(f.GetLife())})
+		p.Crashes = append(p.Crashes, member.Crash{Fingerprint: f.GetFingerprint(), Observer: f.GetObserver(), Crashes: f.GetCrashes(), Cleared: f.GetCleared(), Life: decodeLife(f.GetLife())})
 	}
 	for _, f := range m.GetHandovers() {
 		p.Handovers = append(p.Handovers, member.Handover{Owner: f.GetOwner(), Successor: f.GetSuccessor(), Host: f.GetHost(), Life: decodeLife(f.GetLife())})
--- a/io/gossip/snapshot.go
+++ b/io/gossip/snapshot.go
@@ -18,12 +18,6 @@
 	Successor(owner uint64) (h member.Handover, ok bool)
 	// HandOver tells all hosts which process answers from the records of this host.
 	HandOver(ctx context.Context, successor uint64, host string)
-	// Crashes returns how many target crashes a fingerprint caused at all hosts.
-	Crashes(fingerprint uint64) uint64
-	// Crashed tells all hosts of a crash that the fingerprint may have caused.
-	Crashed(ctx context.Context, fingerprint uint64)
-	// Cleared tells all hosts that a suspect completed.
-	Cleared(ctx context.Context, fingerprint uint64)
 }
 
 var _ Directory = (*Node)(nil)
@@ -34,7 +28,7 @@
 	leavings  []string
 	peers     map[string]member.Peer
 	handovers map[uint64]member.Handover
-	crashes   map[uint64]uint64
+	crashes   []member.Crash
 }
 
 // Member is a member with its load level.
@@ -49,6 +43,9 @@
 // Leavings returns the addresses of leaving machines.
 func (s *Snapshot) Leavings() []string { return s.leavings }
 
+// Crashes returns what all hosts saw of crash suspects.
+func (s *Snapshot) Crashes() []member.Crash { return s.crashes }
+
 // Snapshot returns the newest snapshot.
 func (n *Node) Snapshot() *Snapshot { return n.current.Load() }
 
@@ -81,24 +78,11 @@
 	return h, ok
 }
 
-// Crashes implements Directory.
-func (n *Node) Crashes(fingerprint uint64) uint64 { return n.Snapshot().crashes[fingerprint] }
-
 // HandOver implements Directory.
 func (n *Node) HandOver(ctx context.Context, successor uint64, host string) {
 	n.change(ctx, func(now time.Duration) { n.state.HandOver(now, successor, host) })
 }
 
-// Crashed implements Directory.
-func (n *Node) Crashed(ctx context.Context, fingerprint uint64) {
-	n.change(ctx, func(now time.Duration) { n.state.Crashed(now, fingerprint) })
-}
-
-// Cleared implements Directory.
-func (n *Node) Cleared(ctx context.Context, fingerprint uint64) {
-	n.change(ctx, func(now time.Duration) { n.state.Cleared(now, fingerprint) })
-}
-
 // change runs a change on the owner, passes its facts to all neighbours and publishes
 // the result before it returns.
 func (n *Node) change(ctx context.Context, change func(now time.Duration)) {
--- a/io/integration/fleet_test.go
+++ b/io/integration/fleet_test.go
@@ -90,11 +90,14 @@
 	return f
 }
 
+// poison in an input makes the targets of a fleet crash.
+const poison = "poison"
+
 // zone returns the availability zone of the host with the given index.
 func zone(i int) string { return string(rune('a' + i%3)) }
 
 func (f *fleet) addTarget(name, pool string) {
-	target := standin.NewTarget(name, standin.WithPace(2*time.Millisecond, 0))
+	target := standin.NewTarget(name, standin.WithPace(2*time.Millisecond, 0), standin.WithPoison(poison))
 	server := httptest.NewServer(target.Handler())
 	f.t.Cleanup(func() {
 		server.CloseClientConnections()
--- /dev/null
+++ b/io/integration/suspect_test.go
@@ -0,0 +1,46 @@
+package integration_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/outcome"
+	"sassafrasward/core/reason"
+	"sassafrasward/core/suspect"
+	"sassafrasward/io/wire"
+)
+
+// TestSuspect guards against a caller that takes down a target with each send of a request
+// that crashes targets, through one host after the other: once the hosts are told, none of
+// them runs it again, while other requests are served.
+func TestSuspect(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 3)
+	c := f.raw(time.Minute)
+	bad := wire.Request{Workspace: "thun", Input: json.RawMessage(`"` + poison + `"`)}
+	answer, err := c.send(context.Background(), c.hosts[0], "summary", bad)
+	is.NoErr(err)
+	is.Equal(answer.Outcome, outcome.Failed.String())
+	for _, h := range f.hosts {
+		h.line(`"event":1701`)
+	}
+	for range 2 {
+		for i := range c.hosts {
+			answer, err = c.send(context.Background(), c.hosts[i], "summary", bad)
+			is.NoErr(err)
+			is.Equal(answer.Reason, reason.Suspect.String())
+			is.Equal(answer.Outcome, outcome.NotRun.String())
+		}
+	}
+	is.Equal(len(f.ledger()), suspect.RefuseAt)
+	for i := range c.hosts {
+		good := wire.Request{Workspace: "thun", Input: json.RawMessage(`"good"`)}
+		answer, err = c.send(context.Background(), c.hosts[i], "summary", good)
+		is.NoErr(err)
+		is.Equal(answer.Outcome, outcome.Done.String())
+	}
+}
--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,6 +42,9 @@
 	// fencing makes the target refuse orders with an old fencing token.
 	fencing bool
 
+	// poison breaks off calls whose input has it; empty for none.
+	poison string
+
 	mutex sync.Mutex
 	// cancels ends the attempts that wait or run.
 	cancels map[string]context.CancelFunc
@@ -76,6 +80,10 @@
 // WithFencing makes the target check fencing tokens.
 func WithFencing(fencing bool) TargetOption { return func(t *Target) { t.fencing = fencing } }
 
+// WithPoison makes the target break off each call whose input has the text, as a target
+// does that crashes.
+func WithPoison(text string) TargetOption { return func(t *Target) { t.poison = text } }
+
 // NewTarget returns a stand-in with 8 slots that answers at once.
 func NewTarget(name string, options ...TargetOption) *Target {
 	t := &Target{name: name, slots: make(chan struct{}, 8), first: make(map[string]*firstRun), cancels: make(map[string]context.CancelFunc)}
@@ -166,6 +174,9 @@
 // work takes the time of the call and answers it, token by token if asked to.
 func (t *Target) work(ctx context.Context, w http.ResponseWriter, run wire.Run) {
 	at := t.record(run)
+	if t.poison != "" && bytes.Contains(run.Input, []byte(t.poison)) {
+		panic(http.ErrAbortHandler)
+	}
 	if !sleep(ctx, t.base) {
 		return
 	}
