--- a/io/owner/directory_test.go
+++ b/io/owner/directory_test.go
@@ -55,7 +55,9 @@
 	go server.Serve(listener, done)
 	t.Cleanup(func() {
 		server.Stop()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	})
 	f.peers[host] = listener.Addr().String()
 	return wire.Listed{Host: host, Peer: f.peers[host], Kind: wire.KindEntry, State: wire.StateLive}
