Measure the merged system and give the cost of each role

Conclusion: at the two-year size streams cost 3.3% of a core per host, more than requests (0.5%) and control (0.8%).

--- a/io/daemon/bench_test.go
+++ b/io/daemon/bench_test.go
@@ -139,7 +139,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			d, err := daemon.New(s, logr.Discard())
+			d, err := daemon.New(s, logr.Discard(), daemon.WithLinger(0))
 			if err != nil {
 				b.Fatal(err)
 			}
@@ -285,3 +285,30 @@
 		})
 	}
 }
+
+// BenchmarkTokens streams answers of 1,000 tokens through a daemon process: CPU time per
+// token, which at the two-year size costs more than the requests themselves.
+func BenchmarkTokens(b *testing.B) {
+	const tokens = 1_000
+	p := startProcess(b, newStage(b))
+	client := caller.New([]string{p.address})
+	request := wire.Request{Workspace: "thun", Input: json.RawMessage(`{"text":"x"}`), Size: tokens}
+	one := func() error {
+		got := 0
+		_, err := client.Call(context.Background(), "single", request, func(wire.Token) { got++ })
+		if err == nil && got != tokens {
+			return fmt.Errorf("%d tokens", got)
+		}
+		return err
+	}
+	await(b, one)
+	before := p.cpu(b)
+	for b.Loop() {
+		if err := one(); err != nil {
+			b.Fatal(err)
+		}
+	}
+	used := p.cpu(b) - before
+	b.ReportMetric(float64(used.Microseconds())/float64(b.N)/tokens, "cpu-µs/token")
+	b.ReportMetric(float64(b.N)*tokens/b.Elapsed().Seconds(), "tokens/s")
+}
