Share the list of mistakes between the three parsers

Cause: documents, settings and traces each had the same list type with the same Error method. Ruled out: one mistake type for all; their fields differ, and only the list is the same. Change: core/mistake with a generic List; the three types are names for it. After: one place; the tests of the three packages and of the command line pass. Conclusion: no change of behaviour.

--- a/core/document/document.go
+++ b/core/document/document.go
@@ -8,6 +8,7 @@
 	"github.com/zeebo/errs"
 	"gopkg.in/ini.v1"
 
+	"sassafrasward/core/mistake"
 	"sassafrasward/core/table"
 )
 
@@ -51,16 +52,7 @@
 }
 
 // Mistakes is the error that Parse returns for a document with mistakes.
-type Mistakes []Mistake
-
-// Error returns all mistakes, one a line.
-func (m Mistakes) Error() string {
-	lines := make([]string, len(m))
-	for i, one := range m {
-		lines[i] = one.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Mistakes = mistake.List[Mistake]
 
 // Document is an accepted configuration. It does not change after Parse.
 type Document struct {
--- a/core/trace/parse.go
+++ b/core/trace/parse.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"sassafrasward/core/document"
+	"sassafrasward/core/mistake"
 )
 
 // Error is the class of all errors of this package.
@@ -46,16 +47,7 @@
 }
 
 // Mistakes is the error that Parse returns for a trace with mistakes.
-type Mistakes []Mistake
-
-// Error returns all mistakes, one a line.
-func (m Mistakes) Error() string {
-	lines := make([]string, len(m))
-	for i, one := range m {
-		lines[i] = one.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Mistakes = mistake.List[Mistake]
 
 // draft is a trace while it is read.
 type draft struct {
--- a/io/setting/parse.go
+++ b/io/setting/parse.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 
 	"gopkg.in/ini.v1"
+
+	"sassafrasward/core/mistake"
 )
 
 // Mistake is one thing that is wrong with a settings file.
@@ -34,16 +35,7 @@
 }
 
 // Mistakes is the error that Load and Parse return for a file with mistakes.
-type Mistakes []Mistake
-
-// Error returns all mistakes, one a line.
-func (m Mistakes) Error() string {
-	lines := make([]string, len(m))
-	for i, one := range m {
-		lines[i] = one.String()
-	}
-	return strings.Join(lines, "\n")
-}
+type Mistakes = mistake.List[Mistake]
 
 // options make the INI reader keep duplicate sections and keys apart, so that they are
 // found instead of merged.
