Tell targets that crash from connections that break

Cause: the fault schedules showed idempotent requests refused as suspect after two cuts of the network. Each broken connection counted as a crash, all hosts refused the request, and each further send prolonged that by an hour; a request that many callers send would not have run again. Ruled out: a higher number of crashes before the refusal, which costs targets for requests that do crash them. Change: after a break the host asks the target for its report on a new connection; an answer makes it a broken connection, which weighs half. The refusal lasts ten minutes from the last crash. The fault schedules also cut, silence and refuse connections of callers and between hosts. Conclusion: a cut network alone no longer refuses a request; a cut and an unreachable target together still look like a crash, for ten minutes.

--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -89,8 +89,12 @@
 	Busy // busy
 	// Rejected means that the target reported a failure of the work.
 	Rejected // rejected
-	// Crashed means that the connection broke while the call ran.
+	// Crashed means that the connection broke while the call ran and that the target cannot
+	// be reached since.
 	Crashed // crashed
+	// Broken means that the connection broke while the call ran, and that the target answers
+	// on a new one.
+	Broken // broken
 	// Silent means that the target did not answer in time.
 	Silent // silent
 	// Unreached means that no connection could be opened, so that nothing was sent.
--- a/core/schedule/result_string.go
+++ b/core/schedule/result_string.go
@@ -12,15 +12,16 @@
 	_ = x[Busy-1]
 	_ = x[Rejected-2]
 	_ = x[Crashed-3]
-	_ = x[Silent-4]
-	_ = x[Unreached-5]
-	_ = x[Crossed-6]
-	_ = x[Cancelled-7]
+	_ = x[Broken-4]
+	_ = x[Silent-5]
+	_ = x[Unreached-6]
+	_ = x[Crossed-7]
+	_ = x[Cancelled-8]
 }
 
-const _End_name = "completedbusyrejectedcrashedsilentunreachedcrossedcancelled"
+const _End_name = "completedbusyrejectedcrashedbrokensilentunreachedcrossedcancelled"
 
-var _End_index = [...]uint8{0, 9, 13, 21, 28, 34, 43, 50, 59}
+var _End_index = [...]uint8{0, 9, 13, 21, 28, 34, 40, 49, 56, 65}
 
 func (i End) String() string {
 	idx := int(i) - 0
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -125,6 +125,11 @@
 		if fingerprint != 0 {
 			s.suspects.Crash(now, fingerprint)
 		}
+	case Broken:
+		r.state.pace.Fail(now, r.probe)
+		if fingerprint != 0 {
+			s.suspects.Break(now, fingerprint)
+		}
 	case Unreached, Crossed:
 		r.state.pace.Fail(now, r.probe)
 	case Silent:
--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -19,11 +19,18 @@
 )
 
 const (
-	// RefuseAt is the number of crashes from which a fingerprint is refused.
-	RefuseAt = 2
-	// life is how long a fingerprint is remembered after its last crash or refusal. A
-	// caller that keeps sending the request keeps it refused.
-	life = time.Hour
+	// RefuseAt is the evidence from which a fingerprint is refused: two crashes, or four
+	// broken connections without a completed run between them.
+	RefuseAt = 4
+	// crashEvidence and breakEvidence are what a crash and a broken connection add. A cut
+	// network breaks connections as well, and with one weight for both, two cuts refused an
+	// innocent request for an hour.
+	crashEvidence = 2
+	breakEvidence = 1
+	// life is how long a fingerprint is remembered after its last crash. Refusals do not
+	// prolong it: a request that many callers send would otherwise never be tried again
+	// after two targets went down for another reason.
+	life = 10 * time.Minute
 	// bound limits the fingerprints; the one that was used least recently is dropped.
 	bound = 4_096
 )
@@ -47,10 +54,10 @@
 // Origin returns the host that saw the crashes.
 func (f Fact) Origin() string { return f.origin }
 
-// Crashes returns the crashes that the origin saw.
+// Crashes returns the evidence of crashes that the origin saw.
 func (f Fact) Crashes() int { return f.crashes }
 
-// Cleared returns how many of the crashes a later completed run excused.
+// Cleared returns how much of the evidence a later completed run excused.
 func (f Fact) Cleared() int { return f.cleared }
 
 // Table holds the suspects known to one host. It is not safe for concurrent use.
@@ -66,7 +73,7 @@
 	used    time.Duration
 }
 
-// count holds the crashes of one origin; cleared is at most crashes.
+// count holds the evidence of one origin; cleared is at most crashes.
 type count struct{ crashes, cleared int }
 
 // New returns an empty table of the host self. The function tell gets each fact that is
@@ -87,7 +94,6 @@
 	}
 	switch n := r.crashes(); {
 	case n >= RefuseAt:
-		r.used = now
 		return Refused
 	case n > 0:
 		return Isolated
@@ -102,11 +108,21 @@
 	return n
 }
 
-// Crash takes that a target broke while it ran a call with the fingerprint.
+// Crash takes that a target went down while it ran a call with the fingerprint.
 func (t *Table) Crash(now time.Duration, fingerprint uint64) {
+	t.add(now, fingerprint, crashEvidence)
+}
+
+// Break takes that a connection broke while a call with the fingerprint ran on a target
+// that still answers. The target may have been restarted, or the network was cut.
+func (t *Table) Break(now time.Duration, fingerprint uint64) {
+	t.add(now, fingerprint, breakEvidence)
+}
+
+func (t *Table) add(now time.Duration, fingerprint uint64, evidence int) {
 	r := t.row(now, fingerprint)
 	c := r.origins[t.self]
-	c.crashes++
+	c.crashes += evidence
 	r.origins[t.self] = c
 	t.publish(fingerprint, t.self, c)
 }
@@ -128,8 +144,14 @@
 	}
 }
 
-// Learn takes a fact from another host.
+// Learn takes a fact from another host. A fact that is known already does not prolong the
+// time for which the fingerprint is remembered.
 func (t *Table) Learn(now time.Duration, f Fact) {
+	if r, ok := t.rows[f.fingerprint]; ok {
+		if c, ok := r.origins[f.origin]; ok && c.crashes >= f.crashes && c.cleared >= f.cleared {
+			return
+		}
+	}
 	r := t.row(now, f.fingerprint)
 	c := r.origins[f.origin]
 	c.crashes = max(c.crashes, f.crashes)
--- a/core/suspect/suspect_test.go
+++ b/core/suspect/suspect_test.go
@@ -61,3 +61,38 @@
 	is.Equal(table.Len(), 4096)
 	is.Equal(table.Level(10_000, 9_999), suspect.Isolated)
 }
+
+// TestBreak guards against an innocent call that two cuts of the network make refused, and
+// against a call that crashes targets which are restarted at once and is never refused.
+func TestBreak(t *testing.T) {
+	is := is.New(t)
+	table := suspect.New("a", nil)
+	for range 3 {
+		table.Break(0, 1)
+		is.Equal(table.Level(0, 1), suspect.Isolated)
+	}
+	table.Complete(0, 1)
+	is.Equal(table.Level(0, 1), suspect.Clear)
+	for range 4 {
+		table.Break(0, 1)
+	}
+	is.Equal(table.Level(0, 1), suspect.Refused)
+}
+
+// TestLife guards against a request that is refused for ever because callers keep sending
+// it or hosts keep telling each other of it.
+func TestLife(t *testing.T) {
+	is := is.New(t)
+	var facts []suspect.Fact
+	table := suspect.New("a", func(f suspect.Fact) { facts = append(facts, f) })
+	table.Crash(0, 1)
+	table.Crash(0, 1)
+	for minute := range 10 {
+		now := time.Duration(minute) * time.Minute
+		for _, f := range facts {
+			table.Learn(now, f)
+		}
+		is.Equal(table.Level(now, 1), suspect.Refused)
+	}
+	is.Equal(table.Level(10*time.Minute+1, 1), suspect.Clear)
+}
--- a/io/daemon/suspect.go
+++ b/io/daemon/suspect.go
@@ -89,7 +89,7 @@
 		}
 		refused[fingerprint] = true
 		if !c.suspects.refused[fingerprint] {
-			event.Log(c.log, event.SuspectRefused, "fingerprint", strconv.FormatUint(fingerprint, 16), "crashes", crashes)
+			event.Log(c.log, event.SuspectRefused, "fingerprint", strconv.FormatUint(fingerprint, 16), "evidence", crashes)
 		}
 	}
 	c.suspects.refused = refused
--- a/io/integration/proxy_test.go
+++ b/io/integration/proxy_test.go
@@ -35,6 +35,8 @@
 	onlyOld bool
 	// match limits the silence to reads that contain the text.
 	match string
+	// cutNext closes the next connection that data for the client comes through, once.
+	cutNext bool
 	// delay holds each read back.
 	delay time.Duration
 }
@@ -137,6 +139,9 @@
 		n, err := from.Read(buffer)
 		if n > 0 {
 			p.hold(l, buffer[:n], silenced)
+			if from == l.backend && p.takeCut() {
+				return
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
 			}
@@ -151,6 +156,15 @@
 	}
 }
 
+// takeCut reports whether this connection is the one to close.
+func (p *proxy) takeCut() bool {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	cut := p.faults.cutNext
+	p.faults.cutNext = false
+	return cut
+}
+
 // hold waits while bytes are held back, and for the delay.
 func (p *proxy) hold(l *link, data []byte, silenced func(faults) bool) {
 	p.mutex.Lock()
--- a/io/runner/end.go
+++ b/io/runner/end.go
@@ -12,9 +12,7 @@
 	switch end {
 	case schedule.Busy:
 		return reason.Overload
-	case schedule.Crashed:
-		return reason.Crashed
-	case schedule.Unreached:
+	case schedule.Crashed, schedule.Broken, schedule.Unreached:
 		return reason.Crashed
 	case schedule.Crossed:
 		return reason.Crossed
@@ -46,7 +44,7 @@
 	switch end {
 	case schedule.Busy:
 		return reason.RetryBusy
-	case schedule.Crashed, schedule.Unreached:
+	case schedule.Crashed, schedule.Broken, schedule.Unreached:
 		return reason.RetryCrashed
 	case schedule.Crossed:
 		return reason.RetryCrossed
--- a/io/runner/race.go
+++ b/io/runner/race.go
@@ -119,11 +119,20 @@
 	if errors.Is(context.Cause(ctx), errSilent) && e.end == schedule.Cancelled {
 		e.end = schedule.Silent
 	}
+	e.end = r.examine(ctx, name, e.end)
 	e.detail = detail(reply, err)
 	r.finish(a, id, e)
 	return e
 }
 
+// examine tells a target that went down from one whose connection broke.
+func (r *Runner) examine(ctx context.Context, name string, end schedule.End) schedule.End {
+	if end == schedule.Crashed && r.client.Alive(ctx, r.gates.Address(name)) {
+		return schedule.Broken
+	}
+	return end
+}
+
 func detail(reply target.Reply, err error) string {
 	if err != nil {
 		return err.Error()
@@ -153,7 +162,7 @@
 	run := r.compose(p, a, 1)
 	run.Key = p.job.request.Key
 	reply, err := r.client.Command(ctx, r.gates.Address(name), run, p.deadline)
-	e = ended{reply: reply, end: reply.End(), target: name, detail: detail(reply, err)}
+	e = ended{reply: reply, end: r.examine(ctx, name, reply.End()), target: name, detail: detail(reply, err)}
 	r.finish(a, a.call.ID(), e)
 	return e
 }
--- a/io/standin/target.go
+++ b/io/standin/target.go
@@ -44,6 +44,7 @@
 
 	// poison breaks off calls whose input has it; empty for none.
 	poison string
+	crash  func()
 
 	mutex sync.Mutex
 	// cancels ends the attempts that wait or run.
@@ -80,9 +81,11 @@
 // WithFencing makes the target check fencing tokens.
 func WithFencing(fencing bool) TargetOption { return func(t *Target) { t.fencing = fencing } }
 
-// WithPoison makes the target break off each call whose input has the text, as a target
-// does that crashes.
-func WithPoison(text string) TargetOption { return func(t *Target) { t.poison = text } }
+// WithPoison makes the target break off each call whose input has the text, after it has
+// called crash, which takes the target down.
+func WithPoison(text string, crash func()) TargetOption {
+	return func(t *Target) { t.poison, t.crash = text, crash }
+}
 
 // NewTarget returns a stand-in with 8 slots that answers at once.
 func NewTarget(name string, options ...TargetOption) *Target {
@@ -175,6 +178,7 @@
 func (t *Target) work(ctx context.Context, w http.ResponseWriter, run wire.Run) {
 	at := t.record(run)
 	if t.poison != "" && bytes.Contains(run.Input, []byte(t.poison)) {
+		t.crash()
 		panic(http.ErrAbortHandler)
 	}
 	if !sleep(ctx, t.base) {
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -146,6 +146,26 @@
 	return reply, err
 }
 
+// aliveTimeout bounds the question whether a target still answers. A target that went down
+// refuses at once; the time limits the case that it vanished from the network.
+const aliveTimeout = 250 * time.Millisecond
+
+// Alive reports whether the target answers a request for its report on a new connection.
+// Any answer counts; plain services need not have reports.
+func (c *Client) Alive(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, aliveTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+wire.PathReport, nil)
+	if err != nil {
+		return false
+	}
+	response, err := c.Fresh().client.Do(request)
+	if err != nil {
+		return false
+	}
+	return response.Body.Close() == nil
+}
+
 // errCrossed is the class of answers to other calls.
 var errCrossed = errs.Class("crossed")
 
