Answer resends of commands under a closed preset

Cause: under a preset with accept = false a resend of a finished command was told unknown, because the front refused it before its owner was asked; a host with an older view could forward a new command that the owner then began. Ruled out: answering from the front, which has no records. Change: requests with a key reach their owner under any preset; the owner begins nothing while it joins or its preset is closed. Before: TestClosedPreset without the check in the owner begins the unused key and does not end. After: the finished command gives its answer, the unused key is refused as closed, not-run. Conclusion: a switch to maintenance hides no finished command.

--- a/io/front/front.go
+++ b/io/front/front.go
@@ -221,13 +221,15 @@
 	if v.Refusal() != reason.None && !draining {
 		return request, p, v.Refusal(), ""
 	}
-	if preset := v.Document().Preset(); !preset.Accept() {
+	p, ok := v.Document().Pipeline(c.Param("pipeline"))
+	// The owner of a key answers resends of its command under any preset.
+	resend := ok && p.Command() && request.Key != ""
+	if preset := v.Document().Preset(); !preset.Accept() && !resend {
 		return request, p, reason.Closed, preset.Name()
 	}
 	if why != reason.None {
 		return request, p, why, detail
 	}
-	p, ok := v.Document().Pipeline(c.Param("pipeline"))
 	if !ok {
 		return request, p, reason.Pipeline, c.Param("pipeline")
 	}
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -214,21 +214,17 @@
 // if it begins or runs. No command begins unless it is runnable, that is, its pipeline is
 // published with a command stage.
 func (o *Owner) begin(c parsed, runnable bool) (d command.Decision, f *flight) {
+	v := o.views.Load()
 	limit := 0
-	if doc := o.views.Load().Document(); doc != nil {
+	if doc := v.Document(); doc != nil {
 		w, _ := doc.Workspace(c.workspace)
 		limit = w.Records()
 	}
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	d = o.table.Lookup(o.clock(), c.key, c.workspace, c.fingerprint)
-	switch {
-	case d.Verdict() == command.Begun && o.draining:
-		return command.Refuse(reason.Draining), nil
-	case d.Verdict() == command.Begun && o.pulse.paused(o.clock()):
-		return command.Refuse(reason.Paused), nil
-	case d.Verdict() == command.Begun && !runnable:
-		return command.Refuse(reason.Pipeline), nil
+	if why := o.closed(v, runnable); d.Verdict() == command.Begun && why != reason.None {
+		return command.Refuse(why), nil
 	}
 	d = o.table.Begin(o.clock(), c.key, c.workspace, c.fingerprint, limit)
 	if d.Verdict() == command.Begun {
@@ -237,6 +233,24 @@
 	return d, o.flights[c.key]
 }
 
+// closed returns why no command may begin now, or None. Commands that are forwarded by a
+// host with another view come here without the checks of this host's front.
+func (o *Owner) closed(v *view.View, runnable bool) reason.Reason {
+	switch {
+	case o.draining:
+		return reason.Draining
+	case o.pulse.paused(o.clock()):
+		return reason.Paused
+	case v.Refusal() == reason.Joining:
+		return reason.Joining
+	case v.Document() != nil && !v.Document().Preset().Accept():
+		return reason.Closed
+	case !runnable:
+		return reason.Pipeline
+	}
+	return reason.None
+}
+
 // execute runs a command that began and ends its flight.
 func (o *Owner) execute(ctx context.Context, job runner.Job, key command.Key, f *flight) {
 	f.answer = o.executor.Run(ctx, job)
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -42,6 +42,7 @@
 type world struct {
 	t       *testing.T
 	owner   *owner.Owner
+	views   *view.Holder
 	started chan string
 	answers chan wire.Answer
 
@@ -57,6 +58,7 @@
 	}
 	views := view.NewHolder()
 	views.Publish(view.New(d, document.Version{}, nil, reason.None))
+	w.views = views
 	w.owner = owner.New("a", w.clock, w, views, peer.NewPool(), metric.New(), options...)
 	return w
 }
@@ -224,3 +226,23 @@
 	is.NoErr(w.owner.Drain(context.Background()))
 	is.Equal((<-w.send(context.Background(), "5", keys[0])).Outcome, outcome.Done.String())
 }
+
+// TestClosedPreset guards against a command that begins under a preset that takes no new
+// requests, and against a finished one whose resend is not answered under it.
+func TestClosedPreset(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t)
+	finished, unused := w.key(), w.key()
+	first := w.send(context.Background(), "1", finished)
+	<-w.started
+	w.answers <- end(outcome.Done, reason.None, `"paid"`)
+	is.Equal((<-first).Outcome, outcome.Done.String())
+
+	d, err := document.Parse([]byte(strings.Replace(published, "[preset ordinary]", "[preset ordinary]\naccept = false", 1)))
+	is.NoErr(err)
+	w.views.Publish(view.New(d, document.Version{}, nil, reason.None))
+	is.Equal(string((<-w.send(context.Background(), "2", finished)).Output), `"paid"`)
+	answer := <-w.send(context.Background(), "3", unused)
+	is.Equal(answer.Outcome, outcome.NotRun.String())
+	is.Equal(answer.Reason, reason.Closed.String())
+}
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -91,6 +91,11 @@
 // takeover runs a command of an unreachable owner on pools that recognise its key. The
 // owner may have sent it before, so this host can never say that it did not run.
 func (o *Owner) takeover(ctx context.Context, job runner.Job, left time.Duration) wire.Answer {
+	if doc := o.views.Load().Document(); doc != nil && !doc.Preset().Accept() {
+		answer := refuse(job.ID(), reason.Closed, doc.Preset().Name())
+		answer.Outcome = outcome.Unknown.String()
+		return answer
+	}
 	o.metrics.Counter("command.takeover").Inc(1)
 	answer := o.executor.Run(ctx, job.Within(left))
 	if answer.Outcome == outcome.NotRun.String() {
