Split the assembly of the daemon

Ruled out: a struct of dependencies beside the daemon, which would hold the same fields again. Change: listeners and connections are opened in a function of their own; the control state is made from the daemon. Conclusion: no change of behaviour.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -62,9 +62,12 @@
 	phases map[uint64]gossip.Member
 }
 
-func newControl(self wire.Host, clock func() time.Duration, log logr.Logger, views *view.Holder, gates *gates, metrics *metric.Metrics, owner *owner.Owner, orders *order.Giver, running func() int) *control {
+// newControl returns the control state of the daemon's host; running returns the number of
+// running requests.
+func newControl(d *Daemon, self wire.Host, known *suspects, running func() int) *control {
 	return &control{
-		self: self, clock: clock, log: log, views: views, gates: gates, metrics: metrics, owner: owner, orders: orders, running: running,
+		self: self, clock: d.clock, log: d.log, views: d.views, gates: d.gates, metrics: d.metrics,
+		owner: d.owner, orders: d.orders, suspects: known, running: running,
 		events: make(chan func(), 16), phases: make(map[uint64]gossip.Member),
 	}
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -74,37 +74,47 @@
 // New opens the listeners of a host and returns its daemon.
 func New(settings setting.Settings, log logr.Logger, options ...Option) (d *Daemon, err error) {
 	defer func() { err = Error.Wrap(err) }()
-	d = &Daemon{settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(), start: time.Now(), linger: spread + front.Lifetime, incarnation: rand.Uint64()}
+	d = &Daemon{
+		settings: settings, log: log, metrics: metric.New(), views: view.NewHolder(),
+		start: time.Now(), linger: spread + front.Lifetime, incarnation: rand.Uint64(),
+	}
 	d.halted, d.halt = context.WithCancel(context.Background())
 	for _, o := range options {
 		o(d)
 	}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
 	known := newSuspects(d.incarnation, d.metrics.Counter("suspect.dropped"))
 	d.gates = newGates(d.clock, settings.Zone(), known)
 	d.platform = platform.New(settings.Platform(), d.metrics.Counter("platform.calls"))
 	d.peers = peer.NewServer()
 	run := &gauge{Executor: runner.New(d.clock, d.gates, target.New(target.WithClock(d.clock)), d.metrics)}
-	if d.callers, err = net.Listen("tcp", settings.Caller()); err != nil {
-		return nil, err
-	}
-	if d.hosts, err = net.Listen("tcp", settings.Peer()); err != nil {
-		return nil, errors.Join(err, d.callers.Close())
-	}
-	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
-	d.hosts = counters.Listen(d.hosts)
-	d.pool, d.exchanges = peer.NewPool(counters.Dial()), peer.NewPool(counters.Dial())
 	d.owner = owner.New(settings.Host(), d.clock, run, d.views, d.pool, d.metrics, owner.WithLog(log),
 		owner.WithDirectory(d.incarnation, directory{d}))
 	d.owner.Register(d.peers.Registrar())
 	self := wire.Host{Host: settings.Host(), Address: d.callers.Addr().String(), Zone: settings.Zone()}
 	d.orders = order.New(settings.Host(), d.clock, log, d.metrics)
-	d.control = newControl(self, d.clock, log, d.views, d.gates, d.metrics, d.owner, d.orders, run.count)
-	d.control.suspects = known
+	d.control = newControl(d, self, known, run.count)
 	d.gossip()
 	d.front = front.New(self, d.views, d.owner, d.metrics, front.WithBody(settings.Body()), front.WithStatus(d.status), front.WithKeys(d.owner), front.WithLog(log))
 	return d, nil
 }
 
+// listen opens the listeners and the connections to other hosts, whose bytes are counted.
+func (d *Daemon) listen() (err error) {
+	if d.callers, err = net.Listen("tcp", d.settings.Caller()); err != nil {
+		return err
+	}
+	if d.hosts, err = net.Listen("tcp", d.settings.Peer()); err != nil {
+		return errors.Join(err, d.callers.Close())
+	}
+	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
+	d.hosts = counters.Listen(d.hosts)
+	d.pool, d.exchanges = peer.NewPool(counters.Dial()), peer.NewPool(counters.Dial())
+	return nil
+}
+
 // Address returns the address on which callers are served.
 func (d *Daemon) Address() string { return d.callers.Addr().String() }
 
