Use the field's names for timeouts, pause detection and order control

Cause: three names were figurative or private: Patience for the timeout of an attempt, pulse for the detection of a pause, giver for the host that reconciles an engine with its desired state. Ruled out: keeping them with longer comments; a reader looks for the usual word. Change: AttemptTimeout, pauseDetector and Controller, in code and docs. Conclusion: no change of behaviour.

--- a/core/order/doc.go
+++ b/core/order/doc.go
@@ -2,7 +2,7 @@
 //
 // The desired state of each engine follows from the published configuration, and the
 // number of its version is the fencing token. The hosts that rank first for an engine by
-// rendezvous hashing are its givers. Each pair of engine and giver has its own time slot,
+// rendezvous hashing are its controllers. Each pair of engine and controller has its own time slot,
 // which returns periodically and in which at most one order is given. All hosts derive the
 // same slots from the version, so that the loads of all hosts together stay under the rate
 // of the weight store without any message between them.
--- a/core/order/order_test.go
+++ b/core/order/order_test.go
@@ -70,27 +70,27 @@
 	}
 }
 
-// TestGivers guards against engines that lose all their givers when one host goes, and
+// TestControllers guards against engines that lose all their controllers when one host goes, and
 // against a change of one host that moves the engines of others.
-func TestGivers(t *testing.T) {
+func TestControllers(t *testing.T) {
 	is := is.New(t)
 	hosts := []string{"a", "b", "c", "d", "e", "f"}
 	for i := range engines {
 		engine := fmt.Sprintf("e%d", i)
-		before := order.Givers(engine, hosts)
+		before := order.Controllers(engine, hosts)
 		is.Equal(len(before), 3)
-		after := order.Givers(engine, hosts[:5])
+		after := order.Controllers(engine, hosts[:5])
 		for _, h := range before {
 			if h != "f" {
 				is.True(strings.Contains(strings.Join(after, ""), h))
 			}
 		}
 	}
-	is.Equal(len(order.Givers("e0", hosts[:1])), 1)
+	is.Equal(len(order.Controllers("e0", hosts[:1])), 1)
 }
 
 // TestPace guards against loads of all hosts together beyond the rate of the weight store,
-// and against engines that get no order while their first givers are down. Hosts accept
+// and against engines that get no order while their first controllers are down. Hosts accept
 // the version up to skew apart.
 func TestPace(t *testing.T) {
 	const (
--- a/core/order/planner.go
+++ b/core/order/planner.go
@@ -13,9 +13,9 @@
 )
 
 const (
-	// givers is the number of hosts that give orders to one engine, so that it still gets
+	// controllers is the number of hosts that give orders to one engine, so that it still gets
 	// them while two of the hosts are down.
-	givers = 3
+	controllers = 3
 	// lateness is how long after its start a slot is still used. A host that was paused for
 	// longer waits for its next slot.
 	lateness = time.Second
@@ -56,14 +56,14 @@
 	}
 	all := Derive(d, v.Number())
 	p.interval = time.Minute / time.Duration(d.Loads())
-	p.period = p.interval * time.Duration(givers*len(all))
+	p.period = p.interval * time.Duration(controllers*len(all))
 	p.duties = table.New[string, *duty]()
 	for rank, desired := range ranked(all) {
-		giver := slices.Index(Givers(desired.engine, hosts), p.self)
-		if giver < 0 {
+		controller := slices.Index(Controllers(desired.engine, hosts), p.self)
+		if controller < 0 {
 			continue
 		}
-		one := &duty{desired: desired, offset: p.interval * time.Duration(giver*len(all)+rank)}
+		one := &duty{desired: desired, offset: p.interval * time.Duration(controller*len(all)+rank)}
 		one.next = p.after(one, now)
 		p.duties.Put(desired.engine, one)
 	}
@@ -83,14 +83,14 @@
 	return xxhash.Sum64String(strconv.FormatUint(d.fence, 10) + "\x00" + d.engine)
 }
 
-// Givers returns the hosts that give orders to the engine, the first one first. Each host
+// Controllers returns the hosts that give orders to the engine, the first one first. Each host
 // computes the same list from the same names, and a change of one host moves few engines.
-func Givers(engine string, hosts []string) []string {
+func Controllers(engine string, hosts []string) []string {
 	list := slices.Clone(hosts)
 	slices.SortFunc(list, func(a, b string) int {
 		return cmp.Or(cmp.Compare(weight(engine, b), weight(engine, a)), cmp.Compare(a, b))
 	})
-	return list[:min(givers, len(list))]
+	return list[:min(controllers, len(list))]
 }
 
 func weight(engine, host string) uint64 { return xxhash.Sum64String(engine + "\x00" + host) }
--- a/core/replay/flow.go
+++ b/core/replay/flow.go
@@ -176,7 +176,7 @@
 	f.reached.Call()
 	a.sent, a.target = true, f.run.standins[target]
 	if !f.current().Command() {
-		f.run.clock.after(f.host.pools[a.pool].Patience(f.run.clock.now, f.call(a)), a.giveUp)
+		f.run.clock.after(f.host.pools[a.pool].AttemptTimeout(f.run.clock.now, f.call(a)), a.giveUp)
 	}
 	f.run.clock.after(a.hop(), func() {
 		if _, ok := f.host.attempts[a.id]; !ok {
--- a/core/schedule/expect.go
+++ b/core/schedule/expect.go
@@ -16,12 +16,13 @@
 	// trialPause is the time without a measurement after which one call that looks too
 	// late is tried.
 	trialPause = time.Second
-	// patience is the time in high quantiles after which an attempt is given up,
-	// tightPatience the least such time if the deadline is near, and leastPatience the least
-	// time in all. Giving up calls that are only slow doubles the load of a surge.
-	patience      = 6
-	tightPatience = 3
-	leastPatience = 100 * time.Millisecond
+	// timeoutFactor is the time in high quantiles after which an attempt is given up,
+	// tightTimeoutFactor the least such time if the deadline is near, and
+	// leastAttemptTimeout the least time in all. Giving up calls that are only slow doubles
+	// the load of a surge.
+	timeoutFactor       = 6
+	tightTimeoutFactor  = 3
+	leastAttemptTimeout = 100 * time.Millisecond
 )
 
 // key names a distribution: a pipeline's stage and a size class. Size class any holds all
@@ -108,18 +109,18 @@
 	return s.wait(e) + e.work
 }
 
-// Patience returns how long an attempt of a call may go without a sign of life before it is
+// AttemptTimeout returns how long an attempt of a call may go without a sign of life before it is
 // given up, so that a repeat over another connection still has its time. An attempt whose
 // repeat would have too little time may use up the deadline.
-func (s *Scheduler) Patience(now time.Duration, c Call) time.Duration {
+func (s *Scheduler) AttemptTimeout(now time.Duration, c Call) time.Duration {
 	left := c.deadline - c.after - now
 	x := s.expect(c)
 	if x.median == 0 {
 		return left * 3 / 4
 	}
 	longest := left - x.median*5/4
-	if longest < max(s.stretch(tightPatience, x.high), leastPatience) {
+	if longest < max(s.stretch(tightTimeoutFactor, x.high), leastAttemptTimeout) {
 		return left + c.after
 	}
-	return min(max(s.stretch(patience, x.high), leastPatience), longest)
+	return min(max(s.stretch(timeoutFactor, x.high), leastAttemptTimeout), longest)
 }
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -73,9 +73,9 @@
 	}
 }
 
-// TestPatience guards against a silent connection that uses up the deadline, and against a
+// TestAttemptTimeout guards against a silent connection that uses up the deadline, and against a
 // slow call that is given up though a repeat has no better chance.
-func TestPatience(t *testing.T) {
+func TestAttemptTimeout(t *testing.T) {
 	for _, test := range []struct {
 		name        string
 		trained     bool
@@ -93,7 +93,7 @@
 			if test.trained {
 				now = train(s, 0, 100*ms)
 			}
-			got := s.Patience(now, newCall(1, now+test.left))
+			got := s.AttemptTimeout(now, newCall(1, now+test.left))
 			is.True(got >= test.least && got <= test.most)
 		})
 	}
--- a/io/cli/docs_test.go
+++ b/io/cli/docs_test.go
@@ -147,7 +147,7 @@
 	is := is.New(t)
 	raw, err := os.ReadFile(filepath.Join("..", "..", "docs", "glossary.md"))
 	is.NoErr(err)
-	terms := []string{"host", "availability zone", "workspace", "target", "engine", "order", "fencing token", "suspect", "giver"}
+	terms := []string{"host", "availability zone", "workspace", "target", "engine", "order", "fencing token", "suspect", "controller"}
 	for _, f := range document.Fields() {
 		if f.Section() != "document" { // listed with configuration
 			terms = append(terms, f.Section())
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -35,7 +35,7 @@
 	gates *gates
 	// metrics counts the mistakes of refused documents.
 	metrics *metric.Metrics
-	orders  *order.Giver
+	orders  *order.Controller
 	owner   *owner.Owner
 	// suspects passes crash suspects between pools and other hosts.
 	suspects *suspects
@@ -52,10 +52,10 @@
 	watcher  *watcher
 	document *document.Document
 	version  document.Version
-	// leaving holds the leaving addresses, and givers the hosts that give model orders, as
+	// leaving holds the leaving addresses, and controllers the hosts that give model orders, as
 	// last passed on.
-	leaving, givers []string
-	draining        bool
+	leaving, controllers []string
+	draining             bool
 	// serving holds if the host takes requests; served if it ever did.
 	serving, served bool
 	// phases holds the members as last logged.
@@ -149,9 +149,9 @@
 	c.note()
 	c.learnSuspects()
 	c.owner.SetHosts(c.entries())
-	leaving, givers := c.members.Leavings(), c.giving()
-	if !slices.Equal(leaving, c.leaving) || !slices.Equal(givers, c.givers) {
-		c.leaving, c.givers = leaving, givers
+	leaving, controllers := c.members.Leavings(), c.orderControllers()
+	if !slices.Equal(leaving, c.leaving) || !slices.Equal(controllers, c.controllers) {
+		c.leaving, c.controllers = leaving, controllers
 		c.configure()
 	}
 	c.publish()
@@ -243,7 +243,7 @@
 	c.suspects.known = nil // pools that are new know no suspects
 	c.learnSuspects()
 	if c.serving {
-		c.orders.Configure(c.document, c.version, c.givers)
+		c.orders.Configure(c.document, c.version, c.controllers)
 	}
 }
 
@@ -290,9 +290,9 @@
 	return list
 }
 
-// giving returns the names of the hosts that give model orders: those that serve. A host
-// that joins may hold an old configuration.
-func (c *control) giving() (names []string) {
+// orderControllers returns the names of the hosts that give model orders: those that
+// serve. A host that joins may hold an old configuration.
+func (c *control) orderControllers() (names []string) {
 	for _, h := range c.candidates() {
 		names = append(names, h.Host)
 	}
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -46,7 +46,7 @@
 	owner     *owner.Owner
 	node      *gossip.Node
 	control   *control
-	orders    *order.Giver
+	orders    *order.Controller
 	start     time.Time
 	// incarnation identifies this process among all processes of all hosts.
 	incarnation uint64
--- a/io/gate/gate.go
+++ b/io/gate/gate.go
@@ -128,11 +128,11 @@
 	return g.scheduler.Expect(g.clock(), c)
 }
 
-// Patience returns how long an attempt of a call may take before it is given up.
-func (g *Gate) Patience(c schedule.Call) time.Duration {
+// AttemptTimeout returns how long an attempt of a call may take before it is given up.
+func (g *Gate) AttemptTimeout(c schedule.Call) time.Duration {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	return g.scheduler.Patience(g.clock(), c)
+	return g.scheduler.AttemptTimeout(g.clock(), c)
 }
 
 // Learn takes a fact of another host about a crash suspect.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -55,7 +55,7 @@
 	directory Directory
 	// listed is the newest host list.
 	listed atomic.Pointer[wire.Hosts]
-	pulse  pulse
+	pauses pauseDetector
 
 	mutex     sync.Mutex
 	table     *command.Table
@@ -94,7 +94,7 @@
 		flights:     make(map[command.Key]*flight), idle: make(chan struct{}),
 	}
 	o.listed.Store(&wire.Hosts{})
-	o.pulse.last.Store(int64(clock()))
+	o.pauses.last.Store(int64(clock()))
 	for _, option := range options {
 		option(o)
 	}
@@ -123,7 +123,7 @@
 // control goroutine calls it each 100 ms.
 func (o *Owner) Tick() {
 	now := o.clock()
-	o.pulse.beat(now)
+	o.pauses.observe(now)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if now-o.swept < sweep {
@@ -239,7 +239,7 @@
 	switch {
 	case o.draining:
 		return reason.Draining
-	case o.pulse.paused(o.clock()):
+	case o.pauses.paused(o.clock()):
 		return reason.Paused
 	case v.Refusal() == reason.Joining:
 		return reason.Joining
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -38,7 +38,7 @@
 	if answer, ok := o.inherited(job.ID(), c); ok {
 		return answer
 	}
-	if o.pulse.paused(o.clock()) {
+	if o.pauses.paused(o.clock()) {
 		answer := refuse(job.ID(), reason.Paused, "")
 		answer.Outcome = outcome.Unknown.String()
 		return answer
--- a/io/runner/race.go
+++ b/io/runner/race.go
@@ -95,7 +95,7 @@
 func (r *Runner) run(ctx context.Context, p *progress, a *attempt, id schedule.ID, name string, run wire.Run, starts chan start) (e ended) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	limit := a.gate.Patience(a.call)
+	limit := a.gate.AttemptTimeout(a.call)
 	timer := time.AfterFunc(limit, func() { cancel(errSilent) })
 	defer timer.Stop()
 	e.target = name
