--- /dev/null
+++ b/core/batch/batch.go
@@ -0,0 +1,450 @@
+package batch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sassafrasward/core/roster"
+	"sassafrasward/core/route"
+	"sassafrasward/core/table"
+)
+
+const (
+	// rankGap is how much earlier a request of a better rank counts as having arrived. It is
+	// about the duration of one call, so that a rank overtakes one call and starves none.
+	rankGap = 300 * time.Millisecond
+	// patience is the part of the time to its deadline that a job that misses its objective
+	// may be expected to wait: a later refusal leaves the caller no time to come back.
+	patience = 0.5
+	// learn is the weight of a new measurement of a target's pace.
+	learn = 0.4
+	// slowPace is the ratio of the paces of two targets from which the slower one is used
+	// only if waiting for the other ones takes longer.
+	slowPace = 1.6
+	// forget halves what is known of the pace of a target, so that a slow one is tried again.
+	forget = 4 * time.Second
+	// downFirst and downMost bound how long a target that does not answer is left alone.
+	downFirst = 300 * time.Millisecond
+	downMost  = 3 * time.Second
+	// fullPause is how long a target that refused a call as full is left alone.
+	fullPause = 60 * time.Millisecond
+	// retryFloor and retryCeiling bound the wait that a refused caller is told.
+	retryFloor   = 200 * time.Millisecond
+	retryCeiling = 4 * time.Second
+)
+
+// Job is the pieces of one stage of one request.
+type Job struct {
+	// ID is unique on the dispatching host.
+	ID uint64
+	// Arrived is when the request came to its host.
+	Arrived time.Duration
+	// Rank is the priority of the request, 0 first.
+	Rank int
+	// Aim is the latest end for an answer in time, Deadline the latest useful end.
+	Aim, Deadline time.Duration
+	// Pieces is the number of pieces, at least one.
+	Pieces int
+	// Bytes is the size of one result.
+	Bytes int64
+	// Zone is where the results are preferred.
+	Zone string
+}
+
+// Item is one piece of a job.
+type Item struct {
+	Job   uint64
+	Piece int
+}
+
+// Order is a call to make.
+type Order struct {
+	ID     uint64
+	Target roster.Target
+	Items  []Item
+	// Expected is the expected duration of the call.
+	Expected time.Duration
+	// Fair is the expected duration at a target of the usual pace.
+	Fair time.Duration
+}
+
+// End says how a call ended.
+type End int
+
+// The ends of calls.
+const (
+	// Completed calls brought an answer for each piece.
+	Completed End = iota
+	// Refused calls did not run, because the target is full.
+	Refused
+	// Broken calls brought no answer.
+	Broken
+)
+
+// entry is a queued job.
+type entry struct {
+	job Job
+	// waiting has the pieces that are in no call, in order.
+	waiting []int
+}
+
+// worker is a target with what this host knows of it.
+type worker struct {
+	target roster.Target
+	// calls holds the orders in progress.
+	calls map[uint64]*call
+	// pace is the measured ratio of durations to expected ones; paced is when it was last
+	// measured.
+	pace  float64
+	paced time.Duration
+	// down is until when the target is left alone; failures counts broken calls in a row.
+	down     time.Duration
+	failures int
+	// results has the room that results occupy, with the end of their time.
+	results []result
+}
+
+// call is an order in progress.
+type call struct {
+	order   Order
+	started time.Duration
+	bytes   int64
+	// late is set once its pieces were queued again.
+	late bool
+}
+
+// result is room that is occupied until it is freed or its time ends.
+type result struct {
+	bytes int64
+	until time.Duration
+}
+
+// Dispatcher makes up the calls of one pool. It is not safe for concurrent use.
+type Dispatcher struct {
+	spec    route.Batch
+	workers *table.Table[string, *worker]
+	jobs    map[uint64]*entry
+	last    uint64
+}
+
+// New returns a dispatcher without targets.
+func New(spec route.Batch) *Dispatcher {
+	return &Dispatcher{spec: spec, workers: table.New[string, *worker](), jobs: make(map[uint64]*entry)}
+}
+
+// SetSpec replaces the published figures of the pool.
+func (d *Dispatcher) SetSpec(spec route.Batch) { d.spec = spec }
+
+// SetTargets replaces the targets. Calls in progress at removed targets go on.
+func (d *Dispatcher) SetTargets(targets []roster.Target) {
+	next := table.New[string, *worker]()
+	for _, t := range targets {
+		w, ok := d.workers.Get(t.ID)
+		if !ok || w.target.Born != t.Born {
+			w = &worker{calls: make(map[uint64]*call), pace: 1}
+		}
+		w.target = t
+		next.Put(t.ID, w)
+	}
+	for id, w := range d.workers.All() {
+		if _, ok := next.Get(id); !ok && len(w.calls) > 0 {
+			w.target.Leaving = true
+			next.Put(id, w)
+		}
+	}
+	d.workers = next
+}
+
+// Waiting returns the number of pieces that are in no call.
+func (d *Dispatcher) Waiting() (pieces int) {
+	for _, e := range d.jobs {
+		pieces += len(e.waiting)
+	}
+	return pieces
+}
+
+// Offer queues a job, or refuses it and returns when its caller should come back. Wait is
+// the expected time until the job ends.
+func (d *Dispatcher) Offer(now time.Duration, j Job) (wait time.Duration, ok bool) {
+	ready := d.expect(now, j)
+	limit := j.Deadline
+	if ready > j.Aim {
+		limit = now + time.Duration(patience*float64(j.Deadline-now))
+	}
+	if ready > limit {
+		return min(max(ready-max(j.Aim, now), retryFloor), retryCeiling), false
+	}
+	e := &entry{job: j}
+	for i := range j.Pieces {
+		e.waiting = append(e.waiting, i)
+	}
+	d.jobs[j.ID] = e
+	return ready - now, true
+}
+
+// expect returns when the job would end if it came now.
+func (d *Dispatcher) expect(now time.Duration, j Job) time.Duration {
+	usable, rate := 0, 0.0
+	first := time.Duration(1<<62 - 1)
+	full := d.nominal(d.spec.Size)
+	for _, w := range d.workers.All() {
+		if w.target.Leaving || now < w.down {
+			continue
+		}
+		usable++
+		rate += float64(d.spec.Size) / (float64(full) * d.paceOf(now, w))
+		first = min(first, d.idleAt(now, w))
+	}
+	if usable == 0 {
+		return now + retryCeiling + j.Deadline
+	}
+	own := d.nominal(min(j.Pieces, d.spec.Size))
+	ahead := 0
+	key := d.key(now, j)
+	for _, e := range d.jobs {
+		if less(d.key(now, e.job), key) {
+			ahead += len(e.waiting)
+		}
+	}
+	over := max(j.Pieces-d.spec.Size, 0)
+	return max(first, now) + time.Duration(float64(ahead+over)/rate) + own
+}
+
+// idleAt returns when the calls in progress at a target are expected to end.
+func (d *Dispatcher) idleAt(now time.Duration, w *worker) time.Duration {
+	at := now
+	for _, c := range w.calls {
+		at = max(at, c.started+c.order.Expected)
+	}
+	return at
+}
+
+// nominal returns the duration of a call at the published speed.
+func (d *Dispatcher) nominal(pieces int) time.Duration {
+	return d.spec.Call + time.Duration(pieces)*d.spec.Piece
+}
+
+// paceOf returns the pace of a target; an old measurement counts less.
+func (d *Dispatcher) paceOf(now time.Duration, w *worker) float64 {
+	age := float64(now-w.paced) / float64(forget)
+	pace := 1 + (w.pace-1)/(1+age)
+	for _, c := range w.calls {
+		// A call that takes longer than expected tells of the pace before it ends.
+		pace = max(pace, float64(now-c.started)/float64(max(c.order.Fair, 1)))
+	}
+	return max(pace, 0.2)
+}
+
+// urgency orders jobs.
+type urgency struct {
+	late bool
+	at   time.Duration
+	id   uint64
+}
+
+func (d *Dispatcher) key(now time.Duration, j Job) urgency {
+	late := now+d.nominal(1) > j.Aim
+	return urgency{late: late, at: j.Arrived + time.Duration(j.Rank)*rankGap, id: j.ID}
+}
+
+func less(a, b urgency) bool { return compare(a, b) < 0 }
+
+func compare(a, b urgency) int {
+	if a.late != b.late {
+		if b.late {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
+}
+
+// Next returns the calls to make now.
+func (d *Dispatcher) Next(now time.Duration) (orders []Order) {
+	for {
+		queue := d.queue(now)
+		if len(queue) == 0 {
+			return orders
+		}
+		o, ok := d.order(now, queue)
+		if !ok {
+			return orders
+		}
+		orders = append(orders, o)
+	}
+}
+
+// queue returns the jobs with waiting pieces, the most urgent first.
+func (d *Dispatcher) queue(now time.Duration) (queue []*entry) {
+	for _, e := range d.jobs {
+		if len(e.waiting) > 0 {
+			queue = append(queue, e)
+		}
+	}
+	slices.SortFunc(queue, func(a, b *entry) int { return compare(d.key(now, a.job), d.key(now, b.job)) })
+	return queue
+}
+
+// order makes up one call for the best idle target.
+func (d *Dispatcher) order(now time.Duration, queue []*entry) (o Order, ok bool) {
+	for _, w := range d.idle(now, queue[0].job.Zone) {
+		if items, bytes := d.fill(now, w, queue); len(items) > 0 {
+			return d.begin(now, w, items, bytes), true
+		}
+	}
+	return Order{}, false
+}
+
+// idle returns the targets that can take a call, the best one first. A slow target is left
+// out while another one is expected to be done sooner.
+func (d *Dispatcher) idle(now time.Duration, zone string) (list []*worker) {
+	full := float64(d.nominal(d.spec.Size))
+	soonest := time.Duration(1<<62 - 1)
+	for _, w := range d.workers.All() {
+		if w.target.Leaving || now < w.down {
+			continue
+		}
+		soonest = min(soonest, d.idleAt(now, w)+time.Duration(full*d.paceOf(now, w)))
+		if len(w.calls) < max(d.spec.Slots, 1) {
+			list = append(list, w)
+		}
+	}
+	list = slices.DeleteFunc(list, func(w *worker) bool {
+		pace := d.paceOf(now, w)
+		return pace > slowPace && now+time.Duration(full*pace) > soonest
+	})
+	slices.SortStableFunc(list, func(a, b *worker) int {
+		slowA, slowB := d.paceOf(now, a) > slowPace, d.paceOf(now, b) > slowPace
+		return cmp.Or(compareBool(slowA, slowB), compareBool(a.target.Zone != zone, b.target.Zone != zone),
+			cmp.Compare(d.taken(now, a), d.taken(now, b)))
+	})
+	return list
+}
+
+func compareBool(a, b bool) int {
+	if a == b {
+		return 0
+	}
+	if b {
+		return -1
+	}
+	return 1
+}
+
+// fill takes the most urgent pieces that a call to the target has room for. A job is split
+// only if it is larger than a call or leads the queue.
+func (d *Dispatcher) fill(now time.Duration, w *worker, queue []*entry) (items []Item, bytes int64) {
+	room := d.spec.Room - d.taken(now, w)
+	for i, e := range queue {
+		n := min(len(e.waiting), d.spec.Size-len(items))
+		if size := e.job.Bytes; size > 0 {
+			n = min(n, int((room-bytes)/size))
+		}
+		whole := n == len(e.waiting) || e.job.Pieces > d.spec.Size
+		if n <= 0 || !whole && i > 0 {
+			continue
+		}
+		for _, p := range e.waiting[:n] {
+			items = append(items, Item{Job: e.job.ID, Piece: p})
+		}
+		bytes += int64(n) * e.job.Bytes
+		e.waiting = e.waiting[n:]
+	}
+	return items, bytes
+}
+
+// taken returns the room that calls in progress and results occupy at a target.
+func (d *Dispatcher) taken(now time.Duration, w *worker) (bytes int64) {
+	w.results = slices.DeleteFunc(w.results, func(r result) bool { return now >= r.until })
+	for _, r := range w.results {
+		bytes += r.bytes
+	}
+	for _, c := range w.calls {
+		bytes += c.bytes
+	}
+	return bytes
+}
+
+func (d *Dispatcher) begin(now time.Duration, w *worker, items []Item, bytes int64) Order {
+	d.last++
+	fair := d.nominal(len(items))
+	o := Order{
+		ID: d.last, Target: w.target, Items: items, Fair: fair,
+		Expected: time.Duration(float64(fair) * d.paceOf(now, w)),
+	}
+	w.calls[o.ID] = &call{order: o, started: now, bytes: bytes}
+	return o
+}
+
+// Late queues the pieces of a call again that takes much longer than expected. The call
+// stays in progress.
+func (d *Dispatcher) Late(id uint64) {
+	for _, w := range d.workers.All() {
+		if c, ok := w.calls[id]; ok && !c.late {
+			c.late = true
+			d.Again(c.order.Items)
+		}
+	}
+}
+
+// Again queues pieces that have to be worked on once more.
+func (d *Dispatcher) Again(items []Item) {
+	for _, i := range items {
+		if e, ok := d.jobs[i.Job]; ok && !slices.Contains(e.waiting, i.Piece) {
+			e.waiting = append(e.waiting, i.Piece)
+		}
+	}
+}
+
+// Done takes the end of a call. The caller queues again what has no result.
+func (d *Dispatcher) Done(now time.Duration, id uint64, end End) {
+	for _, w := range d.workers.All() {
+		c, ok := w.calls[id]
+		if !ok {
+			continue
+		}
+		delete(w.calls, id)
+		switch end {
+		case Completed:
+			measured := float64(now-c.started) / float64(max(c.order.Fair, 1))
+			w.pace, w.paced = w.pace+learn*(measured-w.pace), now
+			w.failures, w.down = 0, 0
+			w.results = append(w.results, result{bytes: c.bytes, until: now + d.spec.Keep})
+		case Refused:
+			w.down = now + fullPause
+		case Broken:
+			w.down = now + min(downFirst<<min(w.failures, 8), downMost)
+			w.failures++
+		}
+		return
+	}
+}
+
+// Free returns room at a target whose results were read or given up.
+func (d *Dispatcher) Free(id string, bytes int64) {
+	w, ok := d.workers.Get(id)
+	if !ok {
+		return
+	}
+	for i := 0; i < len(w.results) && bytes > 0; i++ {
+		freed := min(bytes, w.results[i].bytes)
+		w.results[i].bytes -= freed
+		bytes -= freed
+	}
+	w.results = slices.DeleteFunc(w.results, func(r result) bool { return r.bytes <= 0 })
+}
+
+// Remove forgets a job that ended or was given up.
+func (d *Dispatcher) Remove(id uint64) { delete(d.jobs, id) }
+
+// Hopeless returns the jobs that cannot end before their deadlines any more.
+func (d *Dispatcher) Hopeless(now time.Duration) (ids []uint64) {
+	for id, e := range d.jobs {
+		if len(e.waiting) > 0 && now+d.nominal(1) > e.job.Deadline {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- a/core/member/graph.go
+++ b/core/member/graph.go
@@ -48,13 +48,22 @@
 
 // first returns the first n hosts by rendezvous hashing.
 func first(n int, hosts []string) []string {
+	ranked := rank(watchSeed, hosts)
+	return ranked[:min(n, len(ranked))]
+}
+
+// Rank orders hosts by rendezvous hashing for a key. All hosts that know the same hosts
+// compute the same order, and the loss of one host moves no other.
+func Rank(key string, hosts []string) []string { return rank(hash(key), hosts) }
+
+func rank(seed uint64, hosts []string) []string {
 	type place struct {
 		host string
 		hash uint64
 	}
 	places := make([]place, 0, len(hosts))
 	for _, h := range hosts {
-		places = append(places, place{host: h, hash: hash(h, watchSeed)})
+		places = append(places, place{host: h, hash: hash(h, seed)})
 	}
 	slices.SortFunc(places, func(a, b place) int {
 		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.host, b.host))
@@ -63,8 +72,7 @@
 	for _, p := range places {
 		ranked = append(ranked, p.host)
 	}
-	ranked = slices.Compact(ranked)
-	return ranked[:min(n, len(ranked))]
+	return slices.Compact(ranked)
 }
 
 // watchSeed separates the ranks of watchers from the places in the rings.
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -104,6 +104,9 @@
 // WithAlone lets the host serve before it has heard from other hosts.
 func WithAlone(alone bool) Option { return func(s *State) { s.alone = alone } }
 
+// SetSeeds replaces the peer addresses to call in addition to the host list.
+func (s *State) SetSeeds(seeds []string) { s.seeds = seeds }
+
 // New returns the state of a host that has just started. Of self, the incarnation, name,
 // zone and addresses are used.
 func New(now time.Duration, random *rand.Rand, self Member, options ...Option) *State {
--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -84,6 +84,7 @@
 func commands(e *environment) []command {
 	return []command{
 		{"serve", "Run the daemon of an entry host", serveHelp, &serve{env: e}},
+		{"edge", "Run an edge host on a platform that publishes routes", edgeHelp, &edgeServe{env: e}},
 		{"check", "Check a settings file or a configuration", checkHelp, &check{env: e}},
 		{"preset", "Print a configuration with another preset in force", presetHelp, &preset{env: e}},
 		{"status", "Report the state of one host or of the fleet", statusHelp, &status{env: e}},
--- a/io/cli/help.go
+++ b/io/cli/help.go
@@ -7,6 +7,11 @@
 Example:
   sassafrasward serve --settings host.ini`
 
+const edgeHelp = `Serves callers on a platform that publishes routes, keys and targets in a metadata store, until SIGTERM or an interrupt; then stops gracefully within the limit grace of the settings. SIGHUP reads the settings file again. Log lines go to the standard output.
+
+Example:
+  sassafrasward edge --settings host.ini`
+
 const checkHelp = `Checks a settings file, a configuration or both, and prints each mistake on one line with file, section, key, value and allowed range. Ends with 2 if there is a mistake.
 
 Examples:
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -188,7 +188,7 @@
 	c.document, c.version = d, v
 	event.Log(c.log, event.DocumentTaken, "version", v.String(), "preset", d.Preset().Name())
 	c.configure()
-	c.node.Hold(d, v)
+	c.node.Hold(d.Raw(), v)
 	c.node.Tick()
 	c.settle()
 	return true
--- /dev/null
+++ b/io/edge/forward.go
@@ -0,0 +1,278 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sassafrasward/core/pick"
+	"sassafrasward/core/reason"
+	"sassafrasward/core/roster"
+	"sassafrasward/core/route"
+	"sassafrasward/io/event"
+	"sassafrasward/io/link"
+	"sassafrasward/platform"
+)
+
+const (
+	// wholeBytes is up to which size an answer is read whole before it is passed on, so that
+	// a broken one can be repeated.
+	wholeBytes = 1 << 20
+	// silentFactor times the objective is how long a repeatable request waits for a target
+	// before it goes to another one, and silentLeast the shortest such time.
+	silentFactor = 2
+	silentLeast  = 200 * time.Millisecond
+	// eventLeast is the shortest time to wait for an event of a stream that can go on at
+	// another target.
+	eventLeast = 1200 * time.Millisecond
+	// unreachedMost bounds how many unreachable targets one request is tried at.
+	unreachedMost = 4
+	// usualPrompt is the prompt that counts as a load of one.
+	usualPrompt = 4000.0 // tokens
+)
+
+// verdict says what follows from one attempt.
+type verdict int
+
+const (
+	// answered requests are done.
+	answered verdict = iota
+	// unreached attempts reached no target.
+	unreached
+	// unrun attempts were refused by a target that did not run them.
+	unrun
+	// broken attempts may have run and brought no usable answer.
+	broken
+	// failed attempts ran and brought a failure of the target, which can be passed on.
+	failed
+)
+
+// attempt is one send to a target.
+type attempt struct {
+	target roster.Target
+	began  time.Duration
+	// last holds if no other attempt may follow.
+	last bool
+	// response is the head of the answer.
+	response *link.Response
+	body     []byte
+	err      error
+}
+
+// forward sends the request to targets until one answers, as far as it may be repeated.
+func (x *exchange) forward(ctx context.Context, inputs []string) {
+	s := &stream{exchange: x}
+	unreachable, sends := 0, 0
+	for {
+		hint := x.hint(inputs)
+		t, ok := x.choosers.choose(x.pool, hint)
+		if !ok {
+			x.detail = "no target"
+			x.fail(reason.Empty, targetRetry)
+			return
+		}
+		sends++
+		a := &attempt{target: t, began: x.clock(), last: sends >= x.route.Attempts}
+		v := x.try(ctx, s, a, inputs)
+		x.choosers.finish(x.pool, pick.Result{
+			Target: t.ID, Load: hint.Load, Failed: v == broken || v == failed || v == unrun, Silent: v == unreached || v == broken && ctx.Err() == nil && silent(a.err),
+		})
+		if v == answered {
+			return
+		}
+		x.targets = append(x.targets, t.ID)
+		if v == unreached {
+			sends--
+			unreachable++
+		}
+		if !x.again(ctx, v, sends, unreachable) {
+			x.giveUp(ctx, v, a)
+			return
+		}
+		event.Log(x.log, event.RequestRepeated, "request", x.request.ID, "pool", x.pool, "target", t.ID, "cause", v.word(), "error", errText(a.err))
+		x.metrics.Retry(v.retry())
+	}
+}
+
+func silent(err error) bool { return errors.Is(err, context.DeadlineExceeded) || link.Sent(err) }
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+func (v verdict) word() string {
+	return [...]string{"answered", "unreached", "unrun", "broken", "failed"}[v]
+}
+
+func (v verdict) retry() reason.Retry {
+	return [...]reason.Retry{reason.RetryBusy, reason.RetryCrashed, reason.RetryBusy, reason.RetryCrashed, reason.RetryFailed}[v]
+}
+
+// hint returns what the choice of a target may use.
+func (x *exchange) hint(inputs []string) pick.Hint {
+	h := pick.Hint{Avoid: x.targets, At: rand.Float64(), Load: 1}
+	if n := len(x.request.Prefix); n >= 2 {
+		h.Prefix = x.request.Prefix[n-2].ID
+	}
+	if x.request.Prompt > 0 {
+		h.Load = float64(x.request.Prompt) / usualPrompt
+	}
+	s := x.state.Load()
+	most, bytes := int64(0), make(map[string]int64)
+	for _, held := range x.held {
+		for _, handle := range held.handles {
+			if !contains(inputs, handle) {
+				continue
+			}
+			zone := s.zones[platform.Maker(handle)]
+			if bytes[zone] += held.bytes / int64(len(held.handles)); bytes[zone] > most {
+				most, h.Zone = bytes[zone], zone
+			}
+		}
+	}
+	return h
+}
+
+func contains(list []string, one string) bool {
+	for _, l := range list {
+		if l == one {
+			return true
+		}
+	}
+	return false
+}
+
+// again reports whether another attempt may follow one that ended with v.
+func (x *exchange) again(ctx context.Context, v verdict, sends, unreachable int) bool {
+	switch {
+	case ctx.Err() != nil || unreachable >= unreachedMost:
+		return false
+	case v == unreached:
+		return true
+	case sends >= x.route.Attempts:
+		return false
+	case v != unrun && x.route.Once():
+		return false
+	}
+	return x.choosers.repeat(x.pool)
+}
+
+// giveUp answers a request whose last attempt ended with v.
+func (x *exchange) giveUp(ctx context.Context, v verdict, a *attempt) {
+	if a.err != nil {
+		x.detail = a.err.Error()
+	}
+	switch {
+	case v == failed:
+		x.pass(a)
+	case ctx.Err() != nil:
+		x.fail(reason.Deadline, 0)
+	case v == unrun:
+		x.fail(reason.Overload, targetRetry)
+	case v == unreached:
+		x.fail(reason.Empty, targetRetry)
+	default:
+		x.fail(reason.Crashed, targetRetry)
+	}
+}
+
+// try sends the request to one target.
+func (x *exchange) try(ctx context.Context, s *stream, a *attempt, inputs []string) verdict {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	watch := x.watch(a, cancel)
+	defer watch.Stop()
+	forwarded := platform.Forwarded{
+		Target: a.target.ID, Workspace: x.workspace, Left: x.deadline - a.began, Inputs: inputs, Resume: s.last, Priority: -1,
+	}
+	if x.route.Kind == route.Stream {
+		forwarded.Priority = x.rank
+	}
+	a.response, a.err = x.links.Do(ctx, a.target.Address, link.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: forwarded.Header(x.r.Header), Body: x.body,
+		Fresh: x.route.Kind != route.Idempotent,
+		Mine:  func(status int, h http.Header) bool { return platform.ReadAnswer(status, h).Belongs(x.request.ID) },
+	})
+	if a.err != nil {
+		if !link.Sent(a.err) {
+			return unreached
+		}
+		x.mayHaveRun = true
+		return broken
+	}
+	answer := platform.ReadAnswer(a.response.Status, a.response.Header)
+	if answer.NotRun {
+		a.response.Close(false)
+		return unrun
+	}
+	x.mayHaveRun = true
+	if a.response.Status/100 == 2 && (!answer.Signed || answer.Encoded) {
+		a.response.Close(false)
+		a.err = errors.New("the answer is not signed")
+		return broken
+	}
+	if x.route.Kind == route.Stream && a.response.Status == http.StatusOK {
+		return s.pass(a, watch)
+	}
+	return x.whole(a, answer)
+}
+
+// watch ends an attempt that takes too long while another target could be tried.
+func (x *exchange) watch(a *attempt, cancel context.CancelFunc) *time.Timer {
+	limit := time.Hour
+	switch {
+	case a.last || x.route.Once():
+	case x.route.Kind == route.Stream:
+		limit = max(x.route.Objective, eventLeast)
+	default:
+		limit = max(silentFactor*x.route.Objective, silentLeast)
+	}
+	return time.AfterFunc(limit, cancel)
+}
+
+// whole reads an answer to its end and passes it on.
+func (x *exchange) whole(a *attempt, answer platform.Answer) verdict {
+	a.body, a.err = io.ReadAll(io.LimitReader(a.response.Body, wholeBytes))
+	if a.err == nil && len(a.body) == wholeBytes {
+		a.err = errors.New("the answer is too long")
+	}
+	a.response.Close(a.err == nil)
+	switch {
+	case a.err != nil:
+		return broken
+	case a.response.Status >= 500 || !answer.Signed:
+		return failed
+	}
+	x.pass(a)
+	return answered
+}
+
+// pass answers with the whole answer of a target. A status that promises that the request
+// did not run is replaced, because the target made no such promise.
+func (x *exchange) pass(a *attempt) {
+	status := a.response.Status
+	switch status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		x.fail(reason.Rejected, 0)
+		return
+	}
+	h := x.w.Header()
+	closing := h.Get("Connection")
+	platform.CopyAnswer(h, a.response.Header, true)
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.status, x.committed = status, true
+	x.w.WriteHeader(status)
+	if _, err := x.w.Write(a.body); err != nil {
+		x.why, x.detail = reason.Gone, err.Error()
+	}
+}
--- /dev/null
+++ b/io/edge/front.go
@@ -0,0 +1,276 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"sassafrasward/core/reason"
+	"sassafrasward/core/route"
+	"sassafrasward/io/event"
+	"sassafrasward/platform"
+)
+
+const (
+	// headerTimeout, idleTimeout and the byte bounds hold until a configuration is known.
+	headerTimeout = 3 * time.Second
+	idleTimeout   = 60 * time.Second
+	headerBytes   = 64 << 10
+	bodyBytes     = 4 << 20
+	// startRetry is told to callers of a host that does not know a configuration yet.
+	startRetry = 300 * time.Millisecond
+	// elsewhereRetry is told to callers that should go to another host at once.
+	elsewhereRetry = 50 * time.Millisecond
+	// targetRetry is told to callers for whom there is no target at the moment.
+	targetRetry = 400 * time.Millisecond
+	// answerMargin is how long before the deadline a request ends, so that the answer
+	// reaches the caller in time.
+	answerMargin = 15 * time.Millisecond
+)
+
+// front serves callers.
+type front struct {
+	*Edge
+
+	// stopped is when the planned stop began; zero before.
+	stopped atomic.Int64
+}
+
+func (f *front) server(address string) *http.Server {
+	return &http.Server{
+		Addr: address, Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
+// exchange is one request of a caller.
+type exchange struct {
+	*front
+
+	w http.ResponseWriter
+	r *http.Request
+	// request is what the caller's headers say.
+	request   platform.Request
+	route     route.Route
+	workspace string
+	// pool runs the request.
+	pool string
+	rank int
+	body []byte
+	// began is when the request came; aim is when an answer is in time, deadline when the
+	// caller stops waiting.
+	began, aim, deadline time.Duration
+	// mayHaveRun holds once a target may have begun to work on the request.
+	mayHaveRun bool
+	// committed holds once the head of the answer was sent.
+	committed bool
+	// held are results of stages by pool and dispatching host, to be given up.
+	held []holding
+	// targets has where the request was sent to.
+	targets []string
+	// note tells the log how the request ended.
+	status int
+	why    reason.Reason
+	detail string
+}
+
+// holding is the results of one stage.
+type holding struct {
+	host, pool string
+	handles    []string
+	bytes      int64
+}
+
+// ServeHTTP implements http.Handler.
+func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	now := f.clock()
+	f.running.Add(1)
+	f.latest.Store(int64(now))
+	defer f.running.Add(-1)
+	x := &exchange{front: f, w: w, r: r, began: now}
+	if f.stopped.Load() > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	defer x.end()
+	x.serve()
+}
+
+// end gives up what the request holds and logs how it ended.
+func (x *exchange) end() {
+	x.free()
+	x.metrics.Counter("status." + statusClass(x.status)).Inc(1)
+	if x.why != reason.None {
+		x.metrics.Refuse(x.why)
+	}
+	event.Log(x.log, event.RequestEnded, "request", x.request.ID, "route", x.route.Name, "workspace", x.workspace, "status", x.status,
+		"reason", x.why.String(), "detail", x.detail, "targets", strings.Join(x.targets, ","), "rank", x.rank,
+		"elapsed", (x.clock() - x.began).Milliseconds())
+}
+
+func statusClass(status int) string {
+	switch {
+	case status == 0:
+		return "cut"
+	case status < 300:
+		return "done"
+	case status == http.StatusServiceUnavailable:
+		return "refused"
+	default:
+		return "failed"
+	}
+}
+
+// serve answers the request.
+func (x *exchange) serve() {
+	s := x.state.Load()
+	if s.table == nil {
+		x.refuse(http.StatusServiceUnavailable, reason.Joining, startRetry)
+		return
+	}
+	if !x.admit(s.table) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline-x.clock())
+	defer cancel()
+	inputs, ok := x.stages(ctx)
+	if !ok {
+		return
+	}
+	x.forward(ctx, inputs)
+}
+
+// admit reads and checks the request against the configuration. It answers a request that
+// is not admitted.
+func (x *exchange) admit(t *route.Table) (ok bool) {
+	var err error
+	if x.request, err = platform.ReadRequest(x.r.Header); err != nil {
+		x.detail = err.Error()
+		x.refuse(http.StatusBadRequest, reason.Field, 0)
+		return false
+	}
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	if x.route, ok = t.Lookup(x.r.Host, path); !ok {
+		x.refuse(http.StatusNotFound, reason.Pipeline, 0)
+		return false
+	}
+	x.rank = x.route.Priority
+	if t.Keyed() && !x.route.Public {
+		w, ok := t.Workspace(x.request.Key)
+		if !ok {
+			x.refuse(http.StatusUnauthorized, reason.Workspace, 0)
+			return false
+		}
+		x.workspace = w.Name
+		if w.Ranked {
+			x.rank += workspaceRank * w.Priority
+		}
+	}
+	if !x.readBody(t.Limits().BodyBytes) {
+		return false
+	}
+	left := x.route.Timeout
+	if x.request.Left > 0 && (left == 0 || x.request.Left < left) {
+		left = x.request.Left
+	}
+	x.aim, x.deadline = x.began+x.route.Objective, x.began+left-answerMargin
+	x.pool = x.route.Choose(rand.Float64())
+	x.choosers.request(x.pool)
+	return x.admitStopping()
+}
+
+// workspaceRank is how many ranks of routes one rank of workspaces counts.
+const workspaceRank = 2
+
+// admitStopping refuses requests that might not end before a stopping host is killed.
+func (x *exchange) admitStopping() bool {
+	stopped := time.Duration(x.stopped.Load())
+	if stopped == 0 {
+		return true
+	}
+	last := x.settings.Bounds().Grace - closeMargin
+	if x.route.Kind == route.Stream {
+		last = min(last, streamStop)
+	}
+	if x.clock() < stopped+last {
+		return true
+	}
+	x.refuse(http.StatusServiceUnavailable, reason.Draining, elsewhereRetry)
+	return false
+}
+
+// readBody reads the whole body, so that a request can be sent again.
+func (x *exchange) readBody(limit int) bool {
+	if x.r.ContentLength == 0 && (x.r.Method == http.MethodGet || x.r.Method == http.MethodHead) {
+		return true
+	}
+	if limit <= 0 {
+		limit = bodyBytes
+	}
+	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)), x.r.ContentLength)
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		x.refuse(http.StatusRequestEntityTooLarge, reason.Oversize, 0)
+		return false
+	case err != nil:
+		x.why, x.detail = reason.Gone, err.Error()
+		panic(http.ErrAbortHandler) // the caller broke off its request
+	}
+	x.body = body
+	return true
+}
+
+// readAll reads to the end; a known length saves copies.
+func readAll(r io.Reader, length int64) (body []byte, err error) {
+	if length > 0 && length <= bodyBytes {
+		body = make([]byte, length)
+		_, err = io.ReadFull(r, body)
+		return body, err
+	}
+	body, err = io.ReadAll(r)
+	if body == nil {
+		body = []byte{}
+	}
+	return body, err
+}
+
+// refuse answers with a status of the system's own.
+func (x *exchange) refuse(status int, why reason.Reason, retry time.Duration) {
+	x.status, x.why = status, why
+	if x.committed {
+		panic(http.ErrAbortHandler) // the answer must not look complete
+	}
+	h := x.w.Header()
+	platform.SetRefusal(h, x.request.ID, retry)
+	h.Set("Content-Length", "0")
+	x.w.WriteHeader(status)
+	x.committed = true
+}
+
+// fail answers a request that has no answer of a target: as not run if that is true.
+func (x *exchange) fail(why reason.Reason, retry time.Duration) {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.status, x.why = 0, reason.Gone
+		panic(http.ErrAbortHandler) // the caller has left
+	case !x.mayHaveRun:
+		x.refuse(http.StatusServiceUnavailable, why, retry)
+	case why == reason.Deadline:
+		x.refuse(http.StatusGatewayTimeout, why, 0)
+	default:
+		x.refuse(http.StatusBadGateway, why, 0)
+	}
+}
+
+// free gives up the results that the request holds.
+func (x *exchange) free() {
+	for _, h := range x.held {
+		x.lead.Free(h.host, h.pool, h.handles)
+	}
+	x.held = nil
+}
--- /dev/null
+++ b/io/edge/stage.go
@@ -0,0 +1,152 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"sassafrasward/core/reason"
+	"sassafrasward/io/lead"
+	"sassafrasward/platform"
+)
+
+const (
+	// readSpeed is the assumed prompt tokens that a model engine reads in a millisecond, and
+	// firstEvent the time to its first event besides; both are on the safe side of today's
+	// engines.
+	readSpeed  = 30
+	firstEvent = 60 * time.Millisecond
+	// stageRetry is told to callers of a request whose pieces failed.
+	stageRetry = 300 * time.Millisecond
+)
+
+// stages has all stages of the request worked on and returns the handles that the request
+// reads, nil if its route has none. It answers a request whose stages fail.
+func (x *exchange) stages(ctx context.Context) (inputs []string, ok bool) {
+	stages := x.route.Stages
+	if len(stages) == 0 {
+		return nil, true
+	}
+	if len(x.request.Pieces) != len(stages) {
+		x.detail = "the number of stages differs"
+		x.refuse(http.StatusBadRequest, reason.Field, 0)
+		return nil, false
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type end struct {
+		stage   int
+		outcome lead.Outcome
+	}
+	ends := make(chan end, len(stages))
+	results := make([][]string, len(stages))
+	done := make([]bool, len(stages))
+	begun := make([]bool, len(stages))
+	running := 0
+	var failure *lead.Outcome
+	for {
+		for i := range stages {
+			if failure == nil && !begun[i] && x.inputsReady(i, done) {
+				begun[i] = true
+				if x.request.Pieces[i] == 0 {
+					done[i] = true
+					continue
+				}
+				running++
+				job := x.job(i, results)
+				go func() { ends <- end{stage: i, outcome: x.lead.Do(ctx, job)} }()
+			}
+		}
+		if running == 0 {
+			break
+		}
+		e := <-ends
+		running--
+		if e.outcome.Fault != lead.FaultNone {
+			if failure == nil {
+				failure = &e.outcome
+				cancel()
+			}
+			continue
+		}
+		results[e.stage], done[e.stage] = e.outcome.Handles, true
+		x.held = append(x.held, holding{
+			host: e.outcome.Host, pool: stages[e.stage].Pool, handles: e.outcome.Handles,
+			bytes: stages[e.stage].Bytes * int64(len(e.outcome.Handles)),
+		})
+	}
+	if failure != nil {
+		x.failStage(*failure)
+		return nil, false
+	}
+	inputs = []string{}
+	for _, i := range x.route.Final() {
+		inputs = append(inputs, results[i]...)
+	}
+	return inputs, true
+}
+
+func (x *exchange) inputsReady(stage int, done []bool) bool {
+	for _, a := range x.route.Stages[stage].After {
+		if !done[a] {
+			return false
+		}
+	}
+	return true
+}
+
+// job returns the pieces of a stage whose inputs are there.
+func (x *exchange) job(i int, results [][]string) lead.Job {
+	stage := x.route.Stages[i]
+	now := x.clock()
+	later := x.later(i)
+	j := lead.Job{
+		Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
+		Aim: x.aim - later - now, Left: x.deadline - later - now, Rank: x.rank, Bytes: stage.Bytes,
+	}
+	if len(stage.After) == 0 {
+		j.Key = x.request.PieceKey
+		return j
+	}
+	for _, a := range stage.After {
+		j.Inputs = append(j.Inputs, results[a]...)
+	}
+	if len(j.Inputs) > 0 {
+		j.Zone = x.state.Load().zones[platform.Maker(j.Inputs[0])]
+	}
+	return j
+}
+
+// later returns the least time that the stages after one and the model engine need.
+func (x *exchange) later(stage int) time.Duration {
+	longest := time.Duration(0)
+	for i, s := range x.route.Stages {
+		for _, a := range s.After {
+			if a != stage || x.request.Pieces[i] == 0 {
+				continue
+			}
+			own := time.Duration(0)
+			if p, ok := x.state.Load().table.Pool(s.Pool); ok && p.Batch != nil {
+				own = p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
+			}
+			longest = max(longest, own+x.later(i))
+		}
+	}
+	if longest > 0 {
+		return longest
+	}
+	return firstEvent + time.Duration(x.request.Prompt/readSpeed)*time.Millisecond
+}
+
+// failStage answers a request of which a stage failed. The request itself has not run.
+func (x *exchange) failStage(o lead.Outcome) {
+	x.detail = "stage " + string(o.Fault) + " at " + o.Host
+	switch o.Fault {
+	case lead.FaultRefused:
+		x.fail(reason.Overload, o.Retry)
+	case lead.FaultLate:
+		x.fail(reason.Late, stageRetry)
+	default:
+		x.fail(reason.Crashed, stageRetry)
+	}
+}
--- a/io/gossip/node.go
+++ b/io/gossip/node.go
@@ -101,12 +101,12 @@
 // Tick runs the periodic systems. It is called on the owner.
 func (n *Node) Tick() { n.run(n.state.Tick) }
 
-// Hold makes a document available to other hosts and tells them of its version. It is
-// called on the owner.
-func (n *Node) Hold(d *document.Document, v document.Version) {
+// Hold makes the bytes of a document available to other hosts and tells them of its
+// version. It is called on the owner.
+func (n *Node) Hold(raw []byte, v document.Version) {
 	h := n.pulled
-	if h.hash != d.Hash() {
-		h = held{hash: d.Hash(), packed: pack(d.Raw())}
+	if h.hash != v.Hash() {
+		h = held{hash: v.Hash(), packed: pack(raw)}
 	}
 	n.held.Store(&h)
 	n.state.SetVersion(n.owner.Clock(), v)
--- /dev/null
+++ b/io/lead/client.go
@@ -0,0 +1,206 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"sassafrasward/core/member"
+	"sassafrasward/io/event"
+	"sassafrasward/io/lead/message"
+	"sassafrasward/io/peer"
+)
+
+const (
+	// acceptTimeout is far above a round trip between availability zones. A host that does
+	// not accept a job by then is taken for silent.
+	acceptTimeout = 250 * time.Millisecond
+	// endFactor and endExtra bound how much longer than announced a job may take before it
+	// is given to another host.
+	endFactor = 2
+	endExtra  = 900 * time.Millisecond
+	// ranksMost is how many hosts are tried before this one dispatches by itself.
+	ranksMost = 2
+	// freeTimeout bounds a call that gives up results.
+	freeTimeout = time.Second
+)
+
+// Hosts knows which hosts may dispatch.
+type Hosts interface {
+	// Able returns the names of the live hosts, this one included.
+	Able() []string
+	// Peer returns the address of a host.
+	Peer(host string) (address string, incarnation uint64, ok bool)
+}
+
+// Client gives jobs to the host that dispatches their pool. It is safe for concurrent use.
+type Client struct {
+	self     string
+	hosts    Hosts
+	peers    *peer.Pool
+	dispatch *Dispatch
+	// ctx ends with the process.
+	ctx context.Context
+}
+
+// New returns a client on the host self that dispatches by itself if no other host does.
+func New(ctx context.Context, self string, hosts Hosts, peers *peer.Pool, dispatch *Dispatch) *Client {
+	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatch: dispatch}
+}
+
+// Register adds the service to a server.
+func (c *Client) Register(r grpc.ServiceRegistrar) {
+	message.RegisterLeadServer(r, service{dispatch: c.dispatch})
+}
+
+// Outcome is the end of a job.
+type Outcome struct {
+	// Handles has one result per piece unless there is a fault.
+	Handles []string
+	// Host dispatched the job.
+	Host  string
+	Fault Fault
+	// Retry is when the caller of a refused job should come back.
+	Retry time.Duration
+}
+
+// Do runs a job to its end.
+func (c *Client) Do(ctx context.Context, j Job) (o Outcome) {
+	began := c.dispatch.clock()
+	for _, host := range c.order(j.Pool) {
+		passed := c.dispatch.clock() - began
+		now := j
+		now.Age, now.Aim, now.Left = j.Age+passed, j.Aim-passed, j.Left-passed
+		if now.Left <= 0 || ctx.Err() != nil {
+			return Outcome{Host: host, Fault: FaultLate}
+		}
+		if host == c.self {
+			return c.local(ctx, now)
+		}
+		if o = c.remote(ctx, host, now); o.Fault != FaultSilent {
+			return o
+		}
+		event.Log(c.dispatch.log, event.LeadSilent, "request", j.Request, "pool", j.Pool, "host", host)
+	}
+	return o
+}
+
+// order returns the hosts to try, ending with this one.
+func (c *Client) order(pool string) (hosts []string) {
+	for _, h := range member.Rank(pool, c.hosts.Able()) {
+		if h == c.self || len(hosts) == ranksMost {
+			break
+		}
+		hosts = append(hosts, h)
+	}
+	return append(hosts, c.self)
+}
+
+func (c *Client) local(ctx context.Context, j Job) Outcome {
+	w, wait, ok := c.dispatch.Start(j)
+	if !ok {
+		return Outcome{Host: c.self, Fault: FaultRefused, Retry: wait}
+	}
+	handles, fault := c.dispatch.Wait(ctx, w)
+	return Outcome{Host: c.self, Handles: handles, Fault: fault}
+}
+
+// remote runs a job at another host. A silent one is given up for the next.
+func (c *Client) remote(ctx context.Context, host string, j Job) (o Outcome) {
+	o = Outcome{Host: host, Fault: FaultSilent}
+	address, _, ok := c.hosts.Peer(host)
+	if !ok {
+		return o
+	}
+	conn, err := c.peers.Conn(address)
+	if err != nil {
+		return o
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// The watch ends the call if the host gives no sign of life in time.
+	watch := time.AfterFunc(acceptTimeout, cancel)
+	defer watch.Stop()
+	stream, err := message.NewLeadClient(conn).Run(ctx, encode(j))
+	if err != nil {
+		return c.silent(conn, address, o)
+	}
+	for {
+		p, err := stream.Recv()
+		if err != nil {
+			return c.silent(conn, address, o)
+		}
+		switch {
+		case p.GetRefused() != nil:
+			o.Fault, o.Retry = FaultRefused, milliseconds(p.GetRefused().GetRetry())
+			return o
+		case p.GetEnded() != nil:
+			o.Fault, o.Handles = Fault(p.GetEnded().GetFault()), p.GetEnded().GetHandles()
+			if o.Fault == FaultNone && len(o.Handles) != j.Pieces {
+				o.Fault = FaultFailed
+			}
+			return o
+		default:
+			watch.Reset(endFactor*milliseconds(p.GetAccepted().GetWait()) + endExtra)
+		}
+	}
+}
+
+// silent drops the connection to a host that gave no sign of life: it may have gone silent
+// while new ones work.
+func (c *Client) silent(conn *grpc.ClientConn, address string, o Outcome) Outcome {
+	c.peers.Drop(address, conn)
+	return o
+}
+
+// Free gives up results at the host that dispatched them, without waiting for it.
+func (c *Client) Free(host, pool string, handles []string) {
+	if len(handles) == 0 {
+		return
+	}
+	if host == c.self {
+		c.dispatch.Free(pool, handles)
+		return
+	}
+	c.dispatch.running.Go(func() {
+		if err := c.free(host, pool, handles); err != nil {
+			// The dispatching host is away; any other one can give the results up.
+			c.dispatch.Free(pool, handles)
+		}
+	})
+}
+
+func (c *Client) free(host, pool string, handles []string) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	address, _, ok := c.hosts.Peer(host)
+	if !ok {
+		return errors.New("the host is not known")
+	}
+	conn, err := c.peers.Conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, freeTimeout)
+	defer cancel()
+	_, err = message.NewLeadClient(conn).Free(ctx, &message.Handles{Pool: pool, Handles: handles})
+	return err
+}
+
+func encode(j Job) *message.Job {
+	return &message.Job{
+		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
+		Age: j.Age.Milliseconds(), Aim: j.Aim.Milliseconds(), Left: j.Left.Milliseconds(), Rank: int32(j.Rank), Bytes: j.Bytes, Zone: j.Zone,
+	}
+}
+
+func decode(m *message.Job) Job {
+	return Job{
+		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
+		Age: milliseconds(m.GetAge()), Aim: milliseconds(m.GetAim()), Left: milliseconds(m.GetLeft()), Rank: int(m.GetRank()),
+		Bytes: m.GetBytes(), Zone: m.GetZone(),
+	}
+}
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/io/lead/dispatch.go
@@ -0,0 +1,463 @@
+package lead
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/zeebo/errs"
+
+	"sassafrasward/core/batch"
+	"sassafrasward/core/quota"
+	"sassafrasward/core/roster"
+	"sassafrasward/core/route"
+	"sassafrasward/io/event"
+	"sassafrasward/io/link"
+	"sassafrasward/io/metric"
+	"sassafrasward/platform"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("lead")
+
+const (
+	// period is the time between two looks for late calls and hopeless jobs.
+	period = 50 * time.Millisecond
+	// lateFactor and lateExtra say when a call takes so long that its pieces are also given
+	// to another target.
+	lateFactor = 2.2
+	lateExtra  = 250 * time.Millisecond
+	// callMost bounds the time of a call.
+	callMost = 8 * time.Second
+	// triesMost bounds how often one piece is worked on.
+	triesMost = 4
+	// freeGap is how long results to give up are collected for one call.
+	freeGap = 30 * time.Millisecond
+	// answerMost bounds the answer of a call in bytes.
+	answerMost = 1 << 20
+)
+
+// Job is the pieces of one stage of one request.
+type Job struct {
+	Pool    string
+	Request string
+	Stage   int
+	Pieces  int
+	Key     string
+	Inputs  []string
+	// Age is how long ago the request came to its host.
+	Age time.Duration
+	// Aim is the time left for an answer in time, Left that for any answer.
+	Aim, Left time.Duration
+	Rank      int
+	Bytes     int64
+	Zone      string
+}
+
+// Fault says why a job has no results.
+type Fault string
+
+// The faults of jobs.
+const (
+	// FaultNone means that there are results.
+	FaultNone Fault = ""
+	// FaultRefused means that no piece was worked on.
+	FaultRefused Fault = "refused"
+	// FaultLate means that the time of the job has passed.
+	FaultLate Fault = "late"
+	// FaultGone means that an input does not exist any more.
+	FaultGone Fault = "gone"
+	// FaultFailed means that a piece failed too often.
+	FaultFailed Fault = "failed"
+	// FaultSilent means that the dispatching host gave no sign of life.
+	FaultSilent Fault = "silent"
+)
+
+// work is a job that is dispatched here.
+type work struct {
+	id      uint64
+	job     Job
+	expires time.Duration
+	handles []string
+	tries   []int
+	left    int
+	fault   Fault
+	done    chan struct{}
+}
+
+// made is a result that occupies room at a target.
+type made struct {
+	target roster.Target
+	bytes  int64
+	until  time.Duration
+}
+
+// pool is the dispatching of one pool.
+type pool struct {
+	name       string
+	dispatcher *batch.Dispatcher
+	quota      *quota.Quota
+	jobs       map[uint64]*work
+	results    map[string]made
+	// orders holds the calls in progress by id, with when they count as late.
+	orders map[uint64]time.Duration
+	// frees has the handles to give up by the address of their target.
+	frees map[string][]string
+	spec  route.Batch
+}
+
+// Dispatch dispatches pools on this host. It is safe for concurrent use.
+type Dispatch struct {
+	clock   func() time.Duration
+	links   *link.Pool
+	log     logr.Logger
+	metrics *metric.Metrics
+	// newQuota returns the bound on the repeats of a pool.
+	newQuota func() *quota.Quota
+
+	mutex sync.Mutex
+	pools map[string]*pool
+	last  uint64
+	// running counts the calls in progress.
+	running sync.WaitGroup
+	ctx     context.Context
+}
+
+// NewDispatch returns a dispatch without pools, whose calls end with the context.
+func NewDispatch(ctx context.Context, clock func() time.Duration, links *link.Pool, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatch {
+	return &Dispatch{ctx: ctx, clock: clock, links: links, log: log, metrics: metrics, newQuota: newQuota, pools: make(map[string]*pool)}
+}
+
+// Configure sets the pools that work on pieces, with their targets.
+func (d *Dispatch) Configure(table *route.Table, targets map[string][]roster.Target) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, name := range table.Pools() {
+		spec, _ := table.Pool(name)
+		if spec.Batch == nil {
+			continue
+		}
+		p, ok := d.pools[name]
+		if !ok {
+			p = &pool{
+				name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*work),
+				results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string),
+			}
+			d.pools[name] = p
+		}
+		p.spec = *spec.Batch
+		p.dispatcher.SetSpec(*spec.Batch)
+		p.dispatcher.SetTargets(targets[name])
+	}
+}
+
+// SetSlack sets the host's part of the slack of repeats.
+func (d *Dispatch) SetSlack(slack float64) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, p := range d.pools {
+		p.quota.SetSlack(slack)
+	}
+}
+
+// Start offers a job. It returns the work to wait for, or when its caller should come back.
+func (d *Dispatch) Start(j Job) (w *work, wait time.Duration, ok bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p, found := d.pools[j.Pool]
+	if !found || j.Pieces <= 0 {
+		return nil, time.Second, false
+	}
+	now := d.clock()
+	d.last++
+	wait, ok = p.dispatcher.Offer(now, batch.Job{
+		ID: d.last, Arrived: now - j.Age, Rank: j.Rank, Aim: now + j.Aim, Deadline: now + j.Left, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
+	})
+	if !ok {
+		return nil, wait, false
+	}
+	p.quota.Request(now)
+	w = &work{
+		id: d.last, job: j, expires: now + j.Left, handles: make([]string, j.Pieces), tries: make([]int, j.Pieces),
+		left: j.Pieces, done: make(chan struct{}),
+	}
+	p.jobs[w.id] = w
+	d.pump(p)
+	return w, wait, true
+}
+
+// Wait returns the results of a job. If the context ends first, the job is given up.
+func (d *Dispatch) Wait(ctx context.Context, w *work) (handles []string, fault Fault) {
+	select {
+	case <-w.done:
+	case <-ctx.Done():
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	p := d.pools[w.job.Pool]
+	if ctx.Err() != nil && w.fault == FaultNone {
+		d.fail(p, w, FaultLate)
+	}
+	if w.fault != FaultNone {
+		return nil, w.fault
+	}
+	return w.handles, FaultNone
+}
+
+// fail ends a job without results.
+func (d *Dispatch) fail(p *pool, w *work, fault Fault) {
+	d.end(p, w)
+	w.fault = fault
+	d.free(p, w.handles)
+	w.handles = nil
+}
+
+// GiveUp ends a job that nobody waits for.
+func (d *Dispatch) GiveUp(w *work) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, _ = d.Wait(ctx, w) // the results are freed
+}
+
+// end ends a job.
+func (d *Dispatch) end(p *pool, w *work) {
+	if _, ok := p.jobs[w.id]; !ok {
+		return
+	}
+	delete(p.jobs, w.id)
+	p.dispatcher.Remove(w.id)
+	close(w.done)
+}
+
+// Free gives up results.
+func (d *Dispatch) Free(pool string, handles []string) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if p, ok := d.pools[pool]; ok {
+		d.free(p, handles)
+		d.pump(p)
+	}
+}
+
+// free queues results to be given up and returns their room.
+func (d *Dispatch) free(p *pool, handles []string) {
+	for _, h := range handles {
+		if h == "" {
+			continue
+		}
+		if m, ok := p.results[h]; ok {
+			p.dispatcher.Free(m.target.ID, m.bytes)
+			delete(p.results, h)
+		}
+		p.frees[platform.Maker(h)] = append(p.frees[platform.Maker(h)], h)
+	}
+}
+
+// pump makes the calls that can be made now.
+func (d *Dispatch) pump(p *pool) {
+	if d.ctx.Err() != nil {
+		return
+	}
+	now := d.clock()
+	for _, o := range p.dispatcher.Next(now) {
+		p.orders[o.ID] = now + time.Duration(lateFactor*float64(o.Expected)) + lateExtra
+		pieces, items := d.pieces(p, now, o.Items)
+		event.Log(d.log, event.CallStarted, "pool", p.name, "target", o.Target.ID, "pieces", len(pieces),
+			"expected", o.Expected.Milliseconds(), "waiting", p.dispatcher.Waiting())
+		d.running.Go(func() { d.call(p, o, pieces, items) })
+	}
+}
+
+// pieces returns what to ask for the items of jobs that are still wanted.
+func (d *Dispatch) pieces(p *pool, now time.Duration, items []batch.Item) (pieces []platform.Piece, wanted []batch.Item) {
+	for _, i := range items {
+		w, ok := p.jobs[i.Job]
+		if !ok {
+			continue
+		}
+		w.tries[i.Piece]++
+		wanted = append(wanted, i)
+		pieces = append(pieces, platform.Piece{
+			Request: w.job.Request, Stage: w.job.Stage, Number: i.Piece, Left: w.expires - now, Key: w.job.Key, Inputs: w.job.Inputs,
+		})
+	}
+	return pieces, wanted
+}
+
+// call makes one call and takes its end.
+func (d *Dispatch) call(p *pool, o batch.Order, pieces []platform.Piece, items []batch.Item) {
+	ctx, cancel := context.WithTimeout(d.ctx, callMost)
+	defer cancel()
+	results, end, err := d.post(ctx, o.Target, pieces)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	delete(p.orders, o.ID)
+	p.dispatcher.Done(now, o.ID, end)
+	if end != batch.Completed {
+		event.Log(d.log, event.CallFailed, "pool", p.name, "target", o.Target.ID, "pieces", len(items), "refused", end == batch.Refused, "error", text(err))
+		d.again(p, now, items)
+	} else {
+		d.take(p, now, o, items, results)
+	}
+	d.pump(p)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// again queues items whose call failed, within the bound on repeats.
+func (d *Dispatch) again(p *pool, now time.Duration, items []batch.Item) {
+	for _, i := range items {
+		w, ok := p.jobs[i.Job]
+		switch {
+		case !ok || w.handles[i.Piece] != "":
+		case w.tries[i.Piece] >= triesMost || !p.quota.Spend(now):
+			d.fail(p, w, FaultFailed)
+		default:
+			p.dispatcher.Again([]batch.Item{i})
+		}
+	}
+}
+
+// take assigns the results of a call to their jobs.
+func (d *Dispatch) take(p *pool, now time.Duration, o batch.Order, items []batch.Item, results []platform.Made) {
+	for n, i := range items {
+		w, ok := p.jobs[i.Job]
+		r := results[n]
+		if r.Fault == platform.FaultNone {
+			bytes := int64(0)
+			if ok {
+				bytes = w.job.Bytes
+			}
+			p.results[r.Handle] = made{target: o.Target, bytes: bytes, until: now + p.spec.Keep}
+		}
+		switch {
+		case !ok || w.handles[i.Piece] != "":
+			// The job was given up, or a second call for the piece was faster.
+			d.free(p, []string{r.Handle})
+		case r.Fault == platform.FaultNone:
+			w.handles[i.Piece] = r.Handle
+			if w.left--; w.left == 0 {
+				d.end(p, w)
+			}
+		case r.Fault == platform.FaultLate:
+			d.fail(p, w, FaultLate)
+		case r.Fault == platform.FaultGone:
+			d.fail(p, w, FaultGone)
+		default:
+			d.again(p, now, []batch.Item{i})
+		}
+	}
+}
+
+// post sends a call to a target.
+func (d *Dispatch) post(ctx context.Context, t roster.Target, pieces []platform.Piece) (results []platform.Made, end batch.End, err error) {
+	if len(pieces) == 0 {
+		return nil, batch.Refused, nil
+	}
+	body, err := platform.EncodePieces(pieces)
+	if err != nil {
+		return nil, batch.Broken, err
+	}
+	status, answer, raw, err := d.send(ctx, t.ID, t.Address, platform.PathRun, body)
+	switch {
+	case err != nil:
+		return nil, batch.Broken, err
+	case status == http.StatusOK:
+		results, err = platform.DecodeMade(raw, len(pieces))
+		if err != nil {
+			return nil, batch.Broken, err
+		}
+		return results, batch.Completed, nil
+	case answer.NotRun && status == http.StatusServiceUnavailable:
+		return nil, batch.Refused, nil
+	}
+	return nil, batch.Broken, Error.New("status %d", status)
+}
+
+// send makes one call to the target at an address, which must be the given incarnation
+// unless that is empty.
+func (d *Dispatch) send(ctx context.Context, target, address, path string, body []byte) (status int, answer platform.Answer, raw []byte, err error) {
+	h := platform.CallHeader(target)
+	response, err := d.links.Do(ctx, address, link.Request{
+		Method: http.MethodPost, URI: path, Host: address, Header: h, Body: body,
+	})
+	if err != nil {
+		return 0, platform.Answer{}, nil, err
+	}
+	raw, err = io.ReadAll(io.LimitReader(response.Body, answerMost))
+	response.Close(err == nil)
+	return response.Status, platform.ReadAnswer(response.Status, response.Header), raw, err
+}
+
+// Run looks for late calls and hopeless jobs, and gives up results, until the context ends.
+// Its end is reported on done.
+func (d *Dispatch) Run(ctx context.Context, done chan<- error) {
+	ticker := time.NewTicker(period)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			d.tick()
+		case <-ctx.Done():
+			d.running.Wait()
+			done <- nil
+			return
+		}
+	}
+}
+
+func (d *Dispatch) tick() {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	for _, p := range d.pools {
+		for id, late := range p.orders {
+			if now >= late {
+				delete(p.orders, id)
+				if p.quota.Spend(now) {
+					p.dispatcher.Late(id)
+				}
+			}
+		}
+		for _, id := range p.dispatcher.Hopeless(now) {
+			if w, ok := p.jobs[id]; ok {
+				d.fail(p, w, FaultLate)
+			}
+		}
+		for h, m := range p.results {
+			if now >= m.until {
+				delete(p.results, h)
+			}
+		}
+		d.flush(p)
+		d.pump(p)
+	}
+}
+
+// flush sends the calls that give up results.
+func (d *Dispatch) flush(p *pool) {
+	for address, handles := range p.frees {
+		delete(p.frees, address)
+		d.running.Go(func() {
+			ctx, cancel := context.WithTimeout(d.ctx, time.Second)
+			defer cancel()
+			body, err := platform.EncodeFree(handles)
+			if err == nil {
+				_, _, _, err = d.send(ctx, "", address, platform.PathFree, body)
+			}
+			if err != nil {
+				// The target drops the results by itself when their time ends.
+				d.metrics.Counter("stage.free.failed").Inc(1)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/io/lead/service.go
@@ -0,0 +1,42 @@
+package lead
+
+import (
+	"context"
+
+	"google.golang.org/grpc"
+
+	"sassafrasward/io/lead/message"
+)
+
+// service dispatches the jobs of other hosts.
+type service struct {
+	message.UnimplementedLeadServer
+
+	dispatch *Dispatch
+}
+
+// Run implements the service.
+func (s service) Run(m *message.Job, stream grpc.ServerStreamingServer[message.Progress]) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	w, wait, ok := s.dispatch.Start(decode(m))
+	if !ok {
+		return stream.Send(&message.Progress{Step: &message.Progress_Refused{Refused: &message.Refused{Retry: wait.Milliseconds()}}})
+	}
+	accepted := &message.Progress{Step: &message.Progress_Accepted{Accepted: &message.Accepted{Wait: wait.Milliseconds()}}}
+	if err := stream.Send(accepted); err != nil {
+		s.dispatch.GiveUp(w)
+		return err
+	}
+	handles, fault := s.dispatch.Wait(stream.Context(), w)
+	err = stream.Send(&message.Progress{Step: &message.Progress_Ended{Ended: &message.Ended{Handles: handles, Fault: string(fault)}}})
+	if err != nil {
+		s.dispatch.Free(w.job.Pool, handles)
+	}
+	return err
+}
+
+// Free implements the service.
+func (s service) Free(_ context.Context, m *message.Handles) (*message.Freed, error) {
+	s.dispatch.Free(m.GetPool(), m.GetHandles())
+	return &message.Freed{}, nil
+}
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -26,8 +26,40 @@
 	// drain bounds a planned stop.
 	drain time.Duration
 	body  int
+	// ready, directory and metrics are addresses of an edge host; empty if it has none.
+	ready, directory, metrics string
+	// memory is the bound on the memory of the process in bytes; zero for none.
+	memory int64
+	bounds Bounds
 }
 
+// Bounds are the limits that an edge host keeps to.
+type Bounds struct {
+	// Grace is the time between the signal to stop and the kill.
+	Grace time.Duration
+	// Lifetime is the longest time that callers keep an address answer.
+	Lifetime time.Duration
+	// Ratio and Slack bound the repeats of the whole fleet in each Window.
+	Ratio  float64
+	Slack  float64
+	Window time.Duration
+}
+
+// Ready returns the address that is asked whether the host takes requests.
+func (s Settings) Ready() string { return s.ready }
+
+// Directory returns the address that is asked which hosts to use.
+func (s Settings) Directory() string { return s.directory }
+
+// Metrics returns the address on which metrics are served.
+func (s Settings) Metrics() string { return s.metrics }
+
+// Memory returns the bound on the memory of the process in bytes; zero for none.
+func (s Settings) Memory() int64 { return s.memory }
+
+// Bounds returns the limits that an edge host keeps to.
+func (s Settings) Bounds() Bounds { return s.bounds }
+
 // Host returns the name of the host.
 func (s Settings) Host() string { return s.host }
 
@@ -112,6 +144,37 @@
 		s.body = n
 		return err == nil && n >= 1 && n <= maxBody
 	}},
+	{"edge", "ready", "none", "none, or an IP address and port", "address that is asked whether an edge host takes requests", func(s *Settings, v string) bool {
+		return optional(&s.ready, v)
+	}},
+	{"edge", "directory", "none", "none, or an IP address and port", "address that is asked which edge hosts to use", func(s *Settings, v string) bool {
+		return optional(&s.directory, v)
+	}},
+	{"edge", "metrics", "none", "none, or an IP address and port", "address on which metrics are served", func(s *Settings, v string) bool {
+		return optional(&s.metrics, v)
+	}},
+	{"edge", "memory", "0", "0 or more (MB)", "bound on the memory of the process; 0 for none", func(s *Settings, v string) bool {
+		n, ok := number(v)
+		s.memory = int64(n * megabyte)
+		return ok
+	}},
+	{"edge", "grace", "10", "0 or more (seconds)", "time between the signal to stop and the kill", func(s *Settings, v string) bool {
+		return seconds(&s.bounds.Grace, v)
+	}},
+	{"edge", "lifetime", "5", "0 or more (seconds)", "longest time that callers keep an address answer", func(s *Settings, v string) bool {
+		return seconds(&s.bounds.Lifetime, v)
+	}},
+	{"edge", "ratio", "0.1", "0 or more", "repeats that the fleet may add, as a ratio of the requests", func(s *Settings, v string) (ok bool) {
+		s.bounds.Ratio, ok = number(v)
+		return ok
+	}},
+	{"edge", "slack", "10", "0 or more", "repeats that the fleet may add beyond the ratio in each window", func(s *Settings, v string) (ok bool) {
+		s.bounds.Slack, ok = number(v)
+		return ok
+	}},
+	{"edge", "window", "10", "above 0 (seconds)", "window in which repeats are counted", func(s *Settings, v string) bool {
+		return seconds(&s.bounds.Window, v) && s.bounds.Window >= time.Second
+	}},
 	{"platform", "address", "", "an IP address and port other than 0", "address of the configuration service and host list", func(s *Settings, v string) bool {
 		s.platform = v
 		return isRemote(v)
@@ -136,6 +199,30 @@
 	}},
 }
 
+// megabyte is the unit of memory bounds.
+const megabyte = 1e6 // bytes
+
+// optional sets an address that may be none.
+func optional(to *string, v string) bool {
+	if v == "none" {
+		return true
+	}
+	*to = v
+	return isAddress(v)
+}
+
+// number parses a figure that is not negative.
+func number(v string) (n float64, ok bool) {
+	n, err := strconv.ParseFloat(v, 64)
+	return n, err == nil && n >= 0 && n < 1e12
+}
+
+func seconds(to *time.Duration, v string) bool {
+	n, ok := number(v)
+	*to = time.Duration(n * float64(time.Second))
+	return ok && n < 1e6
+}
+
 // Keys returns the registry of keys.
 func Keys() []Key { return append([]Key(nil), keys...) }
 
