Keep jobs of a silent host apart and free results once they were read

Cause: a failed call to a dispatching host closed the connection that all its other jobs used, so one late job made 772 jobs look silent; results were held to the end of their request, so the room of targets bound calls to 7 of 18 pieces.

Change: connections for jobs and gossip are apart and retired instead of closed; a dispatching host sends a sign of life every 300 ms; results are given up once the stages after them have read them; jobs end before their inputs do. Ruled out: more time for accepting, as the hosts were idle.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -54,14 +54,17 @@
 	state    atomic.Pointer[state]
 	choosers *choosers
 	links    *link.Pool
-	peers    *peer.Pool
-	server   *peer.Server
-	dispatch *lead.Dispatch
-	lead     *lead.Client
-	node     *gossip.Node
-	control  *control
-	front    *front
-	watcher  *watcher
+	// peers has the connections for jobs and exchanges those for gossip, which drops one when
+	// a call fails; that must not cut off the jobs.
+	peers     *peer.Pool
+	exchanges *peer.Pool
+	server    *peer.Server
+	dispatch  *lead.Dispatch
+	lead      *lead.Client
+	node      *gossip.Node
+	control   *control
+	front     *front
+	watcher   *watcher
 	// running counts the requests in progress; latest is when the last one came.
 	running atomic.Int64
 	latest  atomic.Int64
@@ -82,9 +85,10 @@
 	newQuota := func() *quota.Quota { return quota.New(b.Window, b.Ratio, b.Slack/fewest) }
 	e.choosers = newChoosers(e.clock, newQuota)
 	e.links = link.New(func() { e.metrics.Counter("target.connections").Inc(1) })
-	e.peers = peer.NewPool(grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		return link.Dial(ctx, "tcp", address)
-	}))
+	})
+	e.peers, e.exchanges = peer.NewPool(dial), peer.NewPool(dial)
 	e.server = peer.NewServer()
 	e.dispatch = lead.NewDispatch(e.ctx, e.clock, e.links, log, e.metrics, newQuota)
 	e.join()
@@ -102,7 +106,7 @@
 	c.members = member.New(e.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
 		Incarnation: rand.Uint64(), Name: s.Host(), Zone: s.Zone(), Address: s.Caller(), Peer: s.Peer(),
 	}, member.WithSeeds(s.Seeds()...), member.WithAlone(true), member.WithPeriod(period))
-	e.node = gossip.New(c.members, c, e.peers, e.log, e.metrics)
+	e.node = gossip.New(c.members, c, e.exchanges, e.log, e.metrics)
 	e.node.Register(e.server.Registrar())
 	calls := e.metrics.Counter("platform.calls")
 	e.watcher = &watcher{
@@ -166,6 +170,7 @@
 	e.node.Stop()
 	e.server.Stop()
 	e.peers.Close()
+	e.exchanges.Close()
 	event.Log(e.log, event.HostStopped, "host", e.settings.Host())
 	return err
 }
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -73,7 +73,10 @@
 	held []holding
 	// targets has where the request was sent to.
 	targets []string
-	// note tells the log how the request ended.
+	// staged is when the stages were done, first when the first event was passed on; pause is
+	// the longest time between two events. They are for the log.
+	staged, first, pause time.Duration
+	// status, why and detail tell the log how the request ended.
 	status int
 	why    reason.Reason
 	detail string
@@ -81,9 +84,12 @@
 
 // holding is the results of one stage.
 type holding struct {
+	stage      int
 	host, pool string
 	handles    []string
 	bytes      int64
+	// made is when this host learned of the results.
+	made time.Duration
 }
 
 // ServeHTTP implements http.Handler.
@@ -109,7 +115,8 @@
 	}
 	event.Log(x.log, event.RequestEnded, "request", x.request.ID, "route", x.route.Name, "workspace", x.workspace, "status", x.status,
 		"reason", x.why.String(), "detail", x.detail, "targets", strings.Join(x.targets, ","), "rank", x.rank,
-		"elapsed", (x.clock() - x.began).Milliseconds())
+		"pieces", x.request.Pieces, "prompt", x.request.Prompt, "staged", (max(x.staged, x.began) - x.began).Milliseconds(),
+		"first", (max(x.first, x.began) - x.began).Milliseconds(), "pause", x.pause.Milliseconds(), "elapsed", (x.clock() - x.began).Milliseconds())
 }
 
 func statusClass(status int) string {
@@ -141,6 +148,7 @@
 	if !ok {
 		return
 	}
+	x.staged = x.clock()
 	x.forward(ctx, inputs)
 }
 
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"sassafrasward/core/reason"
@@ -18,6 +19,9 @@
 	firstEvent = 60 * time.Millisecond
 	// stageRetry is told to callers of a request whose pieces failed.
 	stageRetry = 300 * time.Millisecond
+	// keepMargin is how long before their end results are no longer relied on: they are kept
+	// from the end of a call at the target, which this host learns a little later.
+	keepMargin = 150 * time.Millisecond
 )
 
 // stages has all stages of the request worked on and returns the handles that the request
@@ -71,9 +75,10 @@
 		}
 		results[e.stage], done[e.stage] = e.outcome.Handles, true
 		x.held = append(x.held, holding{
-			host: e.outcome.Host, pool: stages[e.stage].Pool, handles: e.outcome.Handles,
-			bytes: stages[e.stage].Bytes * int64(len(e.outcome.Handles)),
+			stage: e.stage, host: e.outcome.Host, pool: stages[e.stage].Pool, handles: e.outcome.Handles,
+			bytes: stages[e.stage].Bytes * int64(len(e.outcome.Handles)), made: x.clock(),
 		})
+		x.freeRead(done)
 	}
 	if failure != nil {
 		x.failStage(*failure)
@@ -86,6 +91,34 @@
 	return inputs, true
 }
 
+// freeRead gives up the results that all stages after theirs have read, because the room for
+// results bounds the size of calls.
+func (x *exchange) freeRead(done []bool) {
+	x.held = slices.DeleteFunc(x.held, func(h holding) bool {
+		followed, read := false, true
+		for i, s := range x.route.Stages {
+			if slices.Contains(s.After, h.stage) {
+				followed, read = true, read && done[i]
+			}
+		}
+		if followed && read {
+			x.lead.Free(h.host, h.pool, h.handles)
+		}
+		return followed && read
+	})
+}
+
+// kept returns until when the results that a stage reads are kept.
+func (x *exchange) kept(stage int) time.Duration {
+	until := x.deadline
+	for _, h := range x.held {
+		if p, ok := x.state.Load().table.Pool(h.pool); ok && p.Batch != nil && slices.Contains(x.route.Stages[stage].After, h.stage) {
+			until = min(until, h.made+p.Batch.Keep-keepMargin)
+		}
+	}
+	return until
+}
+
 func (x *exchange) inputsReady(stage int, done []bool) bool {
 	for _, a := range x.route.Stages[stage].After {
 		if !done[a] {
@@ -111,6 +144,7 @@
 	for _, a := range stage.After {
 		j.Inputs = append(j.Inputs, results[a]...)
 	}
+	j.Left = min(j.Left, x.kept(i)-now)
 	if len(j.Inputs) > 0 {
 		j.Zone = x.state.Load().zones[platform.Maker(j.Inputs[0])]
 	}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -25,6 +25,8 @@
 	number int64
 	// passed counts the events.
 	passed int
+	// latest is when the last event was passed on.
+	latest time.Duration
 }
 
 // pass passes events on as they arrive. Only whole events are passed, so that another
@@ -89,6 +91,13 @@
 		s.w.WriteHeader(a.response.Status)
 		s.committed = true
 	}
+	now := s.clock()
+	if s.passed == 0 {
+		s.first = now
+	} else {
+		s.pause = max(s.pause, now-s.latest)
+	}
+	s.latest = now
 	if _, err := s.w.Write(raw); err != nil {
 		return false
 	}
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -64,7 +64,7 @@
 	EntryIgnored    = register(1206, 1, "entry ignored", "An entry of the store names no target to use, because a field is missing or wrong.")
 	RequestEnded    = register(1302, 0, "request ended", "A request ended; the line has its route, target, attempts, times and the reason of a refusal or failure.")
 	RequestRepeated = register(1303, 0, "request repeated", "A request is sent to another target after the one before failed.")
-	CallStarted     = register(1801, 1, "stage call started", "Pieces of one or more requests were given to a target.")
+	CallStarted     = register(1801, 0, "stage call started", "Pieces of one or more requests were given to a target.")
 	CallFailed      = register(1802, 0, "stage call failed", "A target did not work on its pieces; they are given to another one within the bound on repeats.")
 	LeadSilent      = register(1803, 0, "dispatching host silent", "The host that dispatches a pool gave no sign of life; the job goes to the next host.")
 	LinesDropped    = register(1901, 0, "log lines dropped", "The log output was too slow; the number of lines that were lost since the last such line.")
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -17,10 +17,10 @@
 	// acceptTimeout is far above a round trip between availability zones. A host that does
 	// not accept a job by then is taken for silent.
 	acceptTimeout = 250 * time.Millisecond
-	// endFactor and endExtra bound how much longer than announced a job may take before it
-	// is given to another host.
-	endFactor = 2
-	endExtra  = 900 * time.Millisecond
+	// beatTime is how often a host says that it still dispatches a job, and beatTimeout after
+	// which time without such a sign it is taken for silent.
+	beatTime    = 300 * time.Millisecond
+	beatTimeout = 3 * beatTime
 	// ranksMost is how many hosts are tried before this one dispatches by itself.
 	ranksMost = 2
 	// freeTimeout bounds a call that gives up results.
@@ -118,6 +118,7 @@
 	if err != nil {
 		return o
 	}
+	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	// The watch ends the call if the host gives no sign of life in time.
@@ -129,6 +130,10 @@
 	}
 	for {
 		p, err := stream.Recv()
+		if err != nil && outer.Err() != nil {
+			o.Fault = FaultLate
+			return o
+		}
 		if err != nil {
 			return c.silent(conn, address, o)
 		}
@@ -143,15 +148,15 @@
 			}
 			return o
 		default:
-			watch.Reset(endFactor*milliseconds(p.GetAccepted().GetWait()) + endExtra)
+			watch.Reset(beatTimeout)
 		}
 	}
 }
 
-// silent drops the connection to a host that gave no sign of life: it may have gone silent
-// while new ones work.
+// silent gives up the connection to a host that gave no sign of life: it may have gone
+// silent while new ones work.
 func (c *Client) silent(conn *grpc.ClientConn, address string, o Outcome) Outcome {
-	c.peers.Drop(address, conn)
+	c.peers.Retire(address, conn)
 	return o
 }
 
--- a/io/lead/service.go
+++ b/io/lead/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 
@@ -27,6 +28,21 @@
 		s.dispatch.GiveUp(w)
 		return err
 	}
+	beat := time.NewTicker(beatTime)
+	defer beat.Stop()
+	for !w.ended() {
+		select {
+		case <-beat.C:
+			if err := stream.Send(accepted); err != nil {
+				s.dispatch.GiveUp(w)
+				return err
+			}
+		case <-w.done:
+		case <-stream.Context().Done():
+			s.dispatch.GiveUp(w)
+			return stream.Context().Err()
+		}
+	}
 	handles, fault := s.dispatch.Wait(stream.Context(), w)
 	err = stream.Send(&message.Progress{Step: &message.Progress_Ended{Ended: &message.Ended{Handles: handles, Fault: string(fault)}}})
 	if err != nil {
@@ -35,6 +51,16 @@
 	return err
 }
 
+// ended reports whether the job has ended.
+func (w *work) ended() bool {
+	select {
+	case <-w.done:
+		return true
+	default:
+		return false
+	}
+}
+
 // Free implements the service.
 func (s service) Free(_ context.Context, m *message.Handles) (*message.Freed, error) {
 	s.dispatch.Free(m.GetPool(), m.GetHandles())
--- a/io/peer/peer.go
+++ b/io/peer/peer.go
@@ -23,6 +23,8 @@
 	keepaliveTime    = 10 * time.Second
 	keepaliveTimeout = 3 * time.Second
 	defaultBound     = 32 // connections
+	// retireTime is longer than a call between hosts takes.
+	retireTime = 10 * time.Second
 )
 
 // Server serves other hosts. Services are registered on it before Serve.
@@ -107,6 +109,21 @@
 	}
 }
 
+// Retire makes the next call to the address dial a new connection, and leaves calls that run
+// on the given one some time to end. It is for a connection on which one of many calls got
+// no answer in time.
+func (p *Pool) Retire(address string, conn *grpc.ClientConn) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	e, ok := p.byAddress[address]
+	if !ok || e.Value.(entry).conn != conn {
+		return
+	}
+	p.recent.Remove(e)
+	delete(p.byAddress, address)
+	time.AfterFunc(retireTime, func() { _ = conn.Close() })
+}
+
 // Close closes all connections.
 func (p *Pool) Close() {
 	p.mutex.Lock()
