Free results at once and make no call that room keeps small

Cause: the room of a target was counted as free up to 50 ms before the call that frees it, so pieces found no room; with little room left, calls of a few pieces cost nearly as much time as full ones.

Change: results are given up as soon as they are named, one call at a time per target, and their room counts as free when that call has ended; a target with room for less than half of the call that waits is left out.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -289,6 +289,9 @@
 // order makes up one call for the best idle target.
 func (d *Dispatcher) order(now time.Duration, queue []*entry) (o Order, ok bool) {
 	for _, w := range d.idle(now, queue[0].job.Zone) {
+		if d.cramped(now, w, queue) {
+			continue
+		}
 		if items, bytes := d.fill(now, w, queue); len(items) > 0 {
 			return d.begin(now, w, items, bytes), true
 		}
@@ -296,6 +299,25 @@
 	return Order{}, false
 }
 
+// cramped reports whether results leave room for less than half of the call that the queue
+// would fill. Such a call would cost nearly as much as a full one, and room is freed soon.
+func (d *Dispatcher) cramped(now time.Duration, w *worker, queue []*entry) bool {
+	room := d.spec.Room - d.taken(now, w)
+	wanted, fits, bytes := 0, 0, int64(0)
+	for _, e := range queue {
+		for range e.waiting {
+			if wanted == d.spec.Size {
+				break
+			}
+			wanted++
+			if bytes += e.job.Bytes; bytes <= room {
+				fits++
+			}
+		}
+	}
+	return room < d.spec.Room && 2*fits < wanted
+}
+
 // idle returns the targets that can take a call, the best one first. A slow target is left
 // out while another one is expected to be done sooner.
 func (d *Dispatcher) idle(now time.Duration, zone string) (list []*worker) {
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -34,8 +34,6 @@
 	callMost = 8 * time.Second
 	// triesMost bounds how often one piece is worked on.
 	triesMost = 4
-	// freeGap is how long results to give up are collected for one call.
-	freeGap = 30 * time.Millisecond
 	// answerMost bounds the answer of a call in bytes.
 	answerMost = 1 << 20
 )
@@ -104,8 +102,10 @@
 	results    map[string]made
 	// orders holds the calls in progress by id, with when they count as late.
 	orders map[uint64]time.Duration
-	// frees has the handles to give up by the address of their target.
-	frees map[string][]string
+	// frees has the handles to give up by the address of their target, and freeing the
+	// addresses with a call in progress.
+	frees   map[string][]string
+	freeing map[string]bool
 	spec  route.Batch
 }
 
@@ -144,7 +144,7 @@
 		if !ok {
 			p = &pool{
 				name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*work),
-				results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string),
+				results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string), freeing: make(map[string]bool),
 			}
 			d.pools[name] = p
 		}
@@ -242,20 +242,63 @@
 	}
 }
 
-// free queues results to be given up and returns their room.
+// free gives results up. What comes while a call to their target runs waits for its end.
 func (d *Dispatch) free(p *pool, handles []string) {
 	for _, h := range handles {
 		if h == "" {
 			continue
 		}
-		if m, ok := p.results[h]; ok {
-			p.dispatcher.Free(m.target.ID, m.bytes)
-			delete(p.results, h)
+		address := platform.Maker(h)
+		p.frees[address] = append(p.frees[address], h)
+		if !p.freeing[address] {
+			p.freeing[address] = true
+			d.running.Go(func() { d.flush(p, address) })
 		}
-		p.frees[platform.Maker(h)] = append(p.frees[platform.Maker(h)], h)
 	}
 }
 
+// flush sends the calls that give up results at a target, and then counts their room as free.
+func (d *Dispatch) flush(p *pool, address string) {
+	for {
+		d.mutex.Lock()
+		handles := p.frees[address]
+		delete(p.frees, address)
+		if len(handles) == 0 {
+			delete(p.freeing, address)
+			d.mutex.Unlock()
+			return
+		}
+		d.mutex.Unlock()
+		err := d.release(address, handles)
+		d.mutex.Lock()
+		if err != nil {
+			// The target drops the results by itself when their time ends.
+			d.metrics.Counter("stage.free.failed").Inc(1)
+		} else {
+			for _, h := range handles {
+				if m, ok := p.results[h]; ok {
+					p.dispatcher.Free(m.target.ID, m.bytes)
+					delete(p.results, h)
+				}
+			}
+			d.pump(p)
+		}
+		d.mutex.Unlock()
+	}
+}
+
+// release makes the call that gives up results.
+func (d *Dispatch) release(address string, handles []string) (err error) {
+	ctx, cancel := context.WithTimeout(d.ctx, time.Second)
+	defer cancel()
+	body, err := platform.EncodeFree(handles)
+	if err != nil {
+		return err
+	}
+	_, _, _, err = d.send(ctx, "", address, platform.PathFree, body)
+	return err
+}
+
 // pump makes the calls that can be made now.
 func (d *Dispatch) pump(p *pool) {
 	if d.ctx.Err() != nil {
@@ -438,26 +481,6 @@
 				delete(p.results, h)
 			}
 		}
-		d.flush(p)
 		d.pump(p)
 	}
 }
-
-// flush sends the calls that give up results.
-func (d *Dispatch) flush(p *pool) {
-	for address, handles := range p.frees {
-		delete(p.frees, address)
-		d.running.Go(func() {
-			ctx, cancel := context.WithTimeout(d.ctx, time.Second)
-			defer cancel()
-			body, err := platform.EncodeFree(handles)
-			if err == nil {
-				_, _, _, err = d.send(ctx, "", address, platform.PathFree, body)
-			}
-			if err != nil {
-				// The target drops the results by itself when their time ends.
-				d.metrics.Counter("stage.free.failed").Inc(1)
-			}
-		})
-	}
-}
