Begin short branches late and fill calls past jobs without room

Change: a stage begins once all stages with more stages after them are done; a call passes over jobs for which there is no room, and is made once six tenths of what it could take fit.

Tests of the patterns run in virtual time in core/batch.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -27,6 +27,9 @@
 	// downFirst and downMost bound how long a target that does not answer is left alone.
 	downFirst = 300 * time.Millisecond
 	downMost  = 3 * time.Second
+	// leastFill is the part of the pieces that a call could take for which there has to be
+	// room before the call is made.
+	leastFill = 0.6
 	// fullPause is how long a target that refused a call as full is left alone.
 	fullPause = 60 * time.Millisecond
 	// retryFloor and retryCeiling bound the wait that a refused caller is told.
@@ -288,36 +291,26 @@
 
 // order makes up one call for the best idle target.
 func (d *Dispatcher) order(now time.Duration, queue []*entry) (o Order, ok bool) {
+	waiting := 0
+	for _, e := range queue {
+		waiting += len(e.waiting)
+	}
 	for _, w := range d.idle(now, queue[0].job.Zone) {
-		if d.cramped(now, w, queue) {
-			continue
+		takes, bytes := d.fill(now, w, queue)
+		n := 0
+		for _, t := range takes {
+			n += t.pieces
 		}
-		if items, bytes := d.fill(now, w, queue); len(items) > 0 {
-			return d.begin(now, w, items, bytes), true
+		// Results leave little room for now: a small call would cost nearly as much time as
+		// a full one.
+		if n == 0 || float64(n) < leastFill*float64(min(waiting, d.spec.Size)) && d.taken(now, w) > 0 {
+			continue
 		}
+		return d.begin(now, w, take(takes), bytes), true
 	}
 	return Order{}, false
 }
 
-// cramped reports whether results leave room for less than half of the call that the queue
-// would fill. Such a call would cost nearly as much as a full one, and room is freed soon.
-func (d *Dispatcher) cramped(now time.Duration, w *worker, queue []*entry) bool {
-	room := d.spec.Room - d.taken(now, w)
-	wanted, fits, bytes := 0, 0, int64(0)
-	for _, e := range queue {
-		for range e.waiting {
-			if wanted == d.spec.Size {
-				break
-			}
-			wanted++
-			if bytes += e.job.Bytes; bytes <= room {
-				fits++
-			}
-		}
-	}
-	return room < d.spec.Room && 2*fits < wanted
-}
-
 // idle returns the targets that can take a call, the best one first. A slow target is left
 // out while another one is expected to be done sooner.
 func (d *Dispatcher) idle(now time.Duration, zone string) (list []*worker) {
@@ -354,12 +347,19 @@
 	return 1
 }
 
-// fill takes the most urgent pieces that a call to the target has room for. A job is split
+// taking is what a call takes of a job.
+type taking struct {
+	entry  *entry
+	pieces int
+}
+
+// fill chooses the most urgent pieces that a call to the target has room for. A job is split
 // only if it is larger than a call or leads the queue.
-func (d *Dispatcher) fill(now time.Duration, w *worker, queue []*entry) (items []Item, bytes int64) {
+func (d *Dispatcher) fill(now time.Duration, w *worker, queue []*entry) (takes []taking, bytes int64) {
 	room := d.spec.Room - d.taken(now, w)
+	left := d.spec.Size
 	for i, e := range queue {
-		n := min(len(e.waiting), d.spec.Size-len(items))
+		n := min(len(e.waiting), left)
 		if size := e.job.Bytes; size > 0 {
 			n = min(n, int((room-bytes)/size))
 		}
@@ -367,13 +367,22 @@
 		if n <= 0 || !whole && i > 0 {
 			continue
 		}
-		for _, p := range e.waiting[:n] {
-			items = append(items, Item{Job: e.job.ID, Piece: p})
-		}
+		takes = append(takes, taking{entry: e, pieces: n})
 		bytes += int64(n) * e.job.Bytes
-		e.waiting = e.waiting[n:]
+		left -= n
+	}
+	return takes, bytes
+}
+
+// take moves the chosen pieces from their jobs to a call.
+func take(takes []taking) (items []Item) {
+	for _, t := range takes {
+		for _, p := range t.entry.waiting[:t.pieces] {
+			items = append(items, Item{Job: t.entry.job.ID, Piece: p})
+		}
+		t.entry.waiting = t.entry.waiting[t.pieces:]
 	}
-	return items, bytes
+	return items
 }
 
 // taken returns the room that calls in progress and results occupy at a target.
--- /dev/null
+++ b/core/batch/load_test.go
@@ -0,0 +1,283 @@
+package batch_test
+
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/batch"
+	"sassafrasward/core/roster"
+	"sassafrasward/core/route"
+)
+
+// spec is a stage service of the size of today's deployments.
+var spec = route.Batch{
+	Slots: 1, Queue: 2, Size: 18, Call: 200 * time.Millisecond, Piece: 9500 * time.Microsecond,
+	Room: 2_300_000, Keep: 4 * time.Second,
+}
+
+// load drives a dispatcher in virtual time against targets that work as published.
+type load struct {
+	random *rand.Rand
+	// arrivals are the jobs to come, by time.
+	arrivals []batch.Job
+	// slow has the factor by which targets are slowed.
+	slow map[string]float64
+	// hold is how long results are needed after the end of a call.
+	hold time.Duration
+
+	ends  []ending
+	frees []release
+	// jobs has the pieces that are missing from each job.
+	missing map[uint64]int
+	jobs    map[uint64]batch.Job
+
+	inTime, late, refused, dropped, pieces int
+	busy                                   time.Duration
+}
+
+type ending struct {
+	at    time.Duration
+	order batch.Order
+}
+
+type release struct {
+	at     time.Duration
+	target string
+	bytes  int64
+}
+
+func newLoad(seed uint64) *load {
+	return &load{
+		random: rand.New(rand.NewPCG(seed, 1)), slow: make(map[string]float64), hold: 350 * time.Millisecond,
+		missing: make(map[uint64]int), jobs: make(map[uint64]batch.Job),
+	}
+}
+
+func targets(n int) (list []roster.Target) {
+	for i := range n {
+		list = append(list, roster.Target{ID: fmt.Sprintf("t%d", i), Pool: "p", Address: fmt.Sprintf("10.0.0.%d:80", i+1), Zone: "a", Slots: 1})
+	}
+	return list
+}
+
+// arrive adds jobs at a rate per second between two times.
+func (l *load) arrive(from, to time.Duration, rate float64, job batch.Job) {
+	for at := from; at < to; at += time.Duration(l.random.ExpFloat64() / rate * float64(time.Second)) {
+		j := job
+		j.Arrived, j.Aim, j.Deadline = at, at+job.Aim, at+job.Deadline
+		l.arrivals = append(l.arrivals, j)
+	}
+}
+
+// run plays the load until all of it has ended.
+func (l *load) run(d *batch.Dispatcher) {
+	slices.SortFunc(l.arrivals, func(a, b batch.Job) int { return cmp.Compare(a.Arrived, b.Arrived) })
+	for now := time.Duration(0); len(l.arrivals)+len(l.jobs) > 0; now += time.Millisecond {
+		l.step(now, d)
+	}
+}
+
+func (l *load) step(now time.Duration, d *batch.Dispatcher) {
+	l.frees = slices.DeleteFunc(l.frees, func(r release) bool {
+		if now >= r.at {
+			d.Free(r.target, r.bytes)
+		}
+		return now >= r.at
+	})
+	l.ends = slices.DeleteFunc(l.ends, func(e ending) bool {
+		if now >= e.at {
+			l.finish(now, d, e.order)
+		}
+		return now >= e.at
+	})
+	for len(l.arrivals) > 0 && l.arrivals[0].Arrived <= now {
+		j := l.arrivals[0]
+		l.arrivals = l.arrivals[1:]
+		j.ID = uint64(1_000_000 - len(l.arrivals))
+		if _, ok := d.Offer(now, j); !ok {
+			l.refused++
+			continue
+		}
+		l.jobs[j.ID], l.missing[j.ID] = j, j.Pieces
+	}
+	for _, id := range d.Hopeless(now) {
+		d.Remove(id)
+		delete(l.jobs, id)
+		l.dropped++
+	}
+	for _, o := range d.Next(now) {
+		took := spec.Call + time.Duration(len(o.Items))*spec.Piece
+		took = time.Duration(float64(took) * max(l.slow[o.Target.ID], 1))
+		l.busy += took
+		l.ends = append(l.ends, ending{at: now + took, order: o})
+	}
+}
+
+func (l *load) finish(now time.Duration, d *batch.Dispatcher, o batch.Order) {
+	d.Done(now, o.ID, batch.Completed)
+	bytes := int64(0)
+	for _, i := range o.Items {
+		j, ok := l.jobs[i.Job]
+		if !ok {
+			continue
+		}
+		bytes += j.Bytes
+		l.pieces++
+		if l.missing[i.Job]--; l.missing[i.Job] > 0 {
+			continue
+		}
+		d.Remove(i.Job)
+		delete(l.jobs, i.Job)
+		if now <= j.Aim {
+			l.inTime++
+		} else {
+			l.late++
+		}
+	}
+	l.frees = append(l.frees, release{at: now + l.hold, target: o.Target.ID, bytes: bytes})
+}
+
+var usual = batch.Job{Pieces: 6, Bytes: 60_000, Aim: 1200 * time.Millisecond, Deadline: 5 * time.Second}
+
+// TestBurstFillsCalls guards against calls that stay small under a backlog: at a load that
+// only nearly full calls can carry, jobs must still end in time.
+func TestBurstFillsCalls(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		l := newLoad(seed)
+		// Calls of one job carry 19 of these jobs a second, full calls 40.
+		l.arrive(0, 6*time.Second, 32, usual)
+		d := batch.New(spec)
+		d.SetTargets(targets(5))
+		l.run(d)
+		total := l.inTime + l.late + l.refused + l.dropped
+		is.True(l.inTime*10 >= total*9) // 9 of 10 jobs in time
+		is.Equal(l.dropped, 0)          // no accepted job is given up
+	}
+}
+
+// TestThirdOfTargetsSlow guards against calls to slow targets while others are sooner done.
+func TestThirdOfTargetsSlow(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		l := newLoad(seed)
+		l.arrive(0, 8*time.Second, 14, usual)
+		l.slow["t0"], l.slow["t1"] = 5, 5
+		d := batch.New(spec)
+		d.SetTargets(targets(5))
+		l.run(d)
+		total := l.inTime + l.late + l.refused + l.dropped
+		is.True(l.inTime*10 >= total*8) // 8 of 10 jobs in time with 3 of 5 targets
+	}
+}
+
+// TestLargeResultsBlockNoSmallOnes guards against a queue whose head does not fit into the
+// room of any target and stops jobs that need none.
+func TestLargeResultsBlockNoSmallOnes(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	large := batch.Job{ID: 1, Pieces: 1, Bytes: 1_500_000, Aim: time.Second, Deadline: 5 * time.Second}
+	_, ok := d.Offer(0, large)
+	is.True(ok)
+	first := d.Next(0)
+	is.Equal(len(first), 1)
+	d.Done(300*time.Millisecond, first[0].ID, batch.Completed) // its result stays
+
+	for id := range uint64(10) {
+		j := large
+		j.ID, j.Aim, j.Deadline = 10+id, 4*time.Second, 6*time.Second
+		_, ok := d.Offer(300*time.Millisecond, j)
+		is.True(ok)
+	}
+	for id := range uint64(18) {
+		_, ok := d.Offer(300*time.Millisecond, batch.Job{ID: 100 + id, Pieces: 1, Bytes: 8_000, Aim: 4 * time.Second, Deadline: 6 * time.Second})
+		is.True(ok)
+	}
+	next := d.Next(300 * time.Millisecond)
+	is.Equal(len(next), 1)
+	is.Equal(len(next[0].Items), 18) // all small ones
+}
+
+// TestNoRoomNoCall guards against small calls while room is about to be freed.
+func TestNoRoomNoCall(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 1, Bytes: 2_200_000, Aim: 5 * time.Second, Deadline: 9 * time.Second})
+	is.True(ok)
+	first := d.Next(0)
+	d.Done(0, first[0].ID, batch.Completed)
+	_, ok = d.Offer(0, batch.Job{ID: 2, Pieces: 18, Bytes: 60_000, Aim: 5 * time.Second, Deadline: 9 * time.Second})
+	is.True(ok)
+	is.Equal(len(d.Next(0)), 0) // room for one piece only
+	d.Free("t0", 2_200_000)
+	is.Equal(len(d.Next(0)[0].Items), 18)
+}
+
+// TestHopelessIsRefused guards against jobs that wait for a time that does not come.
+func TestHopelessIsRefused(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	accepted := 0
+	for id := range uint64(100) {
+		wait, ok := d.Offer(0, batch.Job{ID: id, Pieces: 6, Bytes: 60_000, Aim: time.Second, Deadline: 4 * time.Second})
+		if ok {
+			accepted++
+			continue
+		}
+		is.True(wait >= 200*time.Millisecond) // the caller is told when to come back
+	}
+	// One target does 48 pieces a second in full calls: 2 s hold 16 jobs.
+	is.True(accepted >= 8 && accepted <= 18)
+}
+
+// TestRankComesFirst guards against urgent jobs that wait behind others.
+func TestRankComesFirst(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	for id, rank := range []int{2, 2, 2, 0} {
+		_, ok := d.Offer(0, batch.Job{ID: uint64(id), Rank: rank, Pieces: 18, Bytes: 1, Aim: 9 * time.Second, Deadline: 20 * time.Second})
+		is.True(ok)
+	}
+	is.Equal(d.Next(0)[0].Items[0].Job, uint64(3))
+}
+
+// TestLateCallIsRepeated guards against jobs that wait for a target that went dark, and
+// against results that count twice.
+func TestLateCallIsRepeated(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(2))
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 2, Aim: 2 * time.Second, Deadline: 5 * time.Second})
+	is.True(ok)
+	first := d.Next(0)
+	is.Equal(len(first), 1)
+	d.Late(first[0].ID)
+	second := d.Next(time.Second)
+	is.Equal(len(second), 1)
+	is.True(second[0].Target.ID != first[0].Target.ID)
+	is.Equal(len(second[0].Items), 2)
+	d.Late(first[0].ID) // a second report changes nothing
+	is.Equal(d.Waiting(), 0)
+}
+
+// TestLeavingTargetGetsNoCall guards against new work at a target that leaves.
+func TestLeavingTargetGetsNoCall(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	list := targets(1)
+	list[0].Leaving = true
+	d.SetTargets(list)
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 1, Aim: time.Second, Deadline: 5 * time.Second})
+	is.True(!ok)
+	is.Equal(len(d.Next(0)), 0)
+}
--- /dev/null
+++ b/core/quota/quota_test.go
@@ -0,0 +1,59 @@
+package quota_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/quota"
+)
+
+// TestAnyWindow guards against more repeats than the ratio and the slack allow in any window,
+// wherever it begins.
+func TestAnyWindow(t *testing.T) {
+	is := is.New(t)
+	const window = 10 * time.Second
+	random := rand.New(rand.NewPCG(1, 1))
+	q := quota.New(window, 0.2, 5)
+	var requests, repeats []time.Duration
+	for now := time.Duration(0); now < time.Minute; now += time.Duration(random.Int64N(int64(100 * time.Millisecond))) {
+		if random.IntN(2) == 0 {
+			q.Request(now)
+			requests = append(requests, now)
+		}
+		if q.Spend(now) {
+			repeats = append(repeats, now)
+		}
+	}
+	count := func(times []time.Duration, from, to time.Duration) (n int) {
+		for _, t := range times {
+			if t >= from && t < to {
+				n++
+			}
+		}
+		return n
+	}
+	is.True(len(repeats) > 10)
+	for from := time.Duration(0); from < 50*time.Second; from += 100 * time.Millisecond {
+		// The bound takes the requests of the window before into account.
+		most := max(count(requests, from, from+window), count(requests, from-window, from), count(requests, from-window/2, from+window/2))
+		is.True(float64(count(repeats, from, from+window)) <= 0.2*float64(most)*1.1+5+1)
+	}
+}
+
+// TestSlackOnly guards against a host without requests that repeats more than its slack.
+func TestSlackOnly(t *testing.T) {
+	is := is.New(t)
+	q := quota.New(10*time.Second, 0.2, 3)
+	spent := 0
+	for range 10 {
+		if q.Spend(0) {
+			spent++
+		}
+	}
+	is.Equal(spent, 3)
+	is.True(!q.Spend(9 * time.Second))
+	is.True(q.Spend(12 * time.Second)) // a later window
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -267,3 +267,15 @@
 	}
 	return stages
 }
+
+// Height returns the number of stages on the longest path from a stage to the request, the
+// stage included.
+func (r Route) Height(stage int) int {
+	highest := 0
+	for i, s := range r.Stages {
+		if slices.Contains(s.After, stage) {
+			highest = max(highest, r.Height(i))
+		}
+	}
+	return highest + 1
+}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -50,7 +50,7 @@
 	var failure *lead.Outcome
 	for {
 		for i := range stages {
-			if failure == nil && !begun[i] && x.inputsReady(i, done) {
+			if failure == nil && !begun[i] && x.startable(i, done) {
 				begun[i] = true
 				if x.request.Pieces[i] == 0 {
 					done[i] = true
@@ -119,12 +119,21 @@
 	return until
 }
 
-func (x *exchange) inputsReady(stage int, done []bool) bool {
+// startable reports whether a stage can begin: its inputs are there, and so are the results
+// of all stages that have more stages after them than it has. A shorter branch begun with
+// a longer one would have its results wait for it and take up room.
+func (x *exchange) startable(stage int, done []bool) bool {
 	for _, a := range x.route.Stages[stage].After {
 		if !done[a] {
 			return false
 		}
 	}
+	height := x.route.Height(stage)
+	for i := range x.route.Stages {
+		if x.request.Pieces[i] > 0 && !done[i] && x.route.Height(i) > height {
+			return false
+		}
+	}
 	return true
 }
 
