--- /dev/null
+++ b/io/edge/edge_test.go
@@ -0,0 +1,435 @@
+package edge_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestBytesAreUnchanged guards against a request or an answer that is changed on the way,
+// and a key that reaches a target.
+func TestBytesAreUnchanged(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		signed(w)
+		w.Header().Set("X-Weight-Versions", "3")
+		w.WriteHeader(http.StatusTeapot)
+		_, _ = io.WriteString(w, "short and stout")
+	})
+	s.config(1)
+	s.register(e, "plain", "ready")
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.wait(func() bool { w.call(http.MethodGet, "/read/", "warm", nil); return len(e.requests()) > 0 })
+	status, body, h := w.call(http.MethodPost, "/write/a%2Fb/./c//d?x=%20&y", "r1", func(r *http.Request) {
+		r.Body = io.NopCloser(strings.NewReader("b\x00dy"))
+		r.ContentLength = -1
+		r.Header.Set("X-Tenant", "forged")
+		r.Header.Set("X-Hold", "forged")
+		r.Header.Set("X-Other", "kept")
+	})
+	is.Equal(status, http.StatusTeapot)
+	is.Equal(body, "short and stout")
+	is.Equal([]string{h.Get("X-Response-Signature"), h.Get("X-Weight-Versions")}, []string{"sig", "3"})
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	r := e.seen[len(e.seen)-1]
+	is.Equal([]string{r.Method, r.RequestURI, r.Host, e.bodies[len(e.bodies)-1]}, []string{"POST", "/write/a%2Fb/./c//d?x=%20&y", "h.example", "b\x00dy"})
+	is.Equal([]string{r.Header.Get("X-Tenant"), r.Header.Get("X-Api-Key"), r.Header.Get("X-Hold"), r.Header.Get("X-Other")}, []string{"thun", "", "", "kept"})
+	is.Equal(r.Header.Get("Accept-Encoding"), "") // the caller asked for none
+}
+
+// TestOwnRefusals guards against wrong statuses of the host's own.
+func TestOwnRefusals(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	w, _ := start(t, s, "e1")
+	w.wait(func() bool { status, _, _ := w.call(http.MethodGet, "/read/", "r", nil); return status != 0 })
+	status, _, h := w.call(http.MethodGet, "/nowhere/", "r0", nil)
+	is.Equal(status, http.StatusServiceUnavailable) // without a configuration nothing is denied
+	is.True(h.Get("Retry-After") != "")
+	s.config(1)
+	w.waitReady()
+	for _, test := range []struct {
+		path   string
+		change func(r *http.Request)
+		status int
+	}{
+		{"/nowhere/", nil, http.StatusNotFound},
+		{"/read/", func(r *http.Request) { r.Host = "other.example" }, http.StatusNotFound},
+		{"/read/", func(r *http.Request) { r.Header.Set("X-Api-Key", "wrong") }, http.StatusUnauthorized},
+		{"/read/", func(r *http.Request) { r.Header.Del("X-Api-Key") }, http.StatusUnauthorized},
+		{"/read/", func(r *http.Request) { r.Header.Del("X-Request-Id") }, http.StatusBadRequest},
+		{"/write/", func(r *http.Request) {
+			r.Body, r.ContentLength = io.NopCloser(strings.NewReader(strings.Repeat("x", 1001))), 1001
+		}, http.StatusRequestEntityTooLarge},
+		{"/read/", nil, http.StatusServiceUnavailable}, // no target
+	} {
+		status, _, _ := w.call(http.MethodGet, test.path, "r1", test.change)
+		is.Equal(status, test.status)
+	}
+}
+
+// TestCommandRunsOnce guards against a command that is sent again after it may have run, and
+// against a promise that it did not run.
+func TestCommandRunsOnce(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		handle func(w http.ResponseWriter, r *http.Request)
+		status int
+	}{
+		{"reset", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
+		{"broken body", func(w http.ResponseWriter, _ *http.Request) {
+			signed(w)
+			w.Header().Set("Content-Length", "10")
+			_, _ = io.WriteString(w, "short")
+			panic(http.ErrAbortHandler)
+		}, http.StatusBadGateway},
+		{"unsigned", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") }, http.StatusBadGateway},
+		{"busy without a promise", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, http.StatusBadGateway},
+		{"failure", func(w http.ResponseWriter, _ *http.Request) {
+			signed(w)
+			w.WriteHeader(http.StatusInternalServerError)
+		}, http.StatusInternalServerError},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			s := newStore(t)
+			s.config(1)
+			engines := []*engine{}
+			for _, id := range []string{"i-1", "i-2"} {
+				e := newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+					if strings.HasPrefix(r.URL.Path, "/read/") {
+						whole("ok")(w, r)
+						return
+					}
+					test.handle(w, r)
+				})
+				engines = append(engines, e)
+				s.register(e, "plain", "ready")
+			}
+			w, _ := start(t, s, "e1")
+			w.waitReady()
+			w.served("/read/")
+			status, _, _ := w.call(http.MethodPost, "/write/", "c1", nil)
+			is.Equal(status, test.status)
+			reached := len(without(engines[0].requests(), "warm")) + len(without(engines[1].requests(), "warm"))
+			is.Equal(reached, 1)
+		})
+	}
+}
+
+// TestRefusedCommandGoesOn guards against a command that is refused although another target
+// could have run it.
+func TestRefusedCommandGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1)
+	var full atomic.Int64
+	for _, id := range []string{"i-1", "i-2"} {
+		s.register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodPost && full.Add(1) == 1 {
+				w.Header().Set("X-Not-Executed", "1")
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			whole("done")(w, r)
+		}), "plain", "ready")
+	}
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	status, body, _ := w.call(http.MethodPost, "/write/", "c1", nil)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "done")
+	full.Store(0)
+}
+
+// TestReadIsRepeated guards against an idempotent request that fails with its first target.
+func TestReadIsRepeated(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1)
+	var failing atomic.Bool
+	var first atomic.Int64
+	for _, id := range []string{"i-1", "i-2"} {
+		s.register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+			if failing.Load() && first.Add(1) == 1 {
+				panic(http.ErrAbortHandler)
+			}
+			whole("ok")(w, r)
+		}), "plain", "ready")
+	}
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	failing.Store(true)
+	status, body, _ := w.call(http.MethodGet, "/read/", "r1", nil)
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "ok")
+}
+
+// events writes events with the ids from first to last, and the end of the stream if whole.
+func events(w http.ResponseWriter, first, last int, complete bool) {
+	signed(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for i := first; i <= last; i++ {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: token%d\n\n", i, i)
+	}
+	if !complete {
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: tok", last+1)
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// TestStreamGoesOn guards against a stream that loses, repeats or joins events when its
+// target breaks in the middle of one.
+func TestStreamGoesOn(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+			if from := r.Header.Get("Last-Event-Id"); from != "" {
+				is.Equal(from, "3")
+				events(w, 4, 6, true)
+				return
+			}
+			events(w, 1, 3, false)
+		}), "model", "ready")
+	}
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	var status int
+	var body string
+	w.wait(func() bool { status, body, _ = w.call(http.MethodPost, "/chat/", "s1", nil); return status == http.StatusOK })
+	want := ""
+	for i := 1; i <= 6; i++ {
+		want += fmt.Sprintf("id: %d\ndata: token%d\n\n", i, i)
+	}
+	is.Equal(body, want)
+}
+
+// stageWorld has an engine for pieces and one for the model.
+func stageWorld(t *testing.T, handle func(w http.ResponseWriter, r *http.Request)) (w *world, pieces, model *engine) {
+	s := newStore(t)
+	s.config(1)
+	pieces, model = newEngine(t, "i-1", nil), newEngine(t, "i-2", handle)
+	s.register(pieces, "pieces", "ready")
+	s.register(model, "model", "ready")
+	w, _ = start(t, s, "e1")
+	w.waitReady()
+	return w, pieces, model
+}
+
+func withPieces(r *http.Request) {
+	r.Header.Set("X-Pieces", "2,3")
+	r.Header.Set("X-Piece-Key", "k")
+}
+
+// TestStages guards against pieces with the wrong inputs, results that the model does not
+// get, and results that are never given up.
+func TestStages(t *testing.T) {
+	is := is.New(t)
+	w, pieces, model := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) })
+	w.wait(func() bool { status, _, _ := w.call(http.MethodPost, "/talk/", "s1", withPieces); return status == http.StatusOK })
+	model.mutex.Lock()
+	inputs := model.seen[len(model.seen)-1].Header.Get("X-Inputs")
+	model.mutex.Unlock()
+	want := []string{}
+	for i := range 3 {
+		want = append(want, fmt.Sprintf("%s/s1.1.%d.2", pieces.address(), i)) // two inputs each
+	}
+	is.Equal(inputs, strings.Join(want, ","))
+	w.wait(func() bool {
+		pieces.mutex.Lock()
+		defer pieces.mutex.Unlock()
+		return len(pieces.freed) >= 5
+	})
+}
+
+// TestStreamBreaks guards against a stream that may run once and looks whole though it
+// broke, or is begun again.
+func TestStreamBreaks(t *testing.T) {
+	is := is.New(t)
+	w, _, model := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, false) })
+	n := 0
+	w.wait(func() bool {
+		n++
+		status, body, h := w.call(http.MethodPost, "/talk/", fmt.Sprintf("s%d", n), withPieces)
+		is.True(status != http.StatusOK)
+		return h != nil && strings.HasSuffix(body, "token2\n\n")
+	})
+	is.Equal(len(model.requests()), 1)
+}
+
+// TestCallerLeaves guards against targets that work on for a caller that has left.
+func TestCallerLeaves(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1)
+	left := make(chan struct{})
+	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/read/slow" {
+			whole("ok")(w, r)
+			return
+		}
+		<-r.Context().Done()
+		close(left)
+	})
+	s.register(e, "plain", "ready")
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	client := &http.Client{Timeout: 200 * time.Millisecond}
+	r, err := http.NewRequest(http.MethodGet, "http://"+w.address+"/read/slow", nil)
+	is.NoErr(err)
+	r.Host = "h.example"
+	r.Header.Set("X-Request-Id", "r1")
+	r.Header.Set("X-Api-Key", "key")
+	response, err := client.Do(r)
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	is.True(err != nil)
+	<-left
+}
+
+// TestNoAnswerInTime guards against requests that are held past the time of their route.
+func TestNoAnswerInTime(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1, `{"name":"quick","host":"h.example","prefix":"/quick/","kind":"non_idempotent","timeoutMs":300,"sloMs":300,"service":"plain","maxAttempts":1}`)
+	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasPrefix(r.URL.Path, "/quick/") {
+			<-r.Context().Done()
+			return
+		}
+		whole("ok")(w, r)
+	})
+	s.register(e, "plain", "ready")
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	status, _, _ := w.call(http.MethodPost, "/quick/", "c1", nil)
+	is.Equal(status, http.StatusGatewayTimeout) // it may have run
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	left := e.seen[len(e.seen)-1].Header.Get("X-Deadline-Ms")
+	is.True(left > "200" && left <= "300") // milliseconds
+}
+
+// TestLeavingTarget guards against new work for targets that leave, are gone, or whose
+// address another one has.
+func TestLeavingTarget(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1)
+	e1, e2 := newEngine(t, "i-1", whole("1")), newEngine(t, "i-2", whole("2"))
+	s.register(e1, "plain", "ready")
+	s.register(e2, "plain", "draining")
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	is.Equal(len(e2.requests()), 0)
+	s.register(e2, "plain", "ready")
+	w.wait(func() bool { _, body, _ := w.call(http.MethodGet, "/read/", "r", nil); return body == "2" })
+	s.put("servers/i-1", "")
+	w.wait(func() bool {
+		before := len(e1.requests())
+		for range 20 {
+			w.call(http.MethodGet, "/read/", "r", nil)
+		}
+		return len(e1.requests()) == before
+	})
+}
+
+// TestConfigurations guards against a configuration that is not in force on all hosts, also
+// on one that cannot read the store, or that is replaced by an older one.
+func TestConfigurations(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(3)
+	e := newEngine(t, "i-1", whole("ok"))
+	s.register(e, "plain", "ready")
+	w1, peer := start(t, s, "e1")
+	w1.waitReady()
+	away := newStore(t)
+	away.broken = true
+	w2, _ := start(t, away, "e2", peer)
+	w2.waitReady() // by the configuration of the other host
+	added := `{"name":"new","host":"h.example","prefix":"/new/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2}`
+	s.config(5, added)
+	w1.served("/new/")
+	w2.wait(func() bool { status, _, _ := w2.call(http.MethodGet, "/new/", "r", nil); return status != http.StatusNotFound })
+	s.config(4) // an older one
+	time.Sleep(300 * time.Millisecond)
+	status, _, _ := w1.call(http.MethodGet, "/new/", "r", nil)
+	is.Equal(status, http.StatusOK)
+	w1.wait(func() bool {
+		r, err := http.Get("http://" + w1.directory + "/resolve?name=h.example&zone=a")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = r.Body.Close() }()
+		body, _ := io.ReadAll(r.Body)
+		return strings.Contains(string(body), w1.address) && strings.Contains(string(body), w2.address) && strings.Contains(string(body), `"ttlS":2`)
+	})
+}
+
+// TestPlannedStop guards against requests that a planned stop cuts off.
+func TestPlannedStop(t *testing.T) {
+	is := is.New(t)
+	s := newStore(t)
+	s.config(1)
+	release := make(chan struct{})
+	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/write/slow" {
+			select {
+			case <-release:
+			case <-r.Context().Done():
+			}
+		}
+		whole("done")(w, r)
+	})
+	s.register(e, "plain", "ready")
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	statuses := make(chan int, 1)
+	go func() {
+		status, _, _ := w.call(http.MethodPost, "/write/slow", "c1", nil)
+		statuses <- status
+	}()
+	w.wait(func() bool { return len(without(e.requests(), "warm")) == 1 })
+	w.stop()
+	w.wait(func() bool {
+		r, err := http.Get("http://" + w.ready + "/readyz")
+		if err != nil {
+			return true
+		}
+		_ = r.Body.Close()
+		return r.StatusCode == http.StatusServiceUnavailable
+	})
+	// A caller with an older address answer, that would keep its connection.
+	c, err := net.Dial("tcp", w.address)
+	is.NoErr(err)
+	defer func() { is.NoErr(c.Close()) }()
+	_, err = io.WriteString(c, "GET /read/ HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: late\r\nX-Api-Key: key\r\n\r\n")
+	is.NoErr(err)
+	raw, err := io.ReadAll(c)
+	is.NoErr(err) // the host closes the connection
+	is.True(strings.HasPrefix(string(raw), "HTTP/1.1 200 OK"))
+	is.True(strings.Contains(string(raw), "Connection: close"))
+	close(release)
+	is.Equal(<-statuses, http.StatusOK)
+}
--- /dev/null
+++ b/io/link/link_test.go
@@ -0,0 +1,257 @@
+package link_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/io/link"
+)
+
+// server is a raw server on loopback: handle gets each connection with its number.
+func server(t *testing.T, handle func(n int, c net.Conn, r *bufio.Reader)) (address string, accepted *atomic.Int64) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	accepted = &atomic.Int64{}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := int(accepted.Add(1))
+			go func() {
+				defer func() { _ = c.Close() }()
+				handle(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return l.Addr().String(), accepted
+}
+
+// read reads one request with its body.
+func read(r *bufio.Reader) (*http.Request, []byte, error) {
+	request, err := http.ReadRequest(r)
+	if err != nil {
+		return nil, nil, err
+	}
+	body, err := io.ReadAll(request.Body)
+	return request, body, err
+}
+
+func answer(c net.Conn, id, body string) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func request(id string) link.Request {
+	return link.Request{
+		Method: http.MethodGet, URI: "/a%2fb/../c?x=%20", Host: "h.example", Header: http.Header{"Id": {id}},
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+	}
+}
+
+// get makes one exchange and returns the whole body.
+func get(p *link.Pool, address string, r link.Request) (body string, err error) {
+	response, err := p.Do(context.Background(), address, r)
+	if err != nil {
+		return "", err
+	}
+	raw, err := io.ReadAll(response.Body)
+	response.Close(err == nil)
+	return string(raw), err
+}
+
+// echo answers each request with its request line.
+func echo(_ int, c net.Conn, r *bufio.Reader) {
+	for {
+		request, body, err := read(r)
+		if err != nil {
+			return
+		}
+		answer(c, request.Header.Get("Id"), request.Method+" "+request.RequestURI+" "+request.Host+" "+string(body))
+	}
+}
+
+// TestRequestLine guards against a request line or body that is cleaned or escaped on the way.
+func TestRequestLine(t *testing.T) {
+	is := is.New(t)
+	address, accepted := server(t, echo)
+	p := link.New(func() {})
+	for range 3 {
+		body, err := get(p, address, request("1"))
+		is.NoErr(err)
+		is.Equal(body, "GET /a%2fb/../c?x=%20 h.example ")
+	}
+	is.Equal(accepted.Load(), int64(1)) // the connection was kept
+	r := request("2")
+	r.Method, r.Body, r.Fresh = http.MethodPost, []byte("b\x00dy"), true
+	body, err := get(p, address, r)
+	is.NoErr(err)
+	is.Equal(body, "POST /a%2fb/../c?x=%20 h.example b\x00dy")
+	is.Equal(accepted.Load(), int64(2)) // fresh requests use a new one
+}
+
+// TestExtraAnswer guards against an answer of an earlier request that is taken for that of a
+// later one on the same connection.
+func TestExtraAnswer(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{})
+	address, accepted := server(t, func(n int, c net.Conn, r *bufio.Reader) {
+		for {
+			request, _, err := read(r)
+			if err != nil {
+				return
+			}
+			if n == 1 && request.Header.Get("Id") == "2" {
+				answer(c, "1", "again")
+			}
+			answer(c, request.Header.Get("Id"), "for "+request.Header.Get("Id"))
+			if n == 1 {
+				close(arrived)
+				arrived = make(chan struct{})
+			}
+		}
+	})
+	p := link.New(func() {})
+	for _, id := range []string{"1", "2", "3"} {
+		body, err := get(p, address, request(id))
+		is.NoErr(err)
+		is.Equal(body, "for "+id)
+	}
+	is.Equal(accepted.Load(), int64(2)) // the connection with the extra answer is not kept
+}
+
+// TestNoHiddenRepeat guards against a request that is sent again when its connection breaks.
+func TestNoHiddenRepeat(t *testing.T) {
+	is := is.New(t)
+	var seen atomic.Int64
+	address, _ := server(t, func(_ int, _ net.Conn, r *bufio.Reader) {
+		if _, _, err := read(r); err == nil {
+			seen.Add(1)
+		}
+	})
+	p := link.New(func() {})
+	_, err := get(p, address, request("1"))
+	is.True(err != nil)
+	is.True(link.Sent(err)) // it may have run
+	is.Equal(seen.Load(), int64(1))
+}
+
+// TestRefusedConnection guards against a request that is taken for sent though no target
+// was reached.
+func TestRefusedConnection(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	address := l.Addr().String()
+	is.NoErr(l.Close())
+	_, err = get(link.New(func() {}), address, request("1"))
+	is.True(err != nil)
+	is.True(!link.Sent(err))
+}
+
+// TestEarlyAnswer guards against a connection that is kept though the target has not read the
+// whole body yet: the next request would be read as the rest of it.
+func TestEarlyAnswer(t *testing.T) {
+	is := is.New(t)
+	rest := make(chan struct{})
+	t.Cleanup(func() { close(rest) })
+	address, accepted := server(t, func(n int, c net.Conn, r *bufio.Reader) {
+		if n > 1 {
+			echo(n, c, r)
+			return
+		}
+		request, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer(c, request.Header.Get("Id"), "early")
+		<-rest
+	})
+	p := link.New(func() {})
+	long := request("1")
+	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+	body, err := get(p, address, long)
+	is.NoErr(err)
+	is.Equal(body, "early")
+	_, err = get(p, address, request("2"))
+	is.NoErr(err)
+	is.Equal(accepted.Load(), int64(2))
+}
+
+// TestBrokenAnswer guards against an answer that breaks off and looks whole, for each way
+// that an answer can be framed.
+func TestBrokenAnswer(t *testing.T) {
+	for _, test := range []struct {
+		name, raw string
+		whole     bool
+	}{
+		{"length", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\n\r\nshort", false},
+		{"chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n", false},
+		{"whole chunks", "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nshort\r\n0\r\n\r\n", true},
+		{"no framing", "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nshort", true},
+		{"no answer", "nonsense\r\n\r\n", false},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			is := is.New(t)
+			address, _ := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, _, err := read(r); err == nil {
+					_, _ = io.WriteString(c, test.raw)
+				}
+			})
+			_, err := get(link.New(func() {}), address, request("1"))
+			is.Equal(err == nil, test.whole)
+		})
+	}
+}
+
+// TestResetAnswer guards against an answer without a length that ends with a reset and looks
+// whole.
+func TestResetAnswer(t *testing.T) {
+	is := is.New(t)
+	address, _ := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, _, err := read(r); err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nshort")
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	_, err := get(link.New(func() {}), address, request("1"))
+	is.True(err != nil)
+}
+
+// TestCancelEndsWork guards against targets that go on with work nobody waits for.
+func TestCancelEndsWork(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	got := make(chan struct{})
+	address, _ := server(t, func(_ int, c net.Conn, r *bufio.Reader) {
+		if _, _, err := read(r); err != nil {
+			return
+		}
+		close(got)
+		_, _ = r.ReadByte()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, err := link.New(func() {}).Do(ctx, address, request("1"))
+	is.True(errors.Is(err, context.Canceled))
+	<-closed
+}
