Admit by the backlog of all stages and keep queues sorted

Change: a dispatching host tells with each message how long new jobs wait; a request is refused before its first stage if the path cannot be in time, nor late within six tenths of its time. Queues are kept in order. Ruled out: a longer time for accepting, which hides the load.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -17,6 +17,8 @@
 	// patience is the part of the time to its deadline that a job that misses its objective
 	// may be expected to wait: a later refusal leaves the caller no time to come back.
 	patience = 0.5
+	// usualRank is the rank for which the backlog is told.
+	usualRank = 1
 	// learn is the weight of a new measurement of a target's pace.
 	learn = 0.4
 	// slowPace is the ratio of the paces of two targets from which the slower one is used
@@ -53,6 +55,8 @@
 	Bytes int64
 	// Zone is where the results are preferred.
 	Zone string
+	// Begun holds if earlier stages of the request were worked on, which would be lost.
+	Begun bool
 }
 
 // Item is one piece of a job.
@@ -128,7 +132,9 @@
 	spec    route.Batch
 	workers *table.Table[string, *worker]
 	jobs    map[uint64]*entry
-	last    uint64
+	// sorted has the jobs with waiting pieces by their place in the queue.
+	sorted []*entry
+	last   uint64
 }
 
 // New returns a dispatcher without targets.
@@ -161,7 +167,7 @@
 
 // Waiting returns the number of pieces that are in no call.
 func (d *Dispatcher) Waiting() (pieces int) {
-	for _, e := range d.jobs {
+	for _, e := range d.sorted {
 		pieces += len(e.waiting)
 	}
 	return pieces
@@ -172,7 +178,7 @@
 func (d *Dispatcher) Offer(now time.Duration, j Job) (wait time.Duration, ok bool) {
 	ready := d.expect(now, j)
 	limit := j.Deadline
-	if ready > j.Aim {
+	if ready > j.Aim && !j.Begun {
 		limit = now + time.Duration(patience*float64(j.Deadline-now))
 	}
 	if ready > limit {
@@ -183,9 +189,33 @@
 		e.waiting = append(e.waiting, i)
 	}
 	d.jobs[j.ID] = e
+	d.insert(e)
 	return ready - now, true
 }
 
+// insert puts a job with waiting pieces into its place.
+func (d *Dispatcher) insert(e *entry) {
+	if i, ok := slices.BinarySearchFunc(d.sorted, e, compare); !ok {
+		d.sorted = slices.Insert(d.sorted, i, e)
+	}
+}
+
+// settle removes a job without waiting pieces from the queue.
+func (d *Dispatcher) settle(e *entry) {
+	if i, ok := slices.BinarySearchFunc(d.sorted, e, compare); ok {
+		d.sorted = slices.Delete(d.sorted, i, i+1)
+	}
+}
+
+// Backlog returns how long a job that comes now waits for its call: one that can be in time,
+// and one that comes after all others.
+func (d *Dispatcher) Backlog(now time.Duration) (soon, all time.Duration) {
+	own := d.nominal(1)
+	inTime := Job{ID: 1<<64 - 1, Arrived: now, Rank: usualRank, Aim: 1<<62 - 1, Pieces: 1}
+	last := Job{ID: 1<<64 - 1, Arrived: 1<<62 - 1, Pieces: 1}
+	return d.expect(now, inTime) - now - own, d.expect(now, last) - now - own
+}
+
 // expect returns when the job would end if it came now.
 func (d *Dispatcher) expect(now time.Duration, j Job) time.Duration {
 	usable, rate := 0, 0.0
@@ -203,10 +233,10 @@
 		return now + retryCeiling + j.Deadline
 	}
 	own := d.nominal(min(j.Pieces, d.spec.Size))
-	ahead := 0
-	key := d.key(now, j)
-	for _, e := range d.jobs {
-		if less(d.key(now, e.job), key) {
+	ahead, late, place := 0, d.late(now, j), &entry{job: j}
+	for _, e := range d.sorted {
+		other := d.late(now, e.job)
+		if other == late && compare(e, place) < 0 || late && !other {
 			ahead += len(e.waiting)
 		}
 	}
@@ -239,53 +269,49 @@
 	return max(pace, 0.2)
 }
 
-// urgency orders jobs.
-type urgency struct {
-	late bool
-	at   time.Duration
-	id   uint64
-}
+// late reports whether a job misses its objective even if it starts now.
+func (d *Dispatcher) late(now time.Duration, j Job) bool { return now+d.nominal(1) > j.Aim }
 
-func (d *Dispatcher) key(now time.Duration, j Job) urgency {
-	late := now+d.nominal(1) > j.Aim
-	return urgency{late: late, at: j.Arrived + time.Duration(j.Rank)*rankGap, id: j.ID}
+// compare orders jobs that are alike in whether they can be in time.
+func compare(a, b *entry) int {
+	return cmp.Or(cmp.Compare(a.job.place(), b.job.place()), cmp.Compare(a.job.ID, b.job.ID))
 }
 
-func less(a, b urgency) bool { return compare(a, b) < 0 }
-
-func compare(a, b urgency) int {
-	if a.late != b.late {
-		if b.late {
-			return -1
-		}
-		return 1
-	}
-	return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(a.id, b.id))
-}
+// place is the arrival of the request, shifted by its rank.
+func (j Job) place() time.Duration { return j.Arrived + time.Duration(j.Rank)*rankGap }
 
 // Next returns the calls to make now.
 func (d *Dispatcher) Next(now time.Duration) (orders []Order) {
-	for {
-		queue := d.queue(now)
-		if len(queue) == 0 {
-			return orders
-		}
-		o, ok := d.order(now, queue)
+	for len(d.sorted) > 0 && d.anyIdle(now) {
+		o, ok := d.order(now, d.queue(now))
 		if !ok {
 			return orders
 		}
 		orders = append(orders, o)
 	}
+	return orders
+}
+
+// anyIdle reports whether a target can take a call.
+func (d *Dispatcher) anyIdle(now time.Duration) bool {
+	for _, w := range d.workers.All() {
+		if !w.target.Leaving && now >= w.down && len(w.calls) < max(d.spec.Slots, 1) {
+			return true
+		}
+	}
+	return false
 }
 
-// queue returns the jobs with waiting pieces, the most urgent first.
+// queue returns the jobs with waiting pieces: those that can be in time before the others.
 func (d *Dispatcher) queue(now time.Duration) (queue []*entry) {
-	for _, e := range d.jobs {
-		if len(e.waiting) > 0 {
-			queue = append(queue, e)
+	queue = make([]*entry, 0, len(d.sorted))
+	for _, late := range []bool{false, true} {
+		for _, e := range d.sorted {
+			if d.late(now, e.job) == late {
+				queue = append(queue, e)
+			}
 		}
 	}
-	slices.SortFunc(queue, func(a, b *entry) int { return compare(d.key(now, a.job), d.key(now, b.job)) })
 	return queue
 }
 
@@ -306,7 +332,7 @@
 		if n == 0 || float64(n) < leastFill*float64(min(waiting, d.spec.Size)) && d.taken(now, w) > 0 {
 			continue
 		}
-		return d.begin(now, w, take(takes), bytes), true
+		return d.begin(now, w, d.take(takes), bytes), true
 	}
 	return Order{}, false
 }
@@ -375,12 +401,14 @@
 }
 
 // take moves the chosen pieces from their jobs to a call.
-func take(takes []taking) (items []Item) {
+func (d *Dispatcher) take(takes []taking) (items []Item) {
 	for _, t := range takes {
 		for _, p := range t.entry.waiting[:t.pieces] {
 			items = append(items, Item{Job: t.entry.job.ID, Piece: p})
 		}
-		t.entry.waiting = t.entry.waiting[t.pieces:]
+		if t.entry.waiting = t.entry.waiting[t.pieces:]; len(t.entry.waiting) == 0 {
+			d.settle(t.entry)
+		}
 	}
 	return items
 }
@@ -424,6 +452,7 @@
 	for _, i := range items {
 		if e, ok := d.jobs[i.Job]; ok && !slices.Contains(e.waiting, i.Piece) {
 			e.waiting = append(e.waiting, i.Piece)
+			d.insert(e)
 		}
 	}
 }
@@ -467,15 +496,19 @@
 }
 
 // Remove forgets a job that ended or was given up.
-func (d *Dispatcher) Remove(id uint64) { delete(d.jobs, id) }
+func (d *Dispatcher) Remove(id uint64) {
+	if e, ok := d.jobs[id]; ok {
+		d.settle(e)
+		delete(d.jobs, id)
+	}
+}
 
 // Hopeless returns the jobs that cannot end before their deadlines any more.
 func (d *Dispatcher) Hopeless(now time.Duration) (ids []uint64) {
-	for id, e := range d.jobs {
-		if len(e.waiting) > 0 && now+d.nominal(1) > e.job.Deadline {
-			ids = append(ids, id)
+	for _, e := range d.sorted {
+		if now+d.nominal(1) > e.job.Deadline {
+			ids = append(ids, e.job.ID)
 		}
 	}
-	slices.Sort(ids)
 	return ids
 }
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -211,7 +211,10 @@
 	w.waitReady()
 	var status int
 	var body string
-	w.wait(func() bool { status, body, _ = w.call(http.MethodPost, "/chat/", "s1", nil); return status == http.StatusOK })
+	w.wait(func() bool {
+		status, body, _ = w.call(http.MethodPost, "/chat/", "s1", nil)
+		return status == http.StatusOK
+	})
 	want := ""
 	for i := 1; i <= 6; i++ {
 		want += fmt.Sprintf("id: %d\ndata: token%d\n\n", i, i)
@@ -241,7 +244,10 @@
 func TestStages(t *testing.T) {
 	is := is.New(t)
 	w, pieces, model := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) })
-	w.wait(func() bool { status, _, _ := w.call(http.MethodPost, "/talk/", "s1", withPieces); return status == http.StatusOK })
+	w.wait(func() bool {
+		status, _, _ := w.call(http.MethodPost, "/talk/", "s1", withPieces)
+		return status == http.StatusOK
+	})
 	model.mutex.Lock()
 	inputs := model.seen[len(model.seen)-1].Header.Get("X-Inputs")
 	model.mutex.Unlock()
@@ -370,7 +376,10 @@
 	added := `{"name":"new","host":"h.example","prefix":"/new/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2}`
 	s.config(5, added)
 	w1.served("/new/")
-	w2.wait(func() bool { status, _, _ := w2.call(http.MethodGet, "/new/", "r", nil); return status != http.StatusNotFound })
+	w2.wait(func() bool {
+		status, _, _ := w2.call(http.MethodGet, "/new/", "r", nil)
+		return status != http.StatusNotFound
+	})
 	s.config(4) // an older one
 	time.Sleep(300 * time.Millisecond)
 	status, _, _ := w1.call(http.MethodGet, "/new/", "r", nil)
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -19,6 +19,12 @@
 	firstEvent = 60 * time.Millisecond
 	// stageRetry is told to callers of a request whose pieces failed.
 	stageRetry = 300 * time.Millisecond
+	// latePatience is the part of a caller's time within which a request that misses its
+	// objective has to be expected to end.
+	latePatience = 0.6
+	// retryLeast and retryMost bound the wait that a refused caller is told.
+	retryLeast = 200 * time.Millisecond
+	retryMost  = 3 * time.Second
 	// keepMargin is how long before their end results are no longer relied on: they are kept
 	// from the end of a call at the target, which this host learns a little later.
 	keepMargin = 150 * time.Millisecond
@@ -36,6 +42,11 @@
 		x.refuse(http.StatusBadRequest, reason.Field, 0)
 		return nil, false
 	}
+	if retry, ok := x.hopeful(); !ok {
+		x.detail = "backlog"
+		x.fail(reason.Late, retry)
+		return nil, false
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	type end struct {
@@ -91,6 +102,49 @@
 	return inputs, true
 }
 
+// hopeful reports whether the whole path, with what waits at the pools of its stages, can
+// end in time, or late within a part of the time that is left. It returns when the caller
+// should come back otherwise.
+func (x *exchange) hopeful() (retry time.Duration, ok bool) {
+	soon, all := x.path()
+	now := x.clock()
+	if now+soon <= x.aim {
+		return 0, true
+	}
+	if now+all <= x.began+time.Duration(latePatience*float64(x.deadline-x.began)) {
+		return 0, true
+	}
+	return min(max(now+soon-x.aim, retryLeast), retryMost), false
+}
+
+// path returns the expected time of the stages and the model engine: for a request that can be in time, and for one that comes after all others.
+func (x *exchange) path() (soon, all time.Duration) {
+	s := x.state.Load()
+	// Stages of the same height run at the same time.
+	soons, alls := make(map[int]time.Duration), make(map[int]time.Duration)
+	for i, stage := range x.route.Stages {
+		p, ok := s.table.Pool(stage.Pool)
+		if !ok || p.Batch == nil || x.request.Pieces[i] == 0 {
+			continue
+		}
+		b := x.lead.Backlog(stage.Pool)
+		own := p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
+		h := x.route.Height(i)
+		soons[h], alls[h] = max(soons[h], b.Soon+own), max(alls[h], b.All+own)
+	}
+	for h := range soons {
+		soon += soons[h]
+		all += alls[h]
+	}
+	model := x.modelTime()
+	return soon + model, all + model
+}
+
+// modelTime returns the least time to the first event of a model engine.
+func (x *exchange) modelTime() time.Duration {
+	return firstEvent + time.Duration(x.request.Prompt/readSpeed)*time.Millisecond
+}
+
 // freeRead gives up the results that all stages after theirs have read, because the room for
 // results bounds the size of calls.
 func (x *exchange) freeRead(done []bool) {
@@ -143,7 +197,7 @@
 	now := x.clock()
 	later := x.later(i)
 	j := lead.Job{
-		Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
+		Begun: len(stage.After) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
 		Aim: x.aim - later - now, Left: x.deadline - later - now, Rank: x.rank, Bytes: stage.Bytes,
 	}
 	if len(stage.After) == 0 {
@@ -178,7 +232,7 @@
 	if longest > 0 {
 		return longest
 	}
-	return firstEvent + time.Duration(x.request.Prompt/readSpeed)*time.Millisecond
+	return x.modelTime()
 }
 
 // failStage answers a request of which a stage failed. The request itself has not run.
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -36,10 +36,8 @@
 type choosers struct {
 	clock func() time.Duration
 
-	mutex sync.Mutex
-	pools map[string]*pool
-	// slack is the host's part of the slack of repeats.
-	slack    float64
+	mutex    sync.Mutex
+	pools    map[string]*pool
 	newQuota func() *quota.Quota
 }
 
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"google.golang.org/grpc"
@@ -43,11 +44,56 @@
 	dispatch *Dispatch
 	// ctx ends with the process.
 	ctx context.Context
+
+	mutex sync.Mutex
+	// backlogs has what the dispatching hosts last told of their pools.
+	backlogs map[string]told
+}
+
+// Backlog is how long a new job of a pool waits for its call.
+type Backlog struct {
+	// Soon holds for a job that can be in time, All for one that comes after all others.
+	Soon, All time.Duration
+}
+
+// told is a backlog and when it was told.
+type told struct {
+	backlog Backlog
+	at      time.Duration
+}
+
+// backlogLife is how long a backlog counts after it was told. Queues change within the
+// duration of a few calls.
+const backlogLife = time.Second
+
+// Backlog returns how long a new job of the pool is expected to wait; zero if nothing was
+// heard of it lately.
+func (c *Client) Backlog(pool string) Backlog {
+	hosts := c.order(pool)
+	if len(hosts) == 1 {
+		return c.dispatch.Backlog(pool)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	t := c.backlogs[pool]
+	if age := c.dispatch.clock() - t.at; age > backlogLife {
+		return Backlog{}
+	}
+	return t.backlog
+}
+
+// hear notes the backlog that a dispatching host told.
+func (c *Client) hear(pool string, p *message.Progress) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.backlogs[pool] = told{
+		backlog: Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll())}, at: c.dispatch.clock(),
+	}
 }
 
 // New returns a client on the host self that dispatches by itself if no other host does.
 func New(ctx context.Context, self string, hosts Hosts, peers *peer.Pool, dispatch *Dispatch) *Client {
-	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatch: dispatch}
+	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatch: dispatch, backlogs: make(map[string]told)}
 }
 
 // Register adds the service to a server.
@@ -137,6 +183,7 @@
 		if err != nil {
 			return c.silent(conn, address, o)
 		}
+		c.hear(j.Pool, p)
 		switch {
 		case p.GetRefused() != nil:
 			o.Fault, o.Retry = FaultRefused, milliseconds(p.GetRefused().GetRetry())
@@ -197,6 +244,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.Aim.Milliseconds(), Left: j.Left.Milliseconds(), Rank: int32(j.Rank), Bytes: j.Bytes, Zone: j.Zone,
+		Begun: j.Begun,
 	}
 }
 
@@ -204,7 +252,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), Aim: milliseconds(m.GetAim()), Left: milliseconds(m.GetLeft()), Rank: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), Begun: m.GetBegun(),
 	}
 }
 
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -53,6 +53,8 @@
 	Rank      int
 	Bytes     int64
 	Zone      string
+	// Begun holds if earlier stages of the request were worked on.
+	Begun bool
 }
 
 // Fault says why a job has no results.
@@ -74,8 +76,8 @@
 	FaultSilent Fault = "silent"
 )
 
-// work is a job that is dispatched here.
-type work struct {
+// Work is a job that is dispatched here.
+type Work struct {
 	id      uint64
 	job     Job
 	expires time.Duration
@@ -98,7 +100,7 @@
 	name       string
 	dispatcher *batch.Dispatcher
 	quota      *quota.Quota
-	jobs       map[uint64]*work
+	jobs       map[uint64]*Work
 	results    map[string]made
 	// orders holds the calls in progress by id, with when they count as late.
 	orders map[uint64]time.Duration
@@ -106,7 +108,7 @@
 	// addresses with a call in progress.
 	frees   map[string][]string
 	freeing map[string]bool
-	spec  route.Batch
+	spec    route.Batch
 }
 
 // Dispatch dispatches pools on this host. It is safe for concurrent use.
@@ -143,7 +145,7 @@
 		p, ok := d.pools[name]
 		if !ok {
 			p = &pool{
-				name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*work),
+				name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*Work),
 				results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string), freeing: make(map[string]bool),
 			}
 			d.pools[name] = p
@@ -164,7 +166,7 @@
 }
 
 // Start offers a job. It returns the work to wait for, or when its caller should come back.
-func (d *Dispatch) Start(j Job) (w *work, wait time.Duration, ok bool) {
+func (d *Dispatch) Start(j Job) (w *Work, wait time.Duration, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	p, found := d.pools[j.Pool]
@@ -175,12 +177,13 @@
 	d.last++
 	wait, ok = p.dispatcher.Offer(now, batch.Job{
 		ID: d.last, Arrived: now - j.Age, Rank: j.Rank, Aim: now + j.Aim, Deadline: now + j.Left, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
+		Begun: j.Begun,
 	})
 	if !ok {
 		return nil, wait, false
 	}
 	p.quota.Request(now)
-	w = &work{
+	w = &Work{
 		id: d.last, job: j, expires: now + j.Left, handles: make([]string, j.Pieces), tries: make([]int, j.Pieces),
 		left: j.Pieces, done: make(chan struct{}),
 	}
@@ -189,8 +192,18 @@
 	return w, wait, true
 }
 
+// Backlog returns how long a new job of the pool would wait here.
+func (d *Dispatch) Backlog(pool string) (b Backlog) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if p, ok := d.pools[pool]; ok {
+		b.Soon, b.All = p.dispatcher.Backlog(d.clock())
+	}
+	return b
+}
+
 // Wait returns the results of a job. If the context ends first, the job is given up.
-func (d *Dispatch) Wait(ctx context.Context, w *work) (handles []string, fault Fault) {
+func (d *Dispatch) Wait(ctx context.Context, w *Work) (handles []string, fault Fault) {
 	select {
 	case <-w.done:
 	case <-ctx.Done():
@@ -208,7 +221,7 @@
 }
 
 // fail ends a job without results.
-func (d *Dispatch) fail(p *pool, w *work, fault Fault) {
+func (d *Dispatch) fail(p *pool, w *Work, fault Fault) {
 	d.end(p, w)
 	w.fault = fault
 	d.free(p, w.handles)
@@ -216,14 +229,14 @@
 }
 
 // GiveUp ends a job that nobody waits for.
-func (d *Dispatch) GiveUp(w *work) {
+func (d *Dispatch) GiveUp(w *Work) {
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	_, _ = d.Wait(ctx, w) // the results are freed
 }
 
 // end ends a job.
-func (d *Dispatch) end(p *pool, w *work) {
+func (d *Dispatch) end(p *pool, w *Work) {
 	if _, ok := p.jobs[w.id]; !ok {
 		return
 	}
--- a/io/lead/service.go
+++ b/io/lead/service.go
@@ -19,12 +19,17 @@
 // Run implements the service.
 func (s service) Run(m *message.Job, stream grpc.ServerStreamingServer[message.Progress]) (err error) {
 	defer func() { err = Error.Wrap(err) }()
+	send := func(p *message.Progress) error {
+		b := s.dispatch.Backlog(m.GetPool())
+		p.Soon, p.All = b.Soon.Milliseconds(), b.All.Milliseconds()
+		return stream.Send(p)
+	}
 	w, wait, ok := s.dispatch.Start(decode(m))
 	if !ok {
-		return stream.Send(&message.Progress{Step: &message.Progress_Refused{Refused: &message.Refused{Retry: wait.Milliseconds()}}})
+		return send(&message.Progress{Step: &message.Progress_Refused{Refused: &message.Refused{Retry: wait.Milliseconds()}}})
 	}
 	accepted := &message.Progress{Step: &message.Progress_Accepted{Accepted: &message.Accepted{Wait: wait.Milliseconds()}}}
-	if err := stream.Send(accepted); err != nil {
+	if err := send(accepted); err != nil {
 		s.dispatch.GiveUp(w)
 		return err
 	}
@@ -33,7 +38,7 @@
 	for !w.ended() {
 		select {
 		case <-beat.C:
-			if err := stream.Send(accepted); err != nil {
+			if err := send(accepted); err != nil {
 				s.dispatch.GiveUp(w)
 				return err
 			}
@@ -44,7 +49,7 @@
 		}
 	}
 	handles, fault := s.dispatch.Wait(stream.Context(), w)
-	err = stream.Send(&message.Progress{Step: &message.Progress_Ended{Ended: &message.Ended{Handles: handles, Fault: string(fault)}}})
+	err = send(&message.Progress{Step: &message.Progress_Ended{Ended: &message.Ended{Handles: handles, Fault: string(fault)}}})
 	if err != nil {
 		s.dispatch.Free(w.job.Pool, handles)
 	}
@@ -52,7 +57,7 @@
 }
 
 // ended reports whether the job has ended.
-func (w *work) ended() bool {
+func (w *Work) ended() bool {
 	select {
 	case <-w.done:
 		return true
