Dispatch large pools by zone and measure the speed of pools

Cause: one host dispatched 15 to 20 targets of a pool for 67 hosts and ran out of its share of a core; while pieces waited, admission took the published speed though room held the pool to seven tenths of it.

Change: a pool of ten targets or more is dispatched by zone, by a host of that zone; a job goes to the zone of its results or to a random one, whichever waits less. The speed of a pool under a backlog is measured. Ruled out: rarer signs of life alone, which leave the queue as long as it was.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -17,6 +17,8 @@
 	// patience is the part of the time to its deadline that a job that misses its objective
 	// may be expected to wait: a later refusal leaves the caller no time to come back.
 	patience = 0.5
+	// rateTime is the time over which the speed of a pool is measured: a few calls.
+	rateTime = 1500 * time.Millisecond
 	// usualRank is the rank for which the backlog is told.
 	usualRank = 1
 	// learn is the weight of a new measurement of a target's pace.
@@ -135,11 +137,15 @@
 	// sorted has the jobs with waiting pieces by their place in the queue.
 	sorted []*entry
 	last   uint64
+	// started counts the pieces that were given to targets since begun, while pieces waited
+	// all the time; begun is negative while none wait.
+	started int
+	begun   time.Duration
 }
 
 // New returns a dispatcher without targets.
 func New(spec route.Batch) *Dispatcher {
-	return &Dispatcher{spec: spec, workers: table.New[string, *worker](), jobs: make(map[uint64]*entry)}
+	return &Dispatcher{spec: spec, workers: table.New[string, *worker](), jobs: make(map[uint64]*entry), begun: -1}
 }
 
 // SetSpec replaces the published figures of the pool.
@@ -232,6 +238,9 @@
 	if usable == 0 {
 		return now + retryCeiling + j.Deadline
 	}
+	if measured := d.measured(now); measured > 0 {
+		rate = min(rate, measured)
+	}
 	own := d.nominal(min(j.Pieces, d.spec.Size))
 	ahead, late, place := 0, d.late(now, j), &entry{job: j}
 	for _, e := range d.sorted {
@@ -244,6 +253,32 @@
 	return max(first, now) + time.Duration(float64(ahead+over)/rate) + own
 }
 
+// measured returns the pieces per second that were started lately while pieces waited all
+// the time; zero if they have not waited for long enough. Room and slow targets make it
+// lower than the published speed.
+func (d *Dispatcher) measured(now time.Duration) float64 {
+	if d.begun < 0 || now-d.begun < rateTime/2 {
+		return 0
+	}
+	return max(float64(d.started)/(now-d.begun).Seconds(), 1)
+}
+
+// meter counts started pieces. The older half of a long measurement is forgotten.
+func (d *Dispatcher) meter(now time.Duration, pieces int) {
+	if len(d.sorted) == 0 {
+		d.begun = -1
+		return
+	}
+	if d.begun < 0 {
+		d.begun, d.started = now, 0
+	}
+	d.started += pieces
+	if now-d.begun > rateTime {
+		d.begun += (now - d.begun) / 2
+		d.started /= 2
+	}
+}
+
 // idleAt returns when the calls in progress at a target are expected to end.
 func (d *Dispatcher) idleAt(now time.Duration, w *worker) time.Duration {
 	at := now
@@ -285,10 +320,12 @@
 	for len(d.sorted) > 0 && d.anyIdle(now) {
 		o, ok := d.order(now, d.queue(now))
 		if !ok {
-			return orders
+			break
 		}
 		orders = append(orders, o)
+		d.meter(now, len(o.Items))
 	}
+	d.meter(now, 0)
 	return orders
 }
 
@@ -425,6 +462,15 @@
 	return bytes
 }
 
+// Taken returns the room that is counted as occupied at a target, in bytes.
+func (d *Dispatcher) Taken(now time.Duration, id string) (bytes int64) {
+	w, ok := d.workers.Get(id)
+	if !ok {
+		return 0
+	}
+	return d.taken(now, w)
+}
+
 func (d *Dispatcher) begin(now time.Duration, w *worker, items []Item, bytes int64) Order {
 	d.last++
 	fair := d.nominal(len(items))
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -12,6 +12,7 @@
 	"sassafrasward/core/roster"
 	"sassafrasward/core/route"
 	"sassafrasward/io/event"
+	"sassafrasward/io/lead"
 	"sassafrasward/platform"
 )
 
@@ -212,11 +213,9 @@
 			Host: m.Name, Address: m.Address, Zone: m.Zone, Level: m.Level, Suspected: m.Phase == member.Suspected,
 		})
 		if m.Phase == member.Alive {
-			s.able = append(s.able, m.Name)
+			s.able = append(s.able, lead.Host{Name: m.Name, Zone: m.Zone})
 		}
 	}
-	slices.Sort(s.able)
-	s.able = slices.Compact(s.able)
 	c.choosers.configure(s.targets)
 	if c.table != nil {
 		c.dispatch.Configure(c.table, s.targets)
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -120,7 +120,7 @@
 type directory struct{ edge *Edge }
 
 // Able implements lead.Hosts.
-func (d directory) Able() []string { return d.edge.state.Load().able }
+func (d directory) Able() []lead.Host { return d.edge.state.Load().able }
 
 // Peer implements lead.Hosts.
 func (d directory) Peer(host string) (address string, incarnation uint64, ok bool) {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -84,10 +84,10 @@
 
 // holding is the results of one stage.
 type holding struct {
-	stage      int
-	host, pool string
-	handles    []string
-	bytes      int64
+	stage             int
+	host, pool, group string
+	handles           []string
+	bytes             int64
 	// made is when this host learned of the results.
 	made time.Duration
 }
@@ -278,7 +278,7 @@
 // free gives up the results that the request holds.
 func (x *exchange) free() {
 	for _, h := range x.held {
-		x.lead.Free(h.host, h.pool, h.handles)
+		x.lead.Free(h.host, h.pool, h.group, h.handles)
 	}
 	x.held = nil
 }
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -51,6 +51,7 @@
 	defer cancel()
 	type end struct {
 		stage   int
+		group   string
 		outcome lead.Outcome
 	}
 	ends := make(chan end, len(stages))
@@ -69,7 +70,7 @@
 				}
 				running++
 				job := x.job(i, results)
-				go func() { ends <- end{stage: i, outcome: x.lead.Do(ctx, job)} }()
+				go func() { ends <- end{stage: i, group: job.Group, outcome: x.lead.Do(ctx, job)} }()
 			}
 		}
 		if running == 0 {
@@ -86,7 +87,7 @@
 		}
 		results[e.stage], done[e.stage] = e.outcome.Handles, true
 		x.held = append(x.held, holding{
-			stage: e.stage, host: e.outcome.Host, pool: stages[e.stage].Pool, handles: e.outcome.Handles,
+			stage: e.stage, host: e.outcome.Host, pool: stages[e.stage].Pool, group: e.group, handles: e.outcome.Handles,
 			bytes: stages[e.stage].Bytes * int64(len(e.outcome.Handles)), made: x.clock(),
 		})
 		x.freeRead(done)
@@ -127,7 +128,7 @@
 		if !ok || p.Batch == nil || x.request.Pieces[i] == 0 {
 			continue
 		}
-		b := x.lead.Backlog(stage.Pool)
+		_, b := x.lead.Choose(stage.Pool, x.zone())
 		own := p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
 		h := x.route.Height(i)
 		soons[h], alls[h] = max(soons[h], b.Soon+own), max(alls[h], b.All+own)
@@ -156,7 +157,7 @@
 			}
 		}
 		if followed && read {
-			x.lead.Free(h.host, h.pool, h.handles)
+			x.lead.Free(h.host, h.pool, h.group, h.handles)
 		}
 		return followed && read
 	})
@@ -200,6 +201,8 @@
 		Begun: len(stage.After) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
 		Aim: x.aim - later - now, Left: x.deadline - later - now, Rank: x.rank, Bytes: stage.Bytes,
 	}
+	j.Zone = x.zone()
+	j.Group, _ = x.lead.Choose(stage.Pool, j.Zone)
 	if len(stage.After) == 0 {
 		j.Key = x.request.PieceKey
 		return j
@@ -208,12 +211,20 @@
 		j.Inputs = append(j.Inputs, results[a]...)
 	}
 	j.Left = min(j.Left, x.kept(i)-now)
-	if len(j.Inputs) > 0 {
-		j.Zone = x.state.Load().zones[platform.Maker(j.Inputs[0])]
-	}
 	return j
 }
 
+// zone returns where the newest results of the request are; the host's own zone before the
+// first ones.
+func (x *exchange) zone() string {
+	if n := len(x.held); n > 0 {
+		if zone, ok := x.state.Load().zones[platform.Maker(x.held[n-1].handles[0])]; ok {
+			return zone
+		}
+	}
+	return x.settings.Zone()
+}
+
 // later returns the least time that the stages after one and the model engine need.
 func (x *exchange) later(stage int) time.Duration {
 	longest := time.Duration(0)
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -9,6 +9,7 @@
 	"sassafrasward/core/quota"
 	"sassafrasward/core/roster"
 	"sassafrasward/core/route"
+	"sassafrasward/io/lead"
 )
 
 // state is what traffic goroutines read. It does not change once it is published.
@@ -21,8 +22,8 @@
 	zones map[string]string
 	// hosts are those that callers may use, this one included while it serves.
 	hosts []address.Candidate
-	// able has the names of the hosts that may dispatch.
-	able []string
+	// able has the hosts that may dispatch.
+	able []lead.Host
 	// count is the number of targets.
 	count int
 	// draining holds during a planned stop.
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -66,6 +66,7 @@
 	RequestRepeated = register(1303, 0, "request repeated", "A request is sent to another target after the one before failed.")
 	CallStarted     = register(1801, 0, "stage call started", "Pieces of one or more requests were given to a target.")
 	CallFailed      = register(1802, 0, "stage call failed", "A target did not work on its pieces; they are given to another one within the bound on repeats.")
+	PiecesFailed    = register(1804, 0, "pieces without result", "A call ended without results for some of its pieces: their time had passed, an input was gone, the target had no room or the work failed. They are worked on again where that helps.")
 	LeadSilent      = register(1803, 0, "dispatching host silent", "The host that dispatches a pool gave no sign of life; the job goes to the next host.")
 	LinesDropped    = register(1901, 0, "log lines dropped", "The log output was too slow; the number of lines that were lost since the last such line.")
 	RequestRefused  = register(1301, 1, "request refused", "A request was refused; the reason counter was raised.")
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,8 +22,10 @@
 	acceptTimeout = 250 * time.Millisecond
 	// beatTime is how often a host says that it still dispatches a job, and beatTimeout after
 	// which time without such a sign it is taken for silent.
-	beatTime    = 300 * time.Millisecond
+	beatTime    = 400 * time.Millisecond
 	beatTimeout = 3 * beatTime
+	// zoneGain is how much longer a job may wait to have its results in the preferred zone.
+	zoneGain = 150 * time.Millisecond
 	// ranksMost is how many hosts are tried before this one dispatches by itself.
 	ranksMost = 2
 	// freeTimeout bounds a call that gives up results.
@@ -30,12 +34,15 @@
 
 // Hosts knows which hosts may dispatch.
 type Hosts interface {
-	// Able returns the names of the live hosts, this one included.
-	Able() []string
+	// Able returns the live hosts, this one included while it serves.
+	Able() []Host
 	// Peer returns the address of a host.
 	Peer(host string) (address string, incarnation uint64, ok bool)
 }
 
+// Host is a host that may dispatch.
+type Host struct{ Name, Zone string }
+
 // Client gives jobs to the host that dispatches their pool. It is safe for concurrent use.
 type Client struct {
 	self     string
@@ -66,27 +73,45 @@
 // duration of a few calls.
 const backlogLife = time.Second
 
-// Backlog returns how long a new job of the pool is expected to wait; zero if nothing was
-// heard of it lately.
-func (c *Client) Backlog(pool string) Backlog {
-	hosts := c.order(pool)
-	if len(hosts) == 1 {
-		return c.dispatch.Backlog(pool)
+// Choose returns the group of the pool's targets for a job whose results are preferred in a
+// zone, and how long a new job waits there. Of two groups, that of the zone and one at
+// random, it takes the one with the shorter wait; a group counts as free if nothing was heard
+// of it lately.
+func (c *Client) Choose(pool, zone string) (group string, backlog Backlog) {
+	groups := c.dispatch.Groups(pool)
+	if len(groups) == 0 {
+		return "", Backlog{}
+	}
+	group = groups[rand.IntN(len(groups))]
+	backlog = c.backlog(pool, group)
+	if !slices.Contains(groups, zone) || zone == group {
+		return group, backlog
+	}
+	near := c.backlog(pool, zone)
+	if near.Soon <= backlog.Soon+zoneGain {
+		return zone, near
+	}
+	return group, backlog
+}
+
+func (c *Client) backlog(pool, group string) Backlog {
+	if hosts := c.order(pool, group); len(hosts) == 1 {
+		return c.dispatch.Backlog(pool, group)
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	t := c.backlogs[pool]
-	if age := c.dispatch.clock() - t.at; age > backlogLife {
+	t, ok := c.backlogs[key(pool, group)]
+	if !ok || c.dispatch.clock()-t.at > backlogLife {
 		return Backlog{}
 	}
 	return t.backlog
 }
 
 // hear notes the backlog that a dispatching host told.
-func (c *Client) hear(pool string, p *message.Progress) {
+func (c *Client) hear(j Job, p *message.Progress) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.backlogs[pool] = told{
+	c.backlogs[key(j.Pool, j.Group)] = told{
 		backlog: Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll())}, at: c.dispatch.clock(),
 	}
 }
@@ -115,7 +140,7 @@
 // Do runs a job to its end.
 func (c *Client) Do(ctx context.Context, j Job) (o Outcome) {
 	began := c.dispatch.clock()
-	for _, host := range c.order(j.Pool) {
+	for _, host := range c.order(j.Pool, j.Group) {
 		passed := c.dispatch.clock() - began
 		now := j
 		now.Age, now.Aim, now.Left = j.Age+passed, j.Aim-passed, j.Left-passed
@@ -133,9 +158,19 @@
 	return o
 }
 
-// order returns the hosts to try, ending with this one.
-func (c *Client) order(pool string) (hosts []string) {
-	for _, h := range member.Rank(pool, c.hosts.Able()) {
+// order returns the hosts to try, ending with this one. Those in the zone of the group come
+// first.
+func (c *Client) order(pool, group string) (hosts []string) {
+	var near, far []string
+	for _, h := range c.hosts.Able() {
+		if h.Zone == group {
+			near = append(near, h.Name)
+		} else {
+			far = append(far, h.Name)
+		}
+	}
+	k := key(pool, group)
+	for _, h := range append(member.Rank(k, near), member.Rank(k, far)...) {
 		if h == c.self || len(hosts) == ranksMost {
 			break
 		}
@@ -183,7 +218,7 @@
 		if err != nil {
 			return c.silent(conn, address, o)
 		}
-		c.hear(j.Pool, p)
+		c.hear(j, p)
 		switch {
 		case p.GetRefused() != nil:
 			o.Fault, o.Retry = FaultRefused, milliseconds(p.GetRefused().GetRetry())
@@ -208,23 +243,23 @@
 }
 
 // Free gives up results at the host that dispatched them, without waiting for it.
-func (c *Client) Free(host, pool string, handles []string) {
+func (c *Client) Free(host, pool, group string, handles []string) {
 	if len(handles) == 0 {
 		return
 	}
 	if host == c.self {
-		c.dispatch.Free(pool, handles)
+		c.dispatch.Free(pool, group, handles)
 		return
 	}
 	c.dispatch.running.Go(func() {
-		if err := c.free(host, pool, handles); err != nil {
+		if err := c.free(host, pool, group, handles); err != nil {
 			// The dispatching host is away; any other one can give the results up.
-			c.dispatch.Free(pool, handles)
+			c.dispatch.Free(pool, group, handles)
 		}
 	})
 }
 
-func (c *Client) free(host, pool string, handles []string) (err error) {
+func (c *Client) free(host, pool, group string, handles []string) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	address, _, ok := c.hosts.Peer(host)
 	if !ok {
@@ -236,7 +271,7 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, freeTimeout)
 	defer cancel()
-	_, err = message.NewLeadClient(conn).Free(ctx, &message.Handles{Pool: pool, Handles: handles})
+	_, err = message.NewLeadClient(conn).Free(ctx, &message.Handles{Pool: pool, Group: group, Handles: handles})
 	return err
 }
 
@@ -244,7 +279,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.Aim.Milliseconds(), Left: j.Left.Milliseconds(), Rank: int32(j.Rank), Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.Begun,
+		Begun: j.Begun, Group: j.Group,
 	}
 }
 
@@ -252,7 +287,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), Aim: milliseconds(m.GetAim()), Left: milliseconds(m.GetLeft()), Rank: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(), Begun: m.GetBegun(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), Begun: m.GetBegun(), Group: m.GetGroup(),
 	}
 }
 
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,13 +36,18 @@
 	callMost = 8 * time.Second
 	// triesMost bounds how often one piece is worked on.
 	triesMost = 4
+	// splitFrom is how many targets a pool has at least if they are dispatched by availability
+	// zone. Fewer ones make up fuller calls together, and one host can dispatch them.
+	splitFrom = 10
 	// answerMost bounds the answer of a call in bytes.
 	answerMost = 1 << 20
 )
 
 // Job is the pieces of one stage of one request.
 type Job struct {
-	Pool    string
+	Pool string
+	// Group is the part of the pool's targets that works on the job; the client sets it.
+	Group   string
 	Request string
 	Stage   int
 	Pieces  int
@@ -79,6 +86,7 @@
 // Work is a job that is dispatched here.
 type Work struct {
 	id      uint64
+	pool    *pool
 	job     Job
 	expires time.Duration
 	handles []string
@@ -121,8 +129,10 @@
 	newQuota func() *quota.Quota
 
 	mutex sync.Mutex
-	pools map[string]*pool
-	last  uint64
+	// pools has the groups of pools by key, and groups their names by pool.
+	pools  map[string]*pool
+	groups map[string][]string
+	last   uint64
 	// running counts the calls in progress.
 	running sync.WaitGroup
 	ctx     context.Context
@@ -130,7 +140,7 @@
 
 // NewDispatch returns a dispatch without pools, whose calls end with the context.
 func NewDispatch(ctx context.Context, clock func() time.Duration, links *link.Pool, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatch {
-	return &Dispatch{ctx: ctx, clock: clock, links: links, log: log, metrics: metrics, newQuota: newQuota, pools: make(map[string]*pool)}
+	return &Dispatch{ctx: ctx, clock: clock, links: links, log: log, metrics: metrics, newQuota: newQuota, pools: make(map[string]*pool), groups: make(map[string][]string)}
 }
 
 // Configure sets the pools that work on pieces, with their targets.
@@ -142,18 +152,67 @@
 		if spec.Batch == nil {
 			continue
 		}
-		p, ok := d.pools[name]
-		if !ok {
-			p = &pool{
-				name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*Work),
-				results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string), freeing: make(map[string]bool),
-			}
-			d.pools[name] = p
+		groups := split(targets[name])
+		d.groups[name] = slices.Sorted(maps.Keys(groups))
+		for group, list := range groups {
+			d.configure(key(name, group), spec, list)
+		}
+	}
+}
+
+// key names the group of a pool's targets.
+func key(pool, group string) string { return pool + "@" + group }
+
+// split divides the targets of a pool into groups that are dispatched apart: by availability
+// zone if they are many, else all in one.
+func split(targets []roster.Target) (groups map[string][]roster.Target) {
+	groups = make(map[string][]roster.Target)
+	for _, t := range targets {
+		group := ""
+		if len(targets) >= splitFrom {
+			group = t.Zone
+		}
+		groups[group] = append(groups[group], t)
+	}
+	if len(groups) == 0 {
+		groups[""] = nil
+	}
+	return groups
+}
+
+func (d *Dispatch) configure(name string, spec route.Pool, targets []roster.Target) {
+	p, ok := d.pools[name]
+	if !ok {
+		p = &pool{
+			name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*Work),
+			results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string), freeing: make(map[string]bool),
 		}
-		p.spec = *spec.Batch
-		p.dispatcher.SetSpec(*spec.Batch)
-		p.dispatcher.SetTargets(targets[name])
+		d.pools[name] = p
 	}
+	p.spec = *spec.Batch
+	p.dispatcher.SetSpec(*spec.Batch)
+	p.dispatcher.SetTargets(targets)
+}
+
+// find returns the group that dispatches a job. Hosts learn of new targets at different
+// times, so a group that another host knows may not be known here yet.
+func (d *Dispatch) find(name, group string) (p *pool, ok bool) {
+	if p, ok = d.pools[key(name, group)]; ok {
+		return p, true
+	}
+	for _, g := range d.groups[name] {
+		if p, ok = d.pools[key(name, g)]; ok {
+			return p, true
+		}
+	}
+	return nil, false
+}
+
+// Groups returns the groups of a pool's targets.
+func (d *Dispatch) Groups(pool string) []string {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	return d.groups[pool]
 }
 
 // SetSlack sets the host's part of the slack of repeats.
@@ -169,7 +228,7 @@
 func (d *Dispatch) Start(j Job) (w *Work, wait time.Duration, ok bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	p, found := d.pools[j.Pool]
+	p, found := d.find(j.Pool, j.Group)
 	if !found || j.Pieces <= 0 {
 		return nil, time.Second, false
 	}
@@ -184,7 +243,7 @@
 	}
 	p.quota.Request(now)
 	w = &Work{
-		id: d.last, job: j, expires: now + j.Left, handles: make([]string, j.Pieces), tries: make([]int, j.Pieces),
+		id: d.last, pool: p, job: j, expires: now + j.Left, handles: make([]string, j.Pieces), tries: make([]int, j.Pieces),
 		left: j.Pieces, done: make(chan struct{}),
 	}
 	p.jobs[w.id] = w
@@ -192,11 +251,11 @@
 	return w, wait, true
 }
 
-// Backlog returns how long a new job of the pool would wait here.
-func (d *Dispatch) Backlog(pool string) (b Backlog) {
+// Backlog returns how long a new job of the group would wait here.
+func (d *Dispatch) Backlog(pool, group string) (b Backlog) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if p, ok := d.pools[pool]; ok {
+	if p, ok := d.find(pool, group); ok {
 		b.Soon, b.All = p.dispatcher.Backlog(d.clock())
 	}
 	return b
@@ -210,7 +269,7 @@
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	p := d.pools[w.job.Pool]
+	p := w.pool
 	if ctx.Err() != nil && w.fault == FaultNone {
 		d.fail(p, w, FaultLate)
 	}
@@ -246,10 +305,10 @@
 }
 
 // Free gives up results.
-func (d *Dispatch) Free(pool string, handles []string) {
+func (d *Dispatch) Free(pool, group string, handles []string) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if p, ok := d.pools[pool]; ok {
+	if p, ok := d.find(pool, group); ok {
 		d.free(p, handles)
 		d.pump(p)
 	}
@@ -385,6 +444,15 @@
 
 // take assigns the results of a call to their jobs.
 func (d *Dispatch) take(p *pool, now time.Duration, o batch.Order, items []batch.Item, results []platform.Made) {
+	faults := make(map[platform.Fault]int)
+	for _, r := range results {
+		faults[r.Fault]++
+	}
+	if made := faults[platform.FaultNone]; made < len(items) {
+		event.Log(d.log, event.PiecesFailed, "pool", p.name, "target", o.Target.ID, "made", made, "late", faults[platform.FaultLate],
+			"gone", faults[platform.FaultGone], "room", faults[platform.FaultRoom], "error", faults[platform.FaultError],
+			"taken", p.dispatcher.Taken(now, o.Target.ID))
+	}
 	for n, i := range items {
 		w, ok := p.jobs[i.Job]
 		r := results[n]
--- a/io/lead/service.go
+++ b/io/lead/service.go
@@ -20,7 +20,7 @@
 func (s service) Run(m *message.Job, stream grpc.ServerStreamingServer[message.Progress]) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	send := func(p *message.Progress) error {
-		b := s.dispatch.Backlog(m.GetPool())
+		b := s.dispatch.Backlog(m.GetPool(), m.GetGroup())
 		p.Soon, p.All = b.Soon.Milliseconds(), b.All.Milliseconds()
 		return stream.Send(p)
 	}
@@ -51,7 +51,7 @@
 	handles, fault := s.dispatch.Wait(stream.Context(), w)
 	err = send(&message.Progress{Step: &message.Progress_Ended{Ended: &message.Ended{Handles: handles, Fault: string(fault)}}})
 	if err != nil {
-		s.dispatch.Free(w.job.Pool, handles)
+		s.dispatch.Free(w.job.Pool, w.job.Group, handles)
 	}
 	return err
 }
@@ -68,6 +68,6 @@
 
 // Free implements the service.
 func (s service) Free(_ context.Context, m *message.Handles) (*message.Freed, error) {
-	s.dispatch.Free(m.GetPool(), m.GetHandles())
+	s.dispatch.Free(m.GetPool(), m.GetGroup(), m.GetHandles())
 	return &message.Freed{}, nil
 }
