Send shared prompts to one home, long prompts apart, and free late calls

Change: the first shared part of a prompt has four homes, of which the last part picks one, the same on all hosts; six tenths of the targets are meant for long prompts; stages work near the home. A call that is late ends its claim to the target and counts as slow. Measurements halve in 2 s.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -119,7 +119,8 @@
 	order   Order
 	started time.Duration
 	bytes   int64
-	// late is set once its pieces were queued again.
+	// late is set once its pieces were queued again. Its answer may be lost, so a late call
+	// does not count as in progress any more.
 	late bool
 }
 
@@ -283,7 +284,9 @@
 func (d *Dispatcher) idleAt(now time.Duration, w *worker) time.Duration {
 	at := now
 	for _, c := range w.calls {
-		at = max(at, c.started+c.order.Expected)
+		if !c.late {
+			at = max(at, c.started+c.order.Expected)
+		}
 	}
 	return at
 }
@@ -299,7 +302,9 @@
 	pace := 1 + (w.pace-1)/(1+age)
 	for _, c := range w.calls {
 		// A call that takes longer than expected tells of the pace before it ends.
-		pace = max(pace, float64(now-c.started)/float64(max(c.order.Fair, 1)))
+		if !c.late {
+			pace = max(pace, float64(now-c.started)/float64(max(c.order.Fair, 1)))
+		}
 	}
 	return max(pace, 0.2)
 }
@@ -329,10 +334,20 @@
 	return orders
 }
 
+// running returns the number of calls in progress.
+func (w *worker) running() (n int) {
+	for _, c := range w.calls {
+		if !c.late {
+			n++
+		}
+	}
+	return n
+}
+
 // anyIdle reports whether a target can take a call.
 func (d *Dispatcher) anyIdle(now time.Duration) bool {
 	for _, w := range d.workers.All() {
-		if !w.target.Leaving && now >= w.down && len(w.calls) < max(d.spec.Slots, 1) {
+		if !w.target.Leaving && now >= w.down && w.running() < max(d.spec.Slots, 1) {
 			return true
 		}
 	}
@@ -384,7 +399,7 @@
 			continue
 		}
 		soonest = min(soonest, d.idleAt(now, w)+time.Duration(full*d.paceOf(now, w)))
-		if len(w.calls) < max(d.spec.Slots, 1) {
+		if w.running() < max(d.spec.Slots, 1) {
 			list = append(list, w)
 		}
 	}
@@ -457,7 +472,7 @@
 		bytes += r.bytes
 	}
 	for _, c := range w.calls {
-		bytes += c.bytes
+		bytes += c.bytes // also of late calls, whose results may exist
 	}
 	return bytes
 }
@@ -482,17 +497,30 @@
 	return o
 }
 
-// Late queues the pieces of a call again that takes much longer than expected. The call
-// stays in progress.
-func (d *Dispatcher) Late(id uint64) {
+// Late takes note of a call that takes much longer than expected: its target counts as slow
+// and is left alone for a moment. The caller queues its pieces again.
+func (d *Dispatcher) Late(now time.Duration, id uint64) {
 	for _, w := range d.workers.All() {
 		if c, ok := w.calls[id]; ok && !c.late {
 			c.late = true
-			d.Again(c.order.Items)
+			d.pace(now, w, c)
+			d.leave(now, w)
 		}
 	}
 }
 
+// pace learns from the duration of a call.
+func (d *Dispatcher) pace(now time.Duration, w *worker, c *call) {
+	measured := float64(now-c.started) / float64(max(c.order.Fair, 1))
+	w.pace, w.paced = w.pace+learn*(measured-w.pace), now
+}
+
+// leave leaves a target alone for a time that grows with its failures.
+func (d *Dispatcher) leave(now time.Duration, w *worker) {
+	w.down = now + min(downFirst<<min(w.failures, 8), downMost)
+	w.failures++
+}
+
 // Again queues pieces that have to be worked on once more.
 func (d *Dispatcher) Again(items []Item) {
 	for _, i := range items {
@@ -513,15 +541,13 @@
 		delete(w.calls, id)
 		switch end {
 		case Completed:
-			measured := float64(now-c.started) / float64(max(c.order.Fair, 1))
-			w.pace, w.paced = w.pace+learn*(measured-w.pace), now
+			d.pace(now, w, c)
 			w.failures, w.down = 0, 0
 			w.results = append(w.results, result{bytes: c.bytes, until: now + d.spec.Keep})
 		case Refused:
 			w.down = now + fullPause
 		case Broken:
-			w.down = now + min(downFirst<<min(w.failures, 8), downMost)
-			w.failures++
+			d.leave(now, w)
 		}
 		return
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -1,7 +1,9 @@
 package pick
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -15,25 +17,43 @@
 	downFirst = 500 * time.Millisecond
 	downMost  = 4 * time.Second
 	// learn is the weight of a new measurement, and forget the time after which it counts
-	// half.
+	// half, so that a target is tried again within some ten seconds.
 	learn  = 0.35
-	forget = 5 * time.Second
-	// spread is how many requests more than the mean a target may have and still be chosen
-	// for its cached prefixes.
-	spread = 2
-	// zoneCost and prefixCost are what a target in another zone or without the prefix adds
-	// to its load, in requests.
-	zoneCost   = 2.0
-	prefixCost = 1.5
+	forget = 2 * time.Second
+	// tokenCost and byteCost are what reading a shared token again, and moving a byte of
+	// inputs between zones, count as load. A load of one is a usual prompt; the ratio is that
+	// of the users' prices.
+	tokenCost = 1e-3
+	byteCost  = 0.35e-6
+	// sideCost is what a target that is meant for prompts of the other length adds.
+	sideCost = 1.0
+	// sharedLeast is from how many shared tokens on a request has a home.
+	sharedLeast = 500
+	// longPrompt is from how many tokens on a prompt delays others noticeably: about a tenth
+	// of a second of reading.
+	longPrompt = 4096
+	// longPart is the part of the targets that is meant for long prompts, and longLeast the
+	// number of targets from which on they are kept apart.
+	longPart  = 0.6
+	longLeast = 4
+	// homes is how many targets hold the first part of a prompt, which many requests share.
+	homes = 4
+	// downCost puts targets that are down behind all others.
+	downCost = 1e6
 )
 
 // Hint is what the choice of a target may use of a request.
 type Hint struct {
-	// Prefix identifies the part of the prompt that the request shares with others; zero
-	// for none.
-	Prefix uint64
-	// Zone is where the request's inputs are; empty for anywhere.
-	Zone string
+	// First and Last identify the first and the last part of the prompt that the request
+	// shares with others, Shared has the tokens of all shared parts.
+	First, Last uint64
+	Shared      int
+	// Prompt has the tokens of the whole prompt; zero if it is not a prompt.
+	Prompt int
+	// Zone is where the request's inputs are, of which Bytes would be moved to a target in
+	// another one; empty for anywhere.
+	Zone  string
+	Bytes int64
 	// Load is the work of the request in units of a usual one.
 	Load float64
 	// Avoid lists targets that the request was sent to before.
@@ -84,14 +104,21 @@
 // Choose returns the target with the least expected cost and counts the request as in
 // flight there. It reports false if there is none that may be used.
 func (c *Chooser) Choose(now time.Duration, h Hint) (t roster.Target, ok bool) {
-	home := c.home(now, h.Prefix)
+	long := c.long(h)
+	home := c.home(now, h, long)
 	var best *state
 	least := math.Inf(1)
 	for _, st := range c.targets.All() {
-		if st.target.Leaving || contains(h.Avoid, st.target.ID) {
+		if st.target.Leaving || slices.Contains(h.Avoid, st.target.ID) {
 			continue
 		}
-		cost := c.cost(now, st, h, home)
+		cost := c.cost(now, st, h)
+		if h.Prompt > 0 && long != nil && long[st.target.ID] != (h.Prompt >= longPrompt) {
+			cost += sideCost
+		}
+		if home != "" && home != st.target.ID {
+			cost += float64(h.Shared) * tokenCost
+		}
 		if cost < least {
 			best, least = st, cost
 		}
@@ -103,59 +130,84 @@
 	return best.target, true
 }
 
+// Home returns the target whose cache is meant to hold the shared parts of a request.
+func (c *Chooser) Home(now time.Duration, h Hint) (t roster.Target, ok bool) {
+	st, ok := c.targets.Get(c.home(now, h, c.long(h)))
+	if !ok {
+		return roster.Target{}, false
+	}
+	return st.target, true
+}
+
 // minimumLoad keeps each request in flight visible.
 const minimumLoad = 0.1
 
-// cost is the expected cost of a request at a target, in requests.
-func (c *Chooser) cost(now time.Duration, st *state, h Hint, home string) float64 {
+// cost is the expected cost of a request at a target, as load.
+func (c *Chooser) cost(now time.Duration, st *state, h Hint) float64 {
 	cost := (1 + st.load) * st.paceAt(now) * (1 + 8*st.failingAt(now))
 	if h.Zone != "" && h.Zone != st.target.Zone {
-		cost += zoneCost
-	}
-	if home != "" && home != st.target.ID {
-		cost += prefixCost
+		cost += float64(h.Bytes) * byteCost
 	}
 	if now < st.down {
-		cost += 1e6 // used only if every target is down
+		cost += downCost
 	}
-	tie := xxhash.Sum64String(st.target.ID) ^ uint64(h.At*(1<<53))*0x9e3779b97f4a7c15
+	tie := xxhash.Sum64String(st.target.ID) ^ uint64(h.At*(1<<53))*spreadFactor
 	return cost + float64(tie>>40)/(1<<24)*0.2
 }
 
-// home returns the target whose cache is meant to hold a prefix: the first by rendezvous
-// hashing that is up and not much busier than the mean.
-func (c *Chooser) home(now time.Duration, prefix uint64) (id string) {
-	if prefix == 0 {
-		return ""
+// spreadFactor spreads the bits of a hash.
+const spreadFactor = 0x9e3779b97f4a7c15
+
+// long returns which targets are meant for long prompts; nil if there are too few to keep
+// them apart or the request is no prompt.
+func (c *Chooser) long(h Hint) (long map[string]bool) {
+	if h.Prompt == 0 || c.targets.Len() < longLeast {
+		return nil
 	}
-	total, n := 0.0, 0
-	for _, st := range c.targets.All() {
-		if !st.target.Leaving && now >= st.down {
-			total += st.load
-			n++
-		}
+	ranked := c.ranked(1, c.targets.Keys())
+	long = make(map[string]bool)
+	for _, id := range ranked[:int(math.Ceil(longPart*float64(len(ranked))))] {
+		long[id] = true
 	}
-	if n == 0 {
+	return long
+}
+
+// ranked orders targets by rendezvous hashing, the same way on all hosts.
+func (c *Chooser) ranked(key uint64, ids []string) []string {
+	place := func(id string) uint64 {
+		x := (xxhash.Sum64String(id) ^ key) * spreadFactor
+		return (x ^ x>>29) * spreadFactor
+	}
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(place(a), place(b)) })
+	return ids
+}
+
+// home returns the target whose cache is meant to hold the shared parts of a request: of the
+// few that hold its first part, the first by rendezvous hashing of the last one. All hosts
+// that know the same targets choose the same.
+func (c *Chooser) home(now time.Duration, h Hint, long map[string]bool) (id string) {
+	if h.Shared < sharedLeast {
 		return ""
 	}
-	most := uint64(0)
-	for _, st := range c.targets.All() {
-		if st.target.Leaving || now < st.down || st.load > total/float64(n)+spread {
-			continue
-		}
-		if hash := (xxhash.Sum64String(st.target.ID) ^ prefix) * 0x9e3779b97f4a7c15; hash >= most {
-			most, id = hash, st.target.ID
+	var up []string
+	for id, st := range c.targets.All() {
+		if !st.target.Leaving && now >= st.down && (long == nil || long[id] == (h.Prompt >= longPrompt)) {
+			up = append(up, id)
 		}
 	}
-	return id
+	if len(up) == 0 {
+		return ""
+	}
+	up = c.ranked(h.First, up)
+	return c.ranked(h.Last, up[:min(homes, len(up))])[0]
 }
 
 func (st *state) paceAt(now time.Duration) float64 {
-	return 1 + (st.pace-1)/(1+float64(now-st.paced)/float64(forget))
+	return 1 + (st.pace-1)*math.Exp2(-float64(now-st.paced)/float64(forget))
 }
 
 func (st *state) failingAt(now time.Duration) float64 {
-	return st.failing / (1 + float64(now-st.failed)/float64(forget))
+	return st.failing * math.Exp2(-float64(now-st.failed)/float64(forget))
 }
 
 // Result is how a request at a target ended.
@@ -202,12 +254,3 @@
 	}
 	return n
 }
-
-func contains(list []string, id string) bool {
-	for _, l := range list {
-		if l == id {
-			return true
-		}
-	}
-	return false
-}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -117,36 +118,38 @@
 
 // hint returns what the choice of a target may use.
 func (x *exchange) hint(inputs []string) pick.Hint {
-	h := pick.Hint{Avoid: x.targets, At: rand.Float64(), Load: 1}
-	if n := len(x.request.Prefix); n >= 2 {
-		h.Prefix = x.request.Prefix[n-2].ID
-	}
-	if x.request.Prompt > 0 {
-		h.Load = float64(x.request.Prompt) / usualPrompt
-	}
+	h := x.prompt()
 	s := x.state.Load()
-	most, bytes := int64(0), make(map[string]int64)
+	bytes, total := make(map[string]int64), int64(0)
 	for _, held := range x.held {
 		for _, handle := range held.handles {
-			if !contains(inputs, handle) {
+			if !slices.Contains(inputs, handle) {
 				continue
 			}
-			zone := s.zones[platform.Maker(handle)]
-			if bytes[zone] += held.bytes / int64(len(held.handles)); bytes[zone] > most {
-				most, h.Zone = bytes[zone], zone
+			zone, size := s.zones[platform.Maker(handle)], held.bytes/int64(len(held.handles))
+			total += size
+			if bytes[zone] += size; bytes[zone] > bytes[h.Zone] {
+				h.Zone = zone
 			}
 		}
 	}
+	h.Bytes = total
 	return h
 }
 
-func contains(list []string, one string) bool {
-	for _, l := range list {
-		if l == one {
-			return true
+// prompt returns what the choice of a target may use before the inputs are there.
+func (x *exchange) prompt() pick.Hint {
+	h := pick.Hint{Avoid: x.targets, At: rand.Float64(), Load: 1, Prompt: x.request.Prompt}
+	if n := len(x.request.Prefix) - 1; n > 0 {
+		h.First, h.Last = x.request.Prefix[0].ID, x.request.Prefix[n-1].ID
+		for _, p := range x.request.Prefix[:n] {
+			h.Shared += p.Tokens
 		}
 	}
-	return false
+	if x.request.Prompt > 0 {
+		h.Load = float64(x.request.Prompt) / usualPrompt
+	}
+	return h
 }
 
 // again reports whether another attempt may follow one that ended with v.
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -214,9 +214,12 @@
 	return j
 }
 
-// zone returns where the newest results of the request are; the host's own zone before the
-// first ones.
+// zone returns where the results of the next stage are of most use: where the target is that
+// is meant to run the request, else where the newest results are, else the own zone.
 func (x *exchange) zone() string {
+	if t, ok := x.choosers.home(x.pool, x.prompt()); ok {
+		return t.Zone
+	}
 	if n := len(x.held); n > 0 {
 		if zone, ok := x.state.Load().zones[platform.Maker(x.held[n-1].handles[0])]; ok {
 			return zone
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -90,6 +90,13 @@
 	return c.pool(name).chooser.Choose(c.clock(), h)
 }
 
+// home returns the target that is meant to run a request of the pool.
+func (c *choosers) home(name string, h pick.Hint) (t roster.Target, ok bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pool(name).chooser.Home(c.clock(), h)
+}
+
 // finish takes the end of a request at a target of the pool.
 func (c *choosers) finish(name string, r pick.Result) {
 	c.mutex.Lock()
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -20,7 +20,7 @@
 	watchSlack = 700 * time.Millisecond
 	// gatherTime is how long changes are gathered before the next read, which saves calls
 	// when many targets change at once. It is small against the time to apply a change.
-	gatherTime = 150 * time.Millisecond
+	gatherTime = 300 * time.Millisecond
 	// pauseFirst and pauseMost bound the pause after a failed read.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 600 * time.Millisecond
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -30,8 +30,8 @@
 	period = 50 * time.Millisecond
 	// lateFactor and lateExtra say when a call takes so long that its pieces are also given
 	// to another target.
-	lateFactor = 2.2
-	lateExtra  = 250 * time.Millisecond
+	lateFactor = 1.8
+	lateExtra  = 150 * time.Millisecond
 	// callMost bounds the time of a call.
 	callMost = 8 * time.Second
 	// triesMost bounds how often one piece is worked on.
@@ -103,6 +103,13 @@
 	until  time.Duration
 }
 
+// pending is a call in progress.
+type pending struct {
+	items []batch.Item
+	// late is when its pieces are also given to another target.
+	late time.Duration
+}
+
 // pool is the dispatching of one pool.
 type pool struct {
 	name       string
@@ -110,8 +117,8 @@
 	quota      *quota.Quota
 	jobs       map[uint64]*Work
 	results    map[string]made
-	// orders holds the calls in progress by id, with when they count as late.
-	orders map[uint64]time.Duration
+	// orders holds the calls in progress that are not late, by id.
+	orders map[uint64]pending
 	// frees has the handles to give up by the address of their target, and freeing the
 	// addresses with a call in progress.
 	frees   map[string][]string
@@ -185,7 +192,7 @@
 	if !ok {
 		p = &pool{
 			name: name, dispatcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*Work),
-			results: make(map[string]made), orders: make(map[uint64]time.Duration), frees: make(map[string][]string), freeing: make(map[string]bool),
+			results: make(map[string]made), orders: make(map[uint64]pending), frees: make(map[string][]string), freeing: make(map[string]bool),
 		}
 		d.pools[name] = p
 	}
@@ -378,8 +385,8 @@
 	}
 	now := d.clock()
 	for _, o := range p.dispatcher.Next(now) {
-		p.orders[o.ID] = now + time.Duration(lateFactor*float64(o.Expected)) + lateExtra
 		pieces, items := d.pieces(p, now, o.Items)
+		p.orders[o.ID] = pending{items: items, late: now + time.Duration(lateFactor*float64(o.Expected)) + lateExtra}
 		event.Log(d.log, event.CallStarted, "pool", p.name, "target", o.Target.ID, "pieces", len(pieces),
 			"expected", o.Expected.Milliseconds(), "waiting", p.dispatcher.Waiting())
 		d.running.Go(func() { d.call(p, o, pieces, items) })
@@ -410,11 +417,14 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
+	_, inTime := p.orders[o.ID]
 	delete(p.orders, o.ID)
 	p.dispatcher.Done(now, o.ID, end)
 	if end != batch.Completed {
 		event.Log(d.log, event.CallFailed, "pool", p.name, "target", o.Target.ID, "pieces", len(items), "refused", end == batch.Refused, "error", text(err))
-		d.again(p, now, items)
+		if inTime {
+			d.again(p, now, items)
+		}
 	} else {
 		d.take(p, now, o, items, results)
 	}
@@ -544,12 +554,12 @@
 	defer d.mutex.Unlock()
 	now := d.clock()
 	for _, p := range d.pools {
-		for id, late := range p.orders {
-			if now >= late {
+		for id, order := range p.orders {
+			if now >= order.late {
+				items := p.orders[id].items
 				delete(p.orders, id)
-				if p.quota.Spend(now) {
-					p.dispatcher.Late(id)
-				}
+				p.dispatcher.Late(now, id)
+				d.again(p, now, items)
 			}
 		}
 		for _, id := range p.dispatcher.Hopeless(now) {
