--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -390,22 +390,28 @@
 }
 
 // idle returns the targets that can take a call, the best one first. A slow target is left
-// out while another one is expected to be done sooner.
+// out while the other ones are expected to be done with all that waits sooner.
 func (d *Dispatcher) idle(now time.Duration, zone string) (list []*worker) {
 	full := float64(d.nominal(d.spec.Size))
-	soonest := time.Duration(1<<62 - 1)
+	soonest, fast := time.Duration(1<<62-1), 0
 	for _, w := range d.workers.All() {
 		if w.target.Leaving || now < w.down {
 			continue
 		}
-		soonest = min(soonest, d.idleAt(now, w)+time.Duration(full*d.paceOf(now, w)))
+		pace := d.paceOf(now, w)
+		soonest = min(soonest, d.idleAt(now, w)+time.Duration(full*pace))
+		if pace <= slowPace {
+			fast++
+		}
 		if w.running() < max(d.spec.Slots, 1) {
 			list = append(list, w)
 		}
 	}
+	rounds := float64(d.Waiting()) / float64(d.spec.Size*max(fast, 1))
+	cleared := soonest + time.Duration(rounds*full)
 	list = slices.DeleteFunc(list, func(w *worker) bool {
 		pace := d.paceOf(now, w)
-		return pace > slowPace && now+time.Duration(full*pace) > soonest
+		return pace > slowPace && now+time.Duration(full*pace) > cleared
 	})
 	slices.SortStableFunc(list, func(a, b *worker) int {
 		slowA, slowB := d.paceOf(now, a) > slowPace, d.paceOf(now, b) > slowPace
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -177,6 +177,31 @@
 	}
 }
 
+// TestSlowTargetsTakeBacklog guards against slow targets that stay idle while the other ones
+// have more waiting than they can do in the same time.
+func TestSlowTargetsTakeBacklog(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(2))
+	offer := func(now time.Duration, id uint64, pieces int) {
+		_, ok := d.Offer(now, batch.Job{ID: id, Pieces: pieces, Bytes: 1, Aim: 60 * time.Second, Deadline: 90 * time.Second})
+		is.True(ok)
+	}
+	offer(0, 1, 18)
+	slow := d.Next(0)[0]
+	d.Late(2*time.Second, slow.ID)
+	d.Done(2*time.Second, slow.ID, batch.Completed)
+	offer(2*time.Second, 2, 18)
+	offer(2*time.Second, 3, 18)
+	next := d.Next(2 * time.Second)
+	is.Equal(len(next), 1) // the other target is soon done with both
+	is.True(next[0].Target.ID != slow.Target.ID)
+	offer(2*time.Second, 4, 180)
+	next = d.Next(2 * time.Second)
+	is.Equal(len(next), 1)
+	is.Equal(next[0].Target.ID, slow.Target.ID)
+}
+
 // TestLargeResultsBlockNoSmallOnes guards against a queue whose head does not fit into the
 // room of any target and stops jobs that need none.
 func TestLargeResultsBlockNoSmallOnes(t *testing.T) {
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -131,6 +131,10 @@
 		_, b := x.lead.Choose(stage.Pool, x.zone())
 		own := p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
 		h := x.route.Height(i)
+		if len(stage.After) > 0 && b.All+own > p.Batch.Keep-keepMargin {
+			// Its inputs would be gone when its turn comes after all others.
+			b.All = x.deadline
+		}
 		soons[h], alls[h] = max(soons[h], b.Soon+own), max(alls[h], b.All+own)
 	}
 	for h := range soons {
