Run jobs that move much in the zone of their inputs or readers

Change: a job that would move half a megabyte or more waits up to 120 ms for a target in the zone of its inputs, or of the home of its request; others fill what is left of a call. Ruled out: choosing the model engine by its inputs alone, which reads shared prompts again at five times the price.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -17,6 +17,8 @@
 	// patience is the part of the time to its deadline that a job that misses its objective
 	// may be expected to wait: a later refusal leaves the caller no time to come back.
 	patience = 0.5
+	// nearWait is how long a job waits for a target in its zone if much would be moved.
+	nearWait = 120 * time.Millisecond
 	// rateTime is the time over which the speed of a pool is measured: a few calls.
 	rateTime = 1500 * time.Millisecond
 	// usualRank is the rank for which the backlog is told.
@@ -55,8 +57,10 @@
 	Pieces int
 	// Bytes is the size of one result.
 	Bytes int64
-	// Zone is where the results are preferred.
+	// Zone is where the job is preferred, because its inputs or the reader of its results are
+	// there. Near holds if so much is moved that it is worth some waiting.
 	Zone string
+	Near bool
 	// Begun holds if earlier stages of the request were worked on, which would be lost.
 	Begun bool
 }
@@ -373,15 +377,16 @@
 	for _, e := range queue {
 		waiting += len(e.waiting)
 	}
+	near := d.nearTargets(now)
 	for _, w := range d.idle(now, queue[0].job.Zone) {
-		takes, bytes := d.fill(now, w, queue)
+		takes, bytes := d.fill(now, w, eligible(queue, w, near))
 		n := 0
 		for _, t := range takes {
 			n += t.pieces
 		}
 		// Results leave little room for now: a small call would cost nearly as much time as
 		// a full one.
-		if n == 0 || float64(n) < leastFill*float64(min(waiting, d.spec.Size)) && d.taken(now, w) > 0 {
+		if n == 0 || d.taken(now, w) > 0 && float64(n) < leastFill*float64(min(waiting, d.spec.Size)) && bytes+d.taken(now, w) > d.spec.Room/2 {
 			continue
 		}
 		return d.begin(now, w, d.take(takes), bytes), true
@@ -389,6 +394,32 @@
 	return Order{}, false
 }
 
+// nearTargets returns the zones that have a target which takes calls soon.
+func (d *Dispatcher) nearTargets(now time.Duration) (zones map[string]bool) {
+	zones = make(map[string]bool)
+	for _, w := range d.workers.All() {
+		if !w.target.Leaving && now >= w.down && d.idleAt(now, w) <= now+nearWait && d.paceOf(now, w) <= slowPace {
+			zones[w.target.Zone] = true
+		}
+	}
+	return zones
+}
+
+// eligible returns the jobs for a call to a target: first those that are to run in its zone,
+// then those for which no target of their zone takes calls soon.
+func eligible(queue []*entry, w *worker, near map[string]bool) (list []*entry) {
+	var rest []*entry
+	for _, e := range queue {
+		switch {
+		case !e.job.Near || e.job.Zone == w.target.Zone:
+			list = append(list, e)
+		case !near[e.job.Zone]:
+			rest = append(rest, e)
+		}
+	}
+	return append(list, rest...)
+}
+
 // idle returns the targets that can take a call, the best one first. A slow target is left
 // out while the other ones are expected to be done with all that waits sooner.
 func (d *Dispatcher) idle(now time.Duration, zone string) (list []*worker) {
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -308,3 +308,28 @@
 	is.True(!ok)
 	is.Equal(len(d.Next(0)), 0)
 }
+
+// TestLargeInputsStayNear guards against jobs that read large inputs from another zone though
+// a target of that zone is free soon, and against waiting for one that is not.
+func TestLargeInputsStayNear(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	list := targets(2)
+	list[1].Zone = "b"
+	d.SetTargets(list)
+	offer := func(now time.Duration, id uint64, zone string) {
+		_, ok := d.Offer(now, batch.Job{ID: id, Pieces: 18, Bytes: 1, Zone: zone, Near: true, Aim: 9 * time.Second, Deadline: 9 * time.Second})
+		is.True(ok)
+	}
+	offer(0, 1, "b")
+	first := d.Next(0)
+	is.Equal(first[0].Target.Zone, "b")
+	offer(300*time.Millisecond, 2, "b")
+	is.Equal(len(d.Next(300*time.Millisecond)), 0) // that target is free in 71 ms
+	d.Done(371*time.Millisecond, first[0].ID, batch.Completed)
+	second := d.Next(371 * time.Millisecond)
+	is.Equal(second[0].Target.Zone, "b")
+	offer(400*time.Millisecond, 3, "b")
+	third := d.Next(400 * time.Millisecond)
+	is.Equal(third[0].Target.Zone, "a") // 340 ms are too long
+}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -19,6 +19,8 @@
 	firstEvent = 60 * time.Millisecond
 	// stageRetry is told to callers of a request whose pieces failed.
 	stageRetry = 300 * time.Millisecond
+	// nearBytes is from how much on moving inputs or results between zones is worth avoiding.
+	nearBytes = 500_000
 	// latePatience is the part of a caller's time within which a request that misses its
 	// objective has to be expected to end.
 	latePatience = 0.6
@@ -205,7 +207,7 @@
 		Begun: len(stage.After) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
 		Aim: x.aim - later - now, Left: x.deadline - later - now, Rank: x.rank, Bytes: stage.Bytes,
 	}
-	j.Zone = x.zone()
+	j.Zone, j.Near = x.place(i)
 	j.Group, _ = x.lead.Choose(stage.Pool, j.Zone)
 	if len(stage.After) == 0 {
 		j.Key = x.request.PieceKey
@@ -218,6 +220,23 @@
 	return j
 }
 
+// place returns in which zone a stage is best worked on, and whether so much is moved to or
+// from it that it is worth some waiting. Each piece reads all inputs of its stage.
+func (x *exchange) place(stage int) (zone string, near bool) {
+	s := x.route.Stages[stage]
+	read := int64(0)
+	for _, h := range x.held {
+		if slices.Contains(s.After, h.stage) {
+			read += h.bytes * int64(x.request.Pieces[stage])
+			zone = x.state.Load().zones[platform.Maker(h.handles[0])]
+		}
+	}
+	if read >= nearBytes && zone != "" {
+		return zone, true
+	}
+	return x.zone(), x.route.Height(stage) == 1 && s.Bytes*int64(x.request.Pieces[stage]) >= nearBytes
+}
+
 // zone returns where the results of the next stage are of most use: where the target is that
 // is meant to run the request, else where the newest results are, else the own zone.
 func (x *exchange) zone() string {
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -279,7 +279,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.Aim.Milliseconds(), Left: j.Left.Milliseconds(), Rank: int32(j.Rank), Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.Begun, Group: j.Group,
+		Begun: j.Begun, Group: j.Group, Near: j.Near,
 	}
 }
 
@@ -287,7 +287,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), Aim: milliseconds(m.GetAim()), Left: milliseconds(m.GetLeft()), Rank: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(), Begun: m.GetBegun(), Group: m.GetGroup(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), Begun: m.GetBegun(), Group: m.GetGroup(), Near: m.GetNear(),
 	}
 }
 
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -60,6 +60,8 @@
 	Rank      int
 	Bytes     int64
 	Zone      string
+	// Near holds if so much is moved to or from another zone that it is worth some waiting.
+	Near bool
 	// Begun holds if earlier stages of the request were worked on.
 	Begun bool
 }
@@ -243,7 +245,7 @@
 	d.last++
 	wait, ok = p.dispatcher.Offer(now, batch.Job{
 		ID: d.last, Arrived: now - j.Age, Rank: j.Rank, Aim: now + j.Aim, Deadline: now + j.Left, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.Begun,
+		Begun: j.Begun, Near: j.Near,
 	})
 	if !ok {
 		return nil, wait, false
