Foresee growing waits and expect long prompts as usual ones

The largest tenth of the reports was served half as often as all, because their long prompts counted against them at the door.

Change: a dispatching host also tells by how much its wait grows, and the door adds that for the time until the request gets there; prompts count up to 6,000 tokens in what is expected. Ruled out: reservations at each pool, which cost a message per stage and host.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -17,6 +18,8 @@
 	// patience is the part of the time to its deadline that a job that misses its objective
 	// may be expected to wait: a later refusal leaves the caller no time to come back.
 	patience = 0.5
+	// arrivalTime is the time over which arrivals are averaged: about that of two stages.
+	arrivalTime = 700 * time.Millisecond
 	// nearWait is how long a job waits for a target in its zone if much would be moved.
 	nearWait = 120 * time.Millisecond
 	// rateTime is the time over which the speed of a pool is measured: a few calls.
@@ -146,6 +149,9 @@
 	// all the time; begun is negative while none wait.
 	started int
 	begun   time.Duration
+	// arriving is the recent rate of offered pieces per second, as of arrived.
+	arriving float64
+	arrived  time.Duration
 }
 
 // New returns a dispatcher without targets.
@@ -187,6 +193,7 @@
 // Offer queues a job, or refuses it and returns when its caller should come back. Wait is
 // the expected time until the job ends.
 func (d *Dispatcher) Offer(now time.Duration, j Job) (wait time.Duration, ok bool) {
+	d.arrive(now, j.Pieces)
 	ready := d.expect(now, j)
 	limit := j.Deadline
 	if ready > j.Aim && !j.Begun {
@@ -218,34 +225,54 @@
 	}
 }
 
+// arrive takes note of offered pieces.
+func (d *Dispatcher) arrive(now time.Duration, pieces int) {
+	d.arriving *= math.Exp(-float64(now-d.arrived) / float64(arrivalTime))
+	d.arriving += float64(pieces) / arrivalTime.Seconds()
+	d.arrived = now
+}
+
 // Backlog returns how long a job that comes now waits for its call: one that can be in time,
-// and one that comes after all others.
-func (d *Dispatcher) Backlog(now time.Duration) (soon, all time.Duration) {
+// and one that comes after all others. Growth is by how much these waits grow in the same
+// time, as a ratio; zero if the pool keeps up.
+func (d *Dispatcher) Backlog(now time.Duration) (soon, all time.Duration, growth float64) {
 	own := d.nominal(1)
+	if rate := d.rate(now); rate > 0 {
+		arriving := d.arriving * math.Exp(-float64(now-d.arrived)/float64(arrivalTime))
+		growth = max(arriving/rate-1, 0)
+	}
 	inTime := Job{ID: 1<<64 - 1, Arrived: now, Rank: usualRank, Aim: 1<<62 - 1, Pieces: 1}
 	last := Job{ID: 1<<64 - 1, Arrived: 1<<62 - 1, Pieces: 1}
-	return d.expect(now, inTime) - now - own, d.expect(now, last) - now - own
+	return d.expect(now, inTime) - now - own, d.expect(now, last) - now - own, growth
+}
+
+// rate returns the pieces per second that the pool does with full calls; zero if no target
+// can be used.
+func (d *Dispatcher) rate(now time.Duration) (rate float64) {
+	full := d.nominal(d.spec.Size)
+	for _, w := range d.workers.All() {
+		if !w.target.Leaving && now >= w.down {
+			rate += float64(d.spec.Size) / (full.Seconds() * d.paceOf(now, w))
+		}
+	}
+	if measured := d.measured(now); measured > 0 {
+		rate = min(rate, measured)
+	}
+	return rate
 }
 
 // expect returns when the job would end if it came now.
 func (d *Dispatcher) expect(now time.Duration, j Job) time.Duration {
-	usable, rate := 0, 0.0
 	first := time.Duration(1<<62 - 1)
-	full := d.nominal(d.spec.Size)
 	for _, w := range d.workers.All() {
-		if w.target.Leaving || now < w.down {
-			continue
+		if !w.target.Leaving && now >= w.down {
+			first = min(first, d.idleAt(now, w))
 		}
-		usable++
-		rate += float64(d.spec.Size) / (float64(full) * d.paceOf(now, w))
-		first = min(first, d.idleAt(now, w))
 	}
-	if usable == 0 {
+	rate := d.rate(now)
+	if rate == 0 {
 		return now + retryCeiling + j.Deadline
 	}
-	if measured := d.measured(now); measured > 0 {
-		rate = min(rate, measured)
-	}
 	own := d.nominal(min(j.Pieces, d.spec.Size))
 	ahead, late, place := 0, d.late(now, j), &entry{job: j}
 	for _, e := range d.sorted {
@@ -255,7 +282,7 @@
 		}
 	}
 	over := max(j.Pieces-d.spec.Size, 0)
-	return max(first, now) + time.Duration(float64(ahead+over)/rate) + own
+	return max(first, now) + time.Duration(float64(ahead+over)/rate*float64(time.Second)) + own
 }
 
 // measured returns the pieces per second that were started lately while pieces waited all
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -333,3 +333,23 @@
 	third := d.Next(400 * time.Millisecond)
 	is.Equal(third[0].Target.Zone, "a") // 340 ms are too long
 }
+
+// TestBurstIsForeseen guards against requests that are admitted to a pool whose wait is short
+// now but grows faster than they come to it.
+func TestBurstIsForeseen(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(5))
+	_, _, growth := d.Backlog(0)
+	is.Equal(growth, 0.0)
+	// Full calls do 242 pieces a second; 480 come.
+	for i := range 80 {
+		now := time.Duration(i) * 12500 * time.Microsecond
+		d.Offer(now, batch.Job{ID: uint64(i), Pieces: 6, Bytes: 1, Aim: now + 9*time.Second, Deadline: now + 20*time.Second})
+	}
+	soon, all, growth := d.Backlog(time.Second)
+	is.True(growth > 0.4 && growth < 1.2)
+	is.True(soon > time.Second && all >= soon)
+	_, _, growth = d.Backlog(5 * time.Second)
+	is.Equal(growth, 0.0) // the burst is over
+}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -17,6 +17,8 @@
 	// engines.
 	readSpeed  = 30
 	firstEvent = 60 * time.Millisecond
+	// longestPrompt is up to which length a prompt counts in what is expected.
+	longestPrompt = 6000 // tokens
 	// stageRetry is told to callers of a request whose pieces failed.
 	stageRetry = 300 * time.Millisecond
 	// nearBytes is from how much on moving inputs or results between zones is worth avoiding.
@@ -120,36 +122,43 @@
 	return min(max(now+soon-x.aim, retryLeast), retryMost), false
 }
 
-// path returns the expected time of the stages and the model engine: for a request that can be in time, and for one that comes after all others.
+// path returns the expected time of the stages and the model engine: for a request that can
+// be in time, and for one that comes after all others. A stage is reached only after the
+// ones before, and what waits there grows until then.
 func (x *exchange) path() (soon, all time.Duration) {
 	s := x.state.Load()
-	// Stages of the same height run at the same time.
-	soons, alls := make(map[int]time.Duration), make(map[int]time.Duration)
-	for i, stage := range x.route.Stages {
-		p, ok := s.table.Pool(stage.Pool)
-		if !ok || p.Batch == nil || x.request.Pieces[i] == 0 {
-			continue
-		}
-		_, b := x.lead.Choose(stage.Pool, x.zone())
-		own := p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
-		h := x.route.Height(i)
-		if len(stage.After) > 0 && b.All+own > p.Batch.Keep-keepMargin {
-			// Its inputs would be gone when its turn comes after all others.
-			b.All = x.deadline
-		}
-		soons[h], alls[h] = max(soons[h], b.Soon+own), max(alls[h], b.All+own)
+	highest := 0
+	for i := range x.route.Stages {
+		highest = max(highest, x.route.Height(i))
 	}
-	for h := range soons {
-		soon += soons[h]
-		all += alls[h]
+	for h := highest; h > 0; h-- {
+		// Stages of the same height run at the same time.
+		var slowest, slowestAll time.Duration
+		for i, stage := range x.route.Stages {
+			p, ok := s.table.Pool(stage.Pool)
+			if !ok || p.Batch == nil || x.request.Pieces[i] == 0 || x.route.Height(i) != h {
+				continue
+			}
+			_, b := x.lead.Choose(stage.Pool, x.zone())
+			own := p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
+			grown := time.Duration(b.Growth * float64(soon))
+			if len(stage.After) > 0 && b.All+grown+own > p.Batch.Keep-keepMargin {
+				// Its inputs would be gone when its turn comes after all others.
+				b.All = x.deadline
+			}
+			slowest, slowestAll = max(slowest, b.Soon+grown+own), max(slowestAll, b.All+grown+own)
+		}
+		soon += slowest
+		all += slowestAll
 	}
 	model := x.modelTime()
 	return soon + model, all + model
 }
 
-// modelTime returns the least time to the first event of a model engine.
+// modelTime returns the time to the first event of a model engine. Prompts count up to a
+// length only, so that the longest ones are not refused more often than others.
 func (x *exchange) modelTime() time.Duration {
-	return firstEvent + time.Duration(x.request.Prompt/readSpeed)*time.Millisecond
+	return firstEvent + time.Duration(min(x.request.Prompt, longestPrompt)/readSpeed)*time.Millisecond
 }
 
 // freeRead gives up the results that all stages after theirs have read, because the room for
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -61,6 +61,8 @@
 type Backlog struct {
 	// Soon holds for a job that can be in time, All for one that comes after all others.
 	Soon, All time.Duration
+	// Growth is by how much these waits grow in the same time, as a ratio.
+	Growth float64
 }
 
 // told is a backlog and when it was told.
@@ -112,7 +114,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.backlogs[key(j.Pool, j.Group)] = told{
-		backlog: Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll())}, at: c.dispatch.clock(),
+		backlog: Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll()), Growth: p.GetGrowth()}, at: c.dispatch.clock(),
 	}
 }
 
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -265,7 +265,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if p, ok := d.find(pool, group); ok {
-		b.Soon, b.All = p.dispatcher.Backlog(d.clock())
+		b.Soon, b.All, b.Growth = p.dispatcher.Backlog(d.clock())
 	}
 	return b
 }
