Give shared prompts more homes on large pools and leave busy ones

A host does not see what others send.

Change: six tenths of the targets are homes; the pace of a model engine is learned from the time to its first events, so that a busy home is left.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -36,8 +36,11 @@
 	// number of targets from which on they are kept apart.
 	longPart  = 0.6
 	longLeast = 4
-	// homes is how many targets hold the first part of a prompt, which many requests share.
-	homes = 4
+	// homePart is the part of the targets that hold the first part of a prompt, which many
+	// requests share. Fewer ones would read it less often, but meet too many requests.
+	homePart = 0.6
+	// paceMost bounds one measurement of the pace of a target.
+	paceMost = 20
 	// downCost puts targets that are down behind all others.
 	downCost = 1e6
 )
@@ -199,7 +202,7 @@
 		return ""
 	}
 	up = c.ranked(h.First, up)
-	return c.ranked(h.Last, up[:min(homes, len(up))])[0]
+	return c.ranked(h.Last, up[:int(math.Ceil(homePart*float64(len(up))))])[0]
 }
 
 func (st *state) paceAt(now time.Duration) float64 {
@@ -235,7 +238,7 @@
 	}
 	st.failing, st.failed = st.failingAt(now)+learn*(sample-st.failingAt(now)), now
 	if r.Pace > 0 {
-		st.pace, st.paced = st.paceAt(now)+learn*(r.Pace-st.paceAt(now)), now
+		st.pace, st.paced = st.paceAt(now)+learn*(min(r.Pace, paceMost)-st.paceAt(now)), now
 	}
 	if r.Silent {
 		st.down = now + min(downFirst<<min(st.failures, 8), downMost)
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -103,6 +103,21 @@
 	is.True(len(counts) >= 3)
 }
 
+// TestBusyHomeIsLeft guards against requests that go on to a home whose first events come
+// late, because other hosts send to it as well.
+func TestBusyHomeIsLeft(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(6, 1))
+	c := hosts(1, 9)[0]
+	h := report(random, 7)
+	home, _ := c.Choose(0, h)
+	for range 4 {
+		c.Finish(0, pick.Result{Target: home.ID, Load: h.Load, Pace: 15})
+	}
+	next, _ := c.Choose(0, h)
+	is.True(next.ID != home.ID)
+}
+
 // TestInputsStayNear guards against large results that are moved between zones for nothing.
 func TestInputsStayNear(t *testing.T) {
 	is := is.New(t)
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -81,6 +81,7 @@
 		v := x.try(ctx, s, a, inputs)
 		x.choosers.finish(x.pool, pick.Result{
 			Target: t.ID, Load: hint.Load, Failed: v == broken || v == failed || v == unrun, Silent: v == unreached || v == broken && ctx.Err() == nil && silent(a.err),
+			Pace: s.pace(a),
 		})
 		if v == answered {
 			return
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -76,6 +76,15 @@
 	}
 }
 
+// pace returns the ratio of the time to the first event of an attempt to the expected one;
+// zero if it brought none.
+func (s *stream) pace(a *attempt) float64 {
+	if s.first <= a.began {
+		return 0
+	}
+	return float64(s.first-a.began) / float64(s.modelTime())
+}
+
 // write passes an event on and reports whether the caller takes it.
 func (s *stream) write(a *attempt, control *http.ResponseController, raw []byte) bool {
 	if len(raw) == 0 {
