Expect late jobs behind those that come later in time

Change: the wait of late jobs is stretched by the part of the pool's speed that arrivals leave. The store is read with a wait that follows from the contact bound of the settings, and changes are gathered for 400 ms.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -20,6 +20,8 @@
 	patience = 0.5
 	// arrivalTime is the time over which arrivals are averaged: about that of two stages.
 	arrivalTime = 700 * time.Millisecond
+	// leastLeft is the least part of a pool's speed that counts as left for late jobs.
+	leastLeft = 0.15
 	// nearWait is how long a job waits for a target in its zone if much would be moved.
 	nearWait = 120 * time.Millisecond
 	// rateTime is the time over which the speed of a pool is measured: a few calls.
@@ -237,13 +239,18 @@
 // time, as a ratio; zero if the pool keeps up.
 func (d *Dispatcher) Backlog(now time.Duration) (soon, all time.Duration, growth float64) {
 	own := d.nominal(1)
+	left := 1.0
 	if rate := d.rate(now); rate > 0 {
 		arriving := d.arriving * math.Exp(-float64(now-d.arrived)/float64(arrivalTime))
 		growth = max(arriving/rate-1, 0)
+		left = max(1-arriving/rate, leastLeft)
 	}
 	inTime := Job{ID: 1<<64 - 1, Arrived: now, Rank: usualRank, Aim: 1<<62 - 1, Pieces: 1}
 	last := Job{ID: 1<<64 - 1, Arrived: 1<<62 - 1, Pieces: 1}
-	return d.expect(now, inTime) - now - own, d.expect(now, last) - now - own, growth
+	soon = d.expect(now, inTime) - now - own
+	all = d.expect(now, last) - now - own
+	// Jobs that come later and can be in time go before those that cannot.
+	return soon, soon + time.Duration(float64(max(all-soon, 0))/left), growth
 }
 
 // rate returns the pieces per second that the pool does with full calls; zero if no target
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -14,13 +14,14 @@
 const (
 	// readTimeout bounds a read of the store that does not wait.
 	readTimeout = 1 * time.Second
-	// watchWait and watchSlack bound a waiting read. Their sum is below the 3 s after which a
-	// host whose connection went silent has to be up to date again.
-	watchWait  = 2 * time.Second
+	// watchSlack is how long the answer to a waiting read may take besides the wait.
 	watchSlack = 700 * time.Millisecond
+	// watchMargin is what is left of the time to be up to date again for the first read after
+	// one that got no answer.
+	watchMargin = 300 * time.Millisecond
 	// gatherTime is how long changes are gathered before the next read, which saves calls
 	// when many targets change at once. It is small against the time to apply a change.
-	gatherTime = 300 * time.Millisecond
+	gatherTime = 400 * time.Millisecond
 	// pauseFirst and pauseMost bound the pause after a failed read.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 600 * time.Millisecond
@@ -40,6 +41,8 @@
 // watcher reads the store and passes on what it brings.
 type watcher struct {
 	store *platform.Store
+	// wait is how long a read waits for changes.
+	wait time.Duration
 	// take and lost run on the goroutine of the watcher.
 	take func(ctx context.Context, n news)
 	lost func(ctx context.Context, err error)
@@ -76,9 +79,9 @@
 	if revision == 0 {
 		return w.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	ctx, cancel := context.WithTimeout(ctx, w.wait+watchSlack)
 	defer cancel()
-	items, n2, err := w.store.Watch(ctx, "", revision, watchWait)
+	items, n2, err := w.store.Watch(ctx, "", revision, w.wait)
 	if err != nil {
 		return news{}, err
 	}
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -39,6 +39,8 @@
 	Grace time.Duration
 	// Lifetime is the longest time that callers keep an address answer.
 	Lifetime time.Duration
+	// Contact is the time after a disruption within which the host has to be up to date again.
+	Contact time.Duration
 	// Ratio and Slack bound the repeats of the whole fleet in each Window.
 	Ratio  float64
 	Slack  float64
@@ -164,6 +166,11 @@
 	{"edge", "lifetime", "5", "0 or more (seconds)", "longest time that callers keep an address answer", func(s *Settings, v string) bool {
 		return seconds(&s.bounds.Lifetime, v)
 	}},
+	{"edge", "contact", "3000", "500 or more (milliseconds)", "time after a disruption within which the host has to be up to date again", func(s *Settings, v string) bool {
+		n, ok := number(v)
+		s.bounds.Contact = time.Duration(n * float64(time.Millisecond))
+		return ok && n >= 500
+	}},
 	{"edge", "ratio", "0.1", "0 or more", "repeats that the fleet may add, as a ratio of the requests", func(s *Settings, v string) (ok bool) {
 		s.bounds.Ratio, ok = number(v)
 		return ok
