--- a/io/cli/docs_test.go
+++ b/io/cli/docs_test.go
@@ -101,7 +101,7 @@
 func TestDocs(t *testing.T) {
 	all := tables(t)
 	for page, names := range map[string][]string{
-		"operations.md": {"settings", "fields", "defaults", "faults", "reasons", "retries"},
+		"OPERATIONS.md": {"settings", "fields", "defaults", "faults", "reasons", "retries"},
 		"events.md":     {"events"},
 	} {
 		path := filepath.Join("..", "..", "docs", page)
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -11,24 +11,27 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"sassafrasward/platform/standin"
 )
 
 // TestBytesAreUnchanged guards against a request or an answer that is changed on the way,
 // and a key that reaches a target.
 func TestBytesAreUnchanged(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
 	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
-		signed(w)
+		standin.Sign(w)
 		w.Header().Set("X-Weight-Versions", "3")
 		w.WriteHeader(http.StatusTeapot)
 		_, _ = io.WriteString(w, "short and stout")
 	})
-	s.config(1)
-	s.register(e, "plain", "ready")
+	s.Configure(1)
+	s.Register(e, "plain", "ready")
 	w, _ := start(t, s, "e1")
 	w.waitReady()
-	w.wait(func() bool { w.call(http.MethodGet, "/read/", "warm", nil); return len(e.requests()) > 0 })
+	w.wait(func() bool { w.call(http.MethodGet, "/read/", "warm", nil); return len(e.Requests()) > 0 })
 	status, body, h := w.call(http.MethodPost, "/write/a%2Fb/./c//d?x=%20&y", "r1", func(r *http.Request) {
 		r.Body = io.NopCloser(strings.NewReader("b\x00dy"))
 		r.ContentLength = -1
@@ -39,16 +42,15 @@
 	is.Equal(status, http.StatusTeapot)
 	is.Equal(body, "short and stout")
 	is.Equal([]string{h.Get("X-Response-Signature"), h.Get("X-Weight-Versions")}, []string{"sig", "3"})
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	r := e.seen[len(e.seen)-1]
-	is.Equal([]string{r.Method, r.RequestURI, r.Host, e.bodies[len(e.bodies)-1]}, []string{"POST", "/write/a%2Fb/./c//d?x=%20&y", "h.example", "b\x00dy"})
+	r := e.Last()
+	is.Equal([]string{r.Method, r.RequestURI, r.Host, r.Body}, []string{"POST", "/write/a%2Fb/./c//d?x=%20&y", "h.example", "b\x00dy"})
 	is.Equal([]string{r.Header.Get("X-Tenant"), r.Header.Get("X-Api-Key"), r.Header.Get("X-Hold"), r.Header.Get("X-Other")}, []string{"thun", "", "", "kept"})
 	is.Equal(r.Header.Get("Accept-Encoding"), "") // the caller asked for none
 }
 
 // TestOwnRefusals guards against wrong statuses of the host's own.
 func TestOwnRefusals(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
 	w, _ := start(t, s, "e1")
@@ -56,7 +58,7 @@
 	status, _, h := w.call(http.MethodGet, "/nowhere/", "r0", nil)
 	is.Equal(status, http.StatusServiceUnavailable) // without a configuration nothing is denied
 	is.True(h.Get("Retry-After") != "")
-	s.config(1)
+	s.Configure(1)
 	w.waitReady()
 	for _, test := range []struct {
 		path   string
@@ -81,6 +83,7 @@
 // TestCommandRunsOnce guards against a command that is sent again after it may have run, and
 // against a promise that it did not run.
 func TestCommandRunsOnce(t *testing.T) {
+	t.Parallel()
 	for _, test := range []struct {
 		name   string
 		handle func(w http.ResponseWriter, r *http.Request)
@@ -88,7 +91,7 @@
 	}{
 		{"reset", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, http.StatusBadGateway},
 		{"broken body", func(w http.ResponseWriter, _ *http.Request) {
-			signed(w)
+			standin.Sign(w)
 			w.Header().Set("Content-Length", "10")
 			_, _ = io.WriteString(w, "short")
 			panic(http.ErrAbortHandler)
@@ -96,15 +99,15 @@
 		{"unsigned", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "x") }, http.StatusBadGateway},
 		{"busy without a promise", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }, http.StatusBadGateway},
 		{"failure", func(w http.ResponseWriter, _ *http.Request) {
-			signed(w)
+			standin.Sign(w)
 			w.WriteHeader(http.StatusInternalServerError)
 		}, http.StatusInternalServerError},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			is := is.New(t)
 			s := newStore(t)
-			s.config(1)
-			engines := []*engine{}
+			s.Configure(1)
+			engines := []*standin.Engine{}
 			for _, id := range []string{"i-1", "i-2"} {
 				e := newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
 					if strings.HasPrefix(r.URL.Path, "/read/") {
@@ -114,14 +117,14 @@
 					test.handle(w, r)
 				})
 				engines = append(engines, e)
-				s.register(e, "plain", "ready")
+				s.Register(e, "plain", "ready")
 			}
 			w, _ := start(t, s, "e1")
 			w.waitReady()
 			w.served("/read/")
 			status, _, _ := w.call(http.MethodPost, "/write/", "c1", nil)
 			is.Equal(status, test.status)
-			reached := len(without(engines[0].requests(), "warm")) + len(without(engines[1].requests(), "warm"))
+			reached := len(without(engines[0].Requests(), "warm")) + len(without(engines[1].Requests(), "warm"))
 			is.Equal(reached, 1)
 		})
 	}
@@ -130,15 +133,15 @@
 // TestRefusedCommandGoesOn guards against a command that is refused although another target
 // could have run it.
 func TestRefusedCommandGoesOn(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	var full atomic.Int64
 	for _, id := range []string{"i-1", "i-2"} {
-		s.register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+		s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
 			if r.Method == http.MethodPost && full.Add(1) == 1 {
-				w.Header().Set("X-Not-Executed", "1")
-				w.WriteHeader(http.StatusServiceUnavailable)
+				standin.Refuse(w)
 				return
 			}
 			whole("done")(w, r)
@@ -155,13 +158,14 @@
 
 // TestReadIsRepeated guards against an idempotent request that fails with its first target.
 func TestReadIsRepeated(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	var failing atomic.Bool
 	var first atomic.Int64
 	for _, id := range []string{"i-1", "i-2"} {
-		s.register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+		s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
 			if failing.Load() && first.Add(1) == 1 {
 				panic(http.ErrAbortHandler)
 			}
@@ -179,7 +183,7 @@
 
 // events writes events with the ids from first to last, and the end of the stream if whole.
 func events(w http.ResponseWriter, first, last int, complete bool) {
-	signed(w)
+	standin.Sign(w)
 	w.Header().Set("Content-Type", "text/event-stream")
 	for i := first; i <= last; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: token%d\n\n", i, i)
@@ -194,11 +198,12 @@
 // TestStreamGoesOn guards against a stream that loses, repeats or joins events when its
 // target breaks in the middle of one.
 func TestStreamGoesOn(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	for _, id := range []string{"i-1", "i-2"} {
-		s.register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+		s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
 			if from := r.Header.Get("Last-Event-Id"); from != "" {
 				is.Equal(from, "3")
 				events(w, 4, 6, true)
@@ -223,66 +228,58 @@
 }
 
 // stageWorld has an engine for pieces and one for the model.
-func stageWorld(t *testing.T, handle func(w http.ResponseWriter, r *http.Request)) (w *world, pieces, model *engine) {
+func stageWorld(t *testing.T, handle func(w http.ResponseWriter, r *http.Request)) (w *world, pieces, model *standin.Engine) {
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	pieces, model = newEngine(t, "i-1", nil), newEngine(t, "i-2", handle)
-	s.register(pieces, "pieces", "ready")
-	s.register(model, "model", "ready")
+	s.Register(pieces, "pieces", "ready")
+	s.Register(model, "model", "ready")
 	w, _ = start(t, s, "e1")
 	w.waitReady()
 	return w, pieces, model
 }
 
-func withPieces(r *http.Request) {
-	r.Header.Set("X-Pieces", "2,3")
-	r.Header.Set("X-Piece-Key", "k")
-}
-
 // TestStages guards against pieces with the wrong inputs, results that the model does not
 // get, and results that are never given up.
 func TestStages(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w, pieces, model := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) })
 	w.wait(func() bool {
-		status, _, _ := w.call(http.MethodPost, "/talk/", "s1", withPieces)
+		status, _, _ := w.call(http.MethodPost, "/talk/", "s1", standin.AskPieces)
 		return status == http.StatusOK
 	})
-	model.mutex.Lock()
-	inputs := model.seen[len(model.seen)-1].Header.Get("X-Inputs")
-	model.mutex.Unlock()
+	inputs := model.Last().Header.Get("X-Inputs")
 	want := []string{}
 	for i := range 3 {
-		want = append(want, fmt.Sprintf("%s/s1.1.%d.2", pieces.address(), i)) // two inputs each
+		want = append(want, fmt.Sprintf("%s/s1.1.%d.2", pieces.Address(), i)) // two inputs each
 	}
 	is.Equal(inputs, strings.Join(want, ","))
-	w.wait(func() bool {
-		pieces.mutex.Lock()
-		defer pieces.mutex.Unlock()
-		return len(pieces.freed) >= 5
-	})
+	w.wait(func() bool { return pieces.Freed() >= 5 })
 }
 
 // TestStreamBreaks guards against a stream that may run once and looks whole though it
 // broke, or is begun again.
 func TestStreamBreaks(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	w, _, model := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, false) })
 	n := 0
 	w.wait(func() bool {
 		n++
-		status, body, h := w.call(http.MethodPost, "/talk/", fmt.Sprintf("s%d", n), withPieces)
+		status, body, h := w.call(http.MethodPost, "/talk/", fmt.Sprintf("s%d", n), standin.AskPieces)
 		is.True(status != http.StatusOK)
 		return h != nil && strings.HasSuffix(body, "token2\n\n")
 	})
-	is.Equal(len(model.requests()), 1)
+	is.Equal(len(model.Requests()), 1)
 }
 
 // TestCallerLeaves guards against targets that work on for a caller that has left.
 func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	left := make(chan struct{})
 	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/read/slow" {
@@ -292,7 +289,7 @@
 		<-r.Context().Done()
 		close(left)
 	})
-	s.register(e, "plain", "ready")
+	s.Register(e, "plain", "ready")
 	w, _ := start(t, s, "e1")
 	w.waitReady()
 	w.served("/read/")
@@ -312,9 +309,10 @@
 
 // TestNoAnswerInTime guards against requests that are held past the time of their route.
 func TestNoAnswerInTime(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1, `{"name":"quick","host":"h.example","prefix":"/quick/","kind":"non_idempotent","timeoutMs":300,"sloMs":300,"service":"plain","maxAttempts":1}`)
+	s.Configure(1, `{"name":"quick","host":"h.example","prefix":"/quick/","kind":"non_idempotent","timeoutMs":300,"sloMs":300,"service":"plain","maxAttempts":1}`)
 	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
 		if strings.HasPrefix(r.URL.Path, "/quick/") {
 			<-r.Context().Done()
@@ -322,65 +320,65 @@
 		}
 		whole("ok")(w, r)
 	})
-	s.register(e, "plain", "ready")
+	s.Register(e, "plain", "ready")
 	w, _ := start(t, s, "e1")
 	w.waitReady()
 	w.served("/read/")
 	status, _, _ := w.call(http.MethodPost, "/quick/", "c1", nil)
 	is.Equal(status, http.StatusGatewayTimeout) // it may have run
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	left := e.seen[len(e.seen)-1].Header.Get("X-Deadline-Ms")
+	left := e.Last().Left()
 	is.True(left > "200" && left <= "300") // milliseconds
 }
 
 // TestLeavingTarget guards against new work for targets that leave, are gone, or whose
 // address another one has.
 func TestLeavingTarget(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	e1, e2 := newEngine(t, "i-1", whole("1")), newEngine(t, "i-2", whole("2"))
-	s.register(e1, "plain", "ready")
-	s.register(e2, "plain", "draining")
+	s.Register(e1, "plain", "ready")
+	s.Register(e2, "plain", "draining")
 	w, _ := start(t, s, "e1")
 	w.waitReady()
 	w.served("/read/")
-	is.Equal(len(e2.requests()), 0)
-	s.register(e2, "plain", "ready")
+	is.Equal(len(e2.Requests()), 0)
+	s.Register(e2, "plain", "ready")
 	w.wait(func() bool { _, body, _ := w.call(http.MethodGet, "/read/", "r", nil); return body == "2" })
-	s.put("servers/i-1", "")
+	s.Put("servers/i-1", "")
 	w.wait(func() bool {
-		before := len(e1.requests())
+		before := len(e1.Requests())
 		for range 20 {
 			w.call(http.MethodGet, "/read/", "r", nil)
 		}
-		return len(e1.requests()) == before
+		return len(e1.Requests()) == before
 	})
 }
 
 // TestConfigurations guards against a configuration that is not in force on all hosts, also
 // on one that cannot read the store, or that is replaced by an older one.
 func TestConfigurations(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(3)
+	s.Configure(3)
 	e := newEngine(t, "i-1", whole("ok"))
-	s.register(e, "plain", "ready")
+	s.Register(e, "plain", "ready")
 	w1, peer := start(t, s, "e1")
 	w1.waitReady()
 	away := newStore(t)
-	away.broken = true
+	away.Break(true)
 	w2, _ := start(t, away, "e2", peer)
 	w2.waitReady() // by the configuration of the other host
 	added := `{"name":"new","host":"h.example","prefix":"/new/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2}`
-	s.config(5, added)
+	s.Configure(5, added)
 	w1.served("/new/")
 	w2.wait(func() bool {
 		status, _, _ := w2.call(http.MethodGet, "/new/", "r", nil)
 		return status != http.StatusNotFound
 	})
-	s.config(4) // an older one
+	s.Configure(4) // an older one
 	time.Sleep(300 * time.Millisecond)
 	status, _, _ := w1.call(http.MethodGet, "/new/", "r", nil)
 	is.Equal(status, http.StatusOK)
@@ -397,9 +395,10 @@
 
 // TestPlannedStop guards against requests that a planned stop cuts off.
 func TestPlannedStop(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.config(1)
+	s.Configure(1)
 	release := make(chan struct{})
 	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/write/slow" {
@@ -410,7 +409,7 @@
 		}
 		whole("done")(w, r)
 	})
-	s.register(e, "plain", "ready")
+	s.Register(e, "plain", "ready")
 	w, _ := start(t, s, "e1")
 	w.waitReady()
 	w.served("/read/")
@@ -419,7 +418,7 @@
 		status, _, _ := w.call(http.MethodPost, "/write/slow", "c1", nil)
 		statuses <- status
 	}()
-	w.wait(func() bool { return len(without(e.requests(), "warm")) == 1 })
+	w.wait(func() bool { return len(without(e.Requests(), "warm")) == 1 })
 	w.stop()
 	w.wait(func() bool {
 		r, err := http.Get("http://" + w.ready + "/readyz")
