Log the trail of each request and explain it from its id

Each request's last line has its decisions with the figures that decided them; 'sassafrasward explain' reads logs of several hosts and puts the cause first.

--- a/io/cli/cli.go
+++ b/io/cli/cli.go
@@ -89,6 +89,7 @@
 		{"preset", "Print a configuration with another preset in force", presetHelp, &preset{env: e}},
 		{"status", "Report the state of one host or of the fleet", statusHelp, &status{env: e}},
 		{"call", "Run a pipeline as a caller", callHelp, &call{env: e}},
+		{"explain", "Tell from logs what happened to one request", explainHelp, &explain{env: e}},
 		{"replay", "Replay a recorded trace", replayHelp, &rerun{env: e}},
 		{"demo", "Run the whole path in one process", demoHelp, &demonstrate{env: e}},
 	}
--- a/io/cli/help.go
+++ b/io/cli/help.go
@@ -12,6 +12,11 @@
 Example:
   sassafrasward edge --settings host.ini`
 
+const explainHelp = `Reads log files of one or more hosts and prints the lines that name a request, in the order of time, with the cause at their head. Ends with 1 if no line names it.
+
+Example:
+  sassafrasward explain 9c41d07be2a35f68 e1.log e2.log`
+
 const checkHelp = `Checks a settings file, a configuration or both, and prints each mistake on one line with file, section, key, value and allowed range. Ends with 2 if there is a mistake.
 
 Examples:
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -79,6 +79,7 @@
 		sends++
 		a := &attempt{target: t, began: x.clock(), last: sends >= x.route.Attempts}
 		v := x.try(ctx, s, a, inputs)
+		x.decide("target %s in %q, inputs in %q: %s", t.ID, t.Zone, hint.Zone, v.word())
 		x.choosers.finish(x.pool, pick.Result{
 			Target: t.ID, Load: hint.Load, Failed: v == broken || v == failed || v == unrun, Silent: v == unreached || v == broken && ctx.Err() == nil && silent(a.err),
 			Pace: s.pace(a),
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -28,6 +29,8 @@
 	elsewhereRetry = 50 * time.Millisecond
 	// targetRetry is told to callers for whom there is no target at the moment.
 	targetRetry = 400 * time.Millisecond
+	// trailMost bounds the decisions that are logged of one request.
+	trailMost = 24
 	// answerMargin is how long before the deadline a request ends, so that the answer
 	// reaches the caller in time.
 	answerMargin = 15 * time.Millisecond
@@ -55,7 +58,9 @@
 	w http.ResponseWriter
 	r *http.Request
 	// request is what the caller's headers say.
-	request   platform.Request
+	request platform.Request
+	// version is that of the configuration that the request came under.
+	version   uint64
 	route     route.Route
 	workspace string
 	// pool runs the request.
@@ -76,6 +81,8 @@
 	// staged is when the stages were done, first when the first event was passed on; pause is
 	// the longest time between two events. They are for the log.
 	staged, first, pause time.Duration
+	// trail has the decisions on the request with the figures that decided them.
+	trail []string
 	// status, why and detail tell the log how the request ended.
 	status int
 	why    reason.Reason
@@ -116,7 +123,14 @@
 	event.Log(x.log, event.RequestEnded, "request", x.request.ID, "route", x.route.Name, "workspace", x.workspace, "status", x.status,
 		"reason", x.why.String(), "detail", x.detail, "targets", strings.Join(x.targets, ","), "rank", x.rank,
 		"pieces", x.request.Pieces, "prompt", x.request.Prompt, "staged", (max(x.staged, x.began) - x.began).Milliseconds(),
-		"first", (max(x.first, x.began) - x.began).Milliseconds(), "pause", x.pause.Milliseconds(), "elapsed", (x.clock() - x.began).Milliseconds())
+		"first", (max(x.first, x.began) - x.began).Milliseconds(), "pause", x.pause.Milliseconds(), "elapsed", (x.clock() - x.began).Milliseconds(), "version", x.version, "trail", strings.Join(x.trail, "; "))
+}
+
+// decide adds a decision to the trail, with the time since the request came.
+func (x *exchange) decide(format string, values ...any) {
+	if len(x.trail) < trailMost {
+		x.trail = append(x.trail, fmt.Sprintf("%dms ", (x.clock()-x.began).Milliseconds())+fmt.Sprintf(format, values...))
+	}
 }
 
 func statusClass(status int) string {
@@ -135,6 +149,9 @@
 // serve answers the request.
 func (x *exchange) serve() {
 	s := x.state.Load()
+	if s.table != nil {
+		x.version = s.table.Version()
+	}
 	if s.table == nil {
 		x.refuse(http.StatusServiceUnavailable, reason.Joining, startRetry)
 		return
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -82,6 +82,7 @@
 		}
 		e := <-ends
 		running--
+		x.decide("stage %d at %s group %q: %s", e.stage, e.outcome.Host, e.group, e.outcome.Word())
 		if e.outcome.Fault != lead.FaultNone {
 			if failure == nil {
 				failure = &e.outcome
@@ -113,6 +114,7 @@
 func (x *exchange) hopeful() (retry time.Duration, ok bool) {
 	soon, all := x.path()
 	now := x.clock()
+	x.decide("door: in time %dms, after all others %dms, objective %dms", soon.Milliseconds(), all.Milliseconds(), x.route.Objective.Milliseconds())
 	if now+soon <= x.aim {
 		return 0, true
 	}
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -139,6 +139,14 @@
 	Retry time.Duration
 }
 
+// Word tells the outcome in one word, for logs.
+func (o Outcome) Word() string {
+	if o.Fault == FaultNone {
+		return "done"
+	}
+	return string(o.Fault)
+}
+
 // Do runs a job to its end.
 func (c *Client) Do(ctx context.Context, j Job) (o Outcome) {
 	began := c.dispatch.clock()
