End the stages of a stream with its caller's patience; refuse crashing requests

Change: a stream's callers wait the longest of 2 s, four objectives and eight pauses; stages and the admission of late requests keep to it. The table of crash suspects and its spread between hosts, which the daemon has, serve the edge host too.

Tests: TestPatience, TestCrashingRequest.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -279,3 +279,19 @@
 	}
 	return highest + 1
 }
+
+// Callers of the platform give a stream up after the longest of these without an event, its
+// first one included.
+const (
+	patienceLeast      = 2 * time.Second
+	patienceObjectives = 4
+	patiencePauses     = 8
+)
+
+// Patience returns how long a caller waits for the first of an answer.
+func (r Route) Patience() time.Duration {
+	if r.Kind != Stream {
+		return r.Timeout
+	}
+	return max(patienceLeast, patienceObjectives*r.Objective, patiencePauses*r.Pause)
+}
--- a/core/route/route_test.go
+++ b/core/route/route_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -78,3 +79,19 @@
 	is.Equal([]int{r.Height(0), r.Height(1), r.Height(2), r.Height(3)}, []int{1, 3, 2, 1})
 	is.Equal(r.Final(), []int{0, 3})
 }
+
+// TestPatience guards against requests that are held for callers that have given them up.
+func TestPatience(t *testing.T) {
+	is := is.New(t)
+	for _, test := range []struct {
+		r    route.Route
+		want time.Duration
+	}{
+		{route.Route{Kind: route.Stream, Objective: time.Second, Pause: 400 * time.Millisecond, Timeout: 15 * time.Second}, 4 * time.Second},
+		{route.Route{Kind: route.Stream, Objective: 300 * time.Millisecond, Pause: 400 * time.Millisecond}, 3200 * time.Millisecond},
+		{route.Route{Kind: route.Stream}, 2 * time.Second},
+		{route.Route{Kind: route.Command, Timeout: time.Second}, time.Second},
+	} {
+		is.Equal(test.r.Patience(), test.want)
+	}
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -62,6 +62,8 @@
 		case change := <-c.events:
 			change()
 			c.settle()
+		case f := <-c.suspects.told:
+			c.tellSuspect(f)
 		case <-ticker.C:
 			c.tick()
 		case <-ctx.Done():
@@ -152,6 +154,7 @@
 	}
 	if members {
 		c.told = c.members.Leavings()
+		c.suspects.learn(c.node.Snapshot().Crashes())
 		c.share()
 	}
 	c.apply()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -64,10 +65,13 @@
 	node      *gossip.Node
 	control   *control
 	front     *front
+	suspects  *suspects
 	watcher   *watcher
 	// running counts the requests in progress; latest is when the last one came.
 	running atomic.Int64
 	latest  atomic.Int64
+	// background counts goroutines that outlast their request; they end with ctx.
+	background sync.WaitGroup
 	// ctx ends all calls of the process.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -103,8 +107,10 @@
 	c := &control{Edge: e, events: make(chan func(), postBound), roster: roster.New()}
 	e.control = c
 	s := e.settings
+	incarnation := rand.Uint64()
+	e.suspects = newSuspects(e.clock, incarnation, e.metrics.Counter("suspect.dropped"))
 	c.members = member.New(e.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
-		Incarnation: rand.Uint64(), Name: s.Host(), Zone: s.Zone(), Address: s.Caller(), Peer: s.Peer(),
+		Incarnation: incarnation, Name: s.Host(), Zone: s.Zone(), Address: s.Caller(), Peer: s.Peer(),
 	}, member.WithSeeds(s.Seeds()...), member.WithAlone(true), member.WithPeriod(period))
 	e.node = gossip.New(c.members, c, e.exchanges, e.log, e.metrics)
 	e.node.Register(e.server.Registrar())
@@ -168,6 +174,7 @@
 		event.Fail(e.log, event.ListenFailed, err)
 	}
 	e.cancel()
+	e.background.Wait()
 	e.node.Stop()
 	e.server.Stop()
 	e.peers.Close()
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -441,3 +441,46 @@
 	close(release)
 	is.Equal(<-statuses, http.StatusOK)
 }
+
+// TestCrashingRequest guards against a request that crashes one target after the other, also
+// when its caller sends it again to another host.
+func TestCrashingRequest(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.Configure(1)
+	var engines []*standin.Engine
+	for i := range 6 {
+		var e *standin.Engine
+		e = newEngine(t, fmt.Sprintf("i-%d", i), func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path != "/write/poison" {
+				whole("ok")(w, r)
+				return
+			}
+			go e.Shut() // the target goes down
+			panic(http.ErrAbortHandler)
+		})
+		engines = append(engines, e)
+		s.Register(e, "plain", "ready")
+	}
+	w1, peer := start(t, s, "e1")
+	w1.waitReady()
+	w2, _ := start(t, s, "e2", peer)
+	w2.waitReady()
+	w1.served("/read/")
+	w2.served("/read/")
+	refused := false
+	for n := 0; n < 40 && !refused; n++ {
+		w := []*world{w1, w2}[n%2]
+		status, _, _ := w.call(http.MethodPost, "/write/poison", fmt.Sprintf("p%d", n), nil)
+		refused = status == http.StatusServiceUnavailable
+		time.Sleep(100 * time.Millisecond)
+	}
+	is.True(refused)
+	reached := 0
+	for _, e := range engines {
+		reached += len(without(e.Requests(), "warm"))
+	}
+	is.True(reached <= 4)
+	w2.served("/read/") // other requests still run
+}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -85,8 +85,12 @@
 			Pace: s.pace(a),
 		})
 		if v == answered {
+			x.suspects.complete(x.print)
 			return
 		}
+		if v == broken && ctx.Err() == nil && x.brokeOff(a) {
+			x.background.Go(func() { x.suspects.broke(x.ctx, x.print, t.Address) })
+		}
 		x.targets = append(x.targets, t.ID)
 		if v == unreached {
 			sends--
@@ -118,6 +122,11 @@
 	return [...]reason.Retry{reason.RetryBusy, reason.RetryCrashed, reason.RetryBusy, reason.RetryCrashed, reason.RetryFailed}[v]
 }
 
+// brokeOff reports whether the target broke the connection itself.
+func (x *exchange) brokeOff(a *attempt) bool {
+	return a.err != nil && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded)
+}
+
 // hint returns what the choice of a target may use.
 func (x *exchange) hint(inputs []string) pick.Hint {
 	h := x.prompt()
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -67,9 +67,11 @@
 	pool string
 	rank int
 	body []byte
+	// print is the fingerprint of the request.
+	print uint64
 	// began is when the request came; aim is when an answer is in time, deadline when the
-	// caller stops waiting.
-	began, aim, deadline time.Duration
+	// caller stops waiting for the whole answer and patience when for the first of it.
+	began, aim, deadline, patience time.Duration
 	// mayHaveRun holds once a target may have begun to work on the request.
 	mayHaveRun bool
 	// committed holds once the head of the answer was sent.
@@ -198,11 +200,16 @@
 	if !x.readBody(t.Limits().BodyBytes) {
 		return false
 	}
+	if x.print = x.fingerprint(); x.suspects.refused(x.print) {
+		x.refuse(http.StatusServiceUnavailable, reason.Suspect, 0)
+		return false
+	}
 	left := x.route.Timeout
 	if x.request.Left > 0 && (left == 0 || x.request.Left < left) {
 		left = x.request.Left
 	}
 	x.aim, x.deadline = x.began+x.route.Objective, x.began+left-answerMargin
+	x.patience = min(x.deadline, x.began+x.route.Patience()-answerMargin)
 	x.pool = x.route.Choose(rand.Float64())
 	x.choosers.request(x.pool)
 	return x.admitStopping()
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -118,7 +118,7 @@
 	if now+soon <= x.aim {
 		return 0, true
 	}
-	if now+all <= x.began+time.Duration(latePatience*float64(x.deadline-x.began)) {
+	if now+all <= x.began+time.Duration(latePatience*float64(x.patience-x.began)) {
 		return 0, true
 	}
 	return min(max(now+soon-x.aim, retryLeast), retryMost), false
@@ -182,7 +182,7 @@
 
 // kept returns until when the results that a stage reads are kept.
 func (x *exchange) kept(stage int) time.Duration {
-	until := x.deadline
+	until := x.patience
 	for _, h := range x.held {
 		if p, ok := x.state.Load().table.Pool(h.pool); ok && p.Batch != nil && slices.Contains(x.route.Stages[stage].After, h.stage) {
 			until = min(until, h.made+p.Batch.Keep-keepMargin)
@@ -216,7 +216,7 @@
 	later := x.later(i)
 	j := lead.Job{
 		Begun: len(stage.After) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
-		Aim: x.aim - later - now, Left: x.deadline - later - now, Rank: x.rank, Bytes: stage.Bytes,
+		Aim: x.aim - later - now, Left: x.patience - later - now, Rank: x.rank, Bytes: stage.Bytes,
 	}
 	j.Zone, j.Near = x.place(i)
 	j.Group, _ = x.lead.Choose(stage.Pool, j.Zone)
