Bound the time that a caller takes for its body; gather changes longer

Cause: a caller that stops in the middle of its body held a request for good.

Change: a body has 10 s, and the deadline is taken off before the request waits for its answer; changes are gathered for 800 ms, within the 2 s in which they have to be in force.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -484,3 +484,27 @@
 	is.True(reached <= 4)
 	w2.served("/read/") // other requests still run
 }
+
+// TestCallerWaitsAfterBody guards against a caller that sends a body, waits longer than it
+// may take for sending one, and is taken for gone.
+func TestCallerWaitsAfterBody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.Configure(1)
+	e := newEngine(t, "i-1", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/write/slow" {
+			time.Sleep(500 * time.Millisecond)
+		}
+		whole("done")(w, r)
+	})
+	s.Register(e, "plain", "ready")
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	w.served("/read/")
+	status, body, _ := w.call(http.MethodPost, "/write/slow", "c1", func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader("body")), 4
+	})
+	is.Equal(status, http.StatusOK)
+	is.Equal(body, "done")
+}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -23,6 +23,8 @@
 	idleTimeout   = 60 * time.Second
 	headerBytes   = 64 << 10
 	bodyBytes     = 4 << 20
+	// bodyTimeout bounds how long a caller may take to send its body.
+	bodyTimeout = 10 * time.Second
 	// startRetry is told to callers of a host that does not know a configuration yet.
 	startRetry = 300 * time.Millisecond
 	// elsewhereRetry is told to callers that should go to another host at once.
@@ -243,6 +245,12 @@
 	if limit <= 0 {
 		limit = bodyBytes
 	}
+	control := http.NewResponseController(x.w)
+	// A connection that takes no deadline is read without one.
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout))
+	// Without the deadline again, or the server would take the silence of a caller that waits
+	// for its answer for a closed connection.
+	defer func() { _ = control.SetReadDeadline(time.Time{}) }()
 	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)), x.r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -21,7 +21,7 @@
 	watchMargin = 300 * time.Millisecond
 	// gatherTime is how long changes are gathered before the next read, which saves calls
 	// when many targets change at once. It is small against the time to apply a change.
-	gatherTime = 400 * time.Millisecond
+	gatherTime = 800 * time.Millisecond
 	// pauseFirst and pauseMost bound the pause after a failed read.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 600 * time.Millisecond
