Split the batch dispatcher and the dispatch of pools by concern

No behaviour changes: admission, choice and targets of core/batch, and calls, jobs and frees of io/lead stand in files of their own.

--- /dev/null
+++ b/core/batch/worker.go
@@ -0,0 +1,165 @@
+package batch
+
+import (
+	"slices"
+	"time"
+
+	"sassafrasward/core/roster"
+)
+
+// worker is a target with what this host knows of it.
+type worker struct {
+	target roster.Target
+	// calls holds the orders in progress.
+	calls map[uint64]*call
+	// pace is the measured ratio of durations to expected ones; paced is when it was last
+	// measured.
+	pace  float64
+	paced time.Duration
+	// down is until when the target is left alone; failures counts broken calls in a row.
+	down     time.Duration
+	failures int
+	// results has the room that results occupy, with the end of their time.
+	results []result
+}
+
+// call is an order in progress.
+type call struct {
+	order   Order
+	started time.Duration
+	bytes   int64
+	// late is set once its pieces were queued again. Its answer may be lost, so a late call
+	// does not count as in progress any more.
+	late bool
+}
+
+// result is room that is occupied until it is freed or its time ends.
+type result struct {
+	bytes int64
+	until time.Duration
+}
+
+// idleAt returns when the calls in progress at a target are expected to end.
+func (d *Dispatcher) idleAt(now time.Duration, w *worker) time.Duration {
+	at := now
+	for _, c := range w.calls {
+		if !c.late {
+			at = max(at, c.started+c.order.Expected)
+		}
+	}
+	return at
+}
+
+// paceOf returns the pace of a target; an old measurement counts less.
+func (d *Dispatcher) paceOf(now time.Duration, w *worker) float64 {
+	age := float64(now-w.paced) / float64(forget)
+	pace := 1 + (w.pace-1)/(1+age)
+	for _, c := range w.calls {
+		// A call that takes longer than expected tells of the pace before it ends.
+		if !c.late {
+			pace = max(pace, float64(now-c.started)/float64(max(c.order.Fair, 1)))
+		}
+	}
+	return max(pace, 0.2)
+}
+
+// running returns the number of calls in progress.
+func (w *worker) running() (n int) {
+	for _, c := range w.calls {
+		if !c.late {
+			n++
+		}
+	}
+	return n
+}
+
+// taken returns the room that calls in progress and results occupy at a target.
+func (d *Dispatcher) taken(now time.Duration, w *worker) (bytes int64) {
+	w.results = slices.DeleteFunc(w.results, func(r result) bool { return now >= r.until })
+	for _, r := range w.results {
+		bytes += r.bytes
+	}
+	for _, c := range w.calls {
+		bytes += c.bytes // also of late calls, whose results may exist
+	}
+	return bytes
+}
+
+// Taken returns the room that is counted as occupied at a target, in bytes.
+func (d *Dispatcher) Taken(now time.Duration, id string) (bytes int64) {
+	w, ok := d.workers.Get(id)
+	if !ok {
+		return 0
+	}
+	return d.taken(now, w)
+}
+
+// Late takes note of a call that takes much longer than expected: its target counts as slow
+// and is left alone for a moment. The caller queues its pieces again.
+func (d *Dispatcher) Late(now time.Duration, id uint64) {
+	for _, w := range d.workers.All() {
+		if c, ok := w.calls[id]; ok && !c.late {
+			c.late = true
+			d.pace(now, w, c)
+			d.leave(now, w)
+		}
+	}
+}
+
+// pace learns from the duration of a call.
+func (d *Dispatcher) pace(now time.Duration, w *worker, c *call) {
+	measured := float64(now-c.started) / float64(max(c.order.Fair, 1))
+	w.pace, w.paced = w.pace+learn*(measured-w.pace), now
+}
+
+// leave leaves a target alone for a time that grows with its failures.
+func (d *Dispatcher) leave(now time.Duration, w *worker) {
+	w.down = now + min(downFirst<<min(w.failures, 8), downMost)
+	w.failures++
+}
+
+// Again queues pieces that have to be worked on once more.
+func (d *Dispatcher) Again(items []Item) {
+	for _, i := range items {
+		if e, ok := d.jobs[i.Job]; ok && !slices.Contains(e.waiting, i.Piece) {
+			e.waiting = append(e.waiting, i.Piece)
+			d.insert(e)
+		}
+	}
+}
+
+// Done takes the end of a call. The caller queues again what has no result.
+func (d *Dispatcher) Done(now time.Duration, id uint64, end End) {
+	for _, w := range d.workers.All() {
+		c, ok := w.calls[id]
+		if !ok {
+			continue
+		}
+		delete(w.calls, id)
+		switch end {
+		case Completed:
+			d.pace(now, w, c)
+			w.failures, w.down = 0, 0
+			w.results = append(w.results, result{bytes: c.bytes, until: now + d.spec.Keep})
+		case Refused:
+			w.down = now + fullPause
+		case Broken:
+			d.leave(now, w)
+		}
+		return
+	}
+}
+
+// Free returns room at a target whose results were read or given up.
+func (d *Dispatcher) Free(id string, bytes int64) {
+	w, ok := d.workers.Get(id)
+	if !ok {
+		return
+	}
+	for i := 0; i < len(w.results) && bytes > 0; i++ {
+		freed := min(bytes, w.results[i].bytes)
+		w.results[i].bytes -= freed
+		bytes -= freed
+	}
+	w.results = slices.DeleteFunc(w.results, func(r result) bool { return r.bytes <= 0 })
+}
--- /dev/null
+++ b/io/lead/call.go
@@ -0,0 +1,168 @@
+package lead
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"sassafrasward/core/batch"
+	"sassafrasward/core/roster"
+	"sassafrasward/io/event"
+	"sassafrasward/io/link"
+	"sassafrasward/platform"
+)
+
+// pump makes the calls that can be made now.
+func (d *Dispatch) pump(p *group) {
+	if d.ctx.Err() != nil {
+		return
+	}
+	now := d.clock()
+	for _, o := range p.dispatcher.Next(now) {
+		pieces, items := d.pieces(p, now, o.Items)
+		p.orders[o.ID] = pending{items: items, late: now + time.Duration(lateFactor*float64(o.Expected)) + lateExtra}
+		event.Log(d.log, event.CallStarted, "pool", p.name, "target", o.Target.ID, "pieces", len(pieces),
+			"expected", o.Expected.Milliseconds(), "waiting", p.dispatcher.Waiting())
+		d.running.Go(func() { d.call(p, o, pieces, items) })
+	}
+}
+
+// pieces returns what to ask for the items of jobs that are still wanted.
+func (d *Dispatch) pieces(p *group, now time.Duration, items []batch.Item) (pieces []platform.Piece, wanted []batch.Item) {
+	for _, i := range items {
+		w, ok := p.jobs[i.Job]
+		if !ok {
+			continue
+		}
+		w.tries[i.Piece]++
+		wanted = append(wanted, i)
+		pieces = append(pieces, platform.Piece{
+			Request: w.job.Request, Stage: w.job.Stage, Number: i.Piece, Left: w.expires - now, Key: w.job.Key, Inputs: w.job.Inputs,
+		})
+	}
+	return pieces, wanted
+}
+
+// call makes one call and takes its end.
+func (d *Dispatch) call(p *group, o batch.Order, pieces []platform.Piece, items []batch.Item) {
+	ctx, cancel := context.WithTimeout(d.ctx, callMost)
+	defer cancel()
+	results, end, err := d.post(ctx, o.Target, pieces)
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	now := d.clock()
+	_, inTime := p.orders[o.ID]
+	delete(p.orders, o.ID)
+	p.dispatcher.Done(now, o.ID, end)
+	if end != batch.Completed {
+		event.Log(d.log, event.CallFailed, "pool", p.name, "target", o.Target.ID, "pieces", len(items), "refused", end == batch.Refused, "error", text(err))
+		if inTime {
+			d.again(p, now, items)
+		}
+	} else {
+		d.take(p, now, o, items, results)
+	}
+	d.pump(p)
+}
+
+func text(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// again queues items whose call failed, within the bound on repeats.
+func (d *Dispatch) again(p *group, now time.Duration, items []batch.Item) {
+	for _, i := range items {
+		w, ok := p.jobs[i.Job]
+		switch {
+		case !ok || w.handles[i.Piece] != "":
+		case w.tries[i.Piece] >= triesMost || !p.quota.Spend(now):
+			d.fail(p, w, FaultFailed)
+		default:
+			p.dispatcher.Again([]batch.Item{i})
+		}
+	}
+}
+
+// take assigns the results of a call to their jobs.
+func (d *Dispatch) take(p *group, now time.Duration, o batch.Order, items []batch.Item, results []platform.Made) {
+	faults := make(map[platform.Fault]int)
+	for _, r := range results {
+		faults[r.Fault]++
+	}
+	if made := faults[platform.FaultNone]; made < len(items) {
+		event.Log(d.log, event.PiecesFailed, "pool", p.name, "target", o.Target.ID, "made", made, "late", faults[platform.FaultLate],
+			"gone", faults[platform.FaultGone], "room", faults[platform.FaultRoom], "error", faults[platform.FaultError],
+			"taken", p.dispatcher.Taken(now, o.Target.ID))
+	}
+	for n, i := range items {
+		w, ok := p.jobs[i.Job]
+		r := results[n]
+		if r.Fault == platform.FaultNone {
+			bytes := int64(0)
+			if ok {
+				bytes = w.job.Bytes
+			}
+			p.results[r.Handle] = made{target: o.Target, bytes: bytes, until: now + p.spec.Keep}
+		}
+		switch {
+		case !ok || w.handles[i.Piece] != "":
+			// The job was given up, or a second call for the piece was faster.
+			d.free(p, []string{r.Handle})
+		case r.Fault == platform.FaultNone:
+			w.handles[i.Piece] = r.Handle
+			if w.left--; w.left == 0 {
+				d.end(p, w)
+			}
+		case r.Fault == platform.FaultLate:
+			d.fail(p, w, FaultLate)
+		case r.Fault == platform.FaultGone:
+			d.fail(p, w, FaultGone)
+		default:
+			d.again(p, now, []batch.Item{i})
+		}
+	}
+}
+
+// post sends a call to a target.
+func (d *Dispatch) post(ctx context.Context, t roster.Target, pieces []platform.Piece) (results []platform.Made, end batch.End, err error) {
+	if len(pieces) == 0 {
+		return nil, batch.Refused, nil
+	}
+	body, err := platform.EncodePieces(pieces)
+	if err != nil {
+		return nil, batch.Broken, err
+	}
+	status, answer, raw, err := d.send(ctx, t.ID, t.Address, platform.PathRun, body)
+	switch {
+	case err != nil:
+		return nil, batch.Broken, err
+	case status == http.StatusOK:
+		results, err = platform.DecodeMade(raw, len(pieces))
+		if err != nil {
+			return nil, batch.Broken, err
+		}
+		return results, batch.Completed, nil
+	case answer.NotRun && status == http.StatusServiceUnavailable:
+		return nil, batch.Refused, nil
+	}
+	return nil, batch.Broken, Error.New("status %d", status)
+}
+
+// send makes one call to the target at an address, which must be the given incarnation
+// unless that is empty.
+func (d *Dispatch) send(ctx context.Context, target, address, path string, body []byte) (status int, answer platform.Answer, raw []byte, err error) {
+	h := platform.CallHeader(target)
+	response, err := d.links.Do(ctx, address, link.Request{
+		Method: http.MethodPost, URI: path, Host: address, Header: h, Body: body,
+	})
+	if err != nil {
+		return 0, platform.Answer{}, nil, err
+	}
+	raw, err = io.ReadAll(io.LimitReader(response.Body, answerMost))
+	response.Close(err == nil)
+	return response.Status, platform.ReadAnswer(response.Status, response.Header), raw, err
+}
--- /dev/null
+++ b/io/lead/job.go
@@ -0,0 +1,77 @@
+package lead
+
+import (
+	"time"
+
+	"sassafrasward/core/batch"
+	"sassafrasward/core/roster"
+)
+
+// Job is the pieces of one stage of one request.
+type Job struct {
+	Pool string
+	// Group is the part of the pool's targets that works on the job; the client sets it.
+	Group   string
+	Request string
+	Stage   int
+	Pieces  int
+	Key     string
+	Inputs  []string
+	// Age is how long ago the request came to its host.
+	Age time.Duration
+	// Aim is the time left for an answer in time, Left that for any answer.
+	Aim, Left time.Duration
+	Rank      int
+	Bytes     int64
+	Zone      string
+	// Near holds if so much is moved to or from another zone that it is worth some waiting.
+	Near bool
+	// Begun holds if earlier stages of the request were worked on.
+	Begun bool
+}
+
+// Fault says why a job has no results.
+type Fault string
+
+// The faults of jobs.
+const (
+	// FaultNone means that there are results.
+	FaultNone Fault = ""
+	// FaultRefused means that no piece was worked on.
+	FaultRefused Fault = "refused"
+	// FaultLate means that the time of the job has passed.
+	FaultLate Fault = "late"
+	// FaultGone means that an input does not exist any more.
+	FaultGone Fault = "gone"
+	// FaultFailed means that a piece failed too often.
+	FaultFailed Fault = "failed"
+	// FaultSilent means that the dispatching host gave no sign of life.
+	FaultSilent Fault = "silent"
+)
+
+// Work is a job that is dispatched here.
+type Work struct {
+	id      uint64
+	pool    *group
+	job     Job
+	expires time.Duration
+	handles []string
+	tries   []int
+	left    int
+	fault   Fault
+	done    chan struct{}
+}
+
+// made is a result that occupies room at a target.
+type made struct {
+	target roster.Target
+	bytes  int64
+	until  time.Duration
+}
+
+// pending is a call in progress.
+type pending struct {
+	items []batch.Item
+	// late is when its pieces are also given to another target.
+	late time.Duration
+}
