--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -124,6 +124,10 @@
 	if x.why != reason.None {
 		x.metrics.Refuse(x.why)
 	}
+	x.metrics.Time("time."+x.route.Kind.String(), x.clock()-x.began)
+	if x.first > 0 {
+		x.metrics.Time("first."+x.route.Kind.String(), x.first-x.began)
+	}
 	event.Log(x.log, event.RequestEnded, "request", x.request.ID, "route", x.route.Name, "workspace", x.workspace, "status", x.status,
 		"reason", x.why.String(), "detail", x.detail, "targets", strings.Join(x.targets, ","), "rank", x.rank,
 		"pieces", x.request.Pieces, "prompt", x.request.Prompt, "staged", (max(x.staged, x.began) - x.began).Milliseconds(),
--- a/io/lead/call.go
+++ b/io/lead/call.go
@@ -48,7 +48,9 @@
 func (d *Dispatch) call(p *group, o batch.Order, pieces []platform.Piece, items []batch.Item) {
 	ctx, cancel := context.WithTimeout(d.ctx, callMost)
 	defer cancel()
+	began := d.clock()
 	results, end, err := d.post(ctx, o.Target, pieces)
+	d.metrics.Time("stage.call", d.clock()-began)
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	now := d.clock()
--- a/io/metric/metric.go
+++ b/io/metric/metric.go
@@ -1,6 +1,8 @@
 package metric
 
 import (
+	"time"
+
 	"github.com/rcrowley/go-metrics"
 
 	"sassafrasward/core/outcome"
@@ -55,7 +57,25 @@
 	return metrics.GetOrRegisterGauge(name, m.registry)
 }
 
-// Values returns all counters that are not zero and all gauges by name.
+// sampleSize is how many of the latest values a histogram keeps, weighted to the last minutes.
+const (
+	sampleSize  = 512
+	sampleAlpha = 0.015
+)
+
+// Time adds a duration to the histogram with the given name, which is added if it is new.
+func (m *Metrics) Time(name string, d time.Duration) {
+	h := m.registry.GetOrRegister(name, func() metrics.Histogram {
+		return metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleAlpha))
+	}).(metrics.Histogram)
+	h.Update(d.Milliseconds())
+}
+
+// quantiles are those that Values gives of a histogram, in milliseconds.
+var quantiles = map[string]float64{".p50": 0.5, ".p95": 0.95, ".p99": 0.99}
+
+// Values returns all counters that are not zero, all gauges, and the count and quantiles of
+// all histograms by name.
 func (m *Metrics) Values() map[string]int64 {
 	values := make(map[string]int64)
 	m.registry.Each(func(name string, i any) {
@@ -66,6 +86,11 @@
 			}
 		case metrics.Gauge:
 			values[name] = v.Value()
+		case metrics.Histogram:
+			values[name+".count"] = v.Count()
+			for suffix, q := range quantiles {
+				values[name+suffix] = int64(v.Percentile(q))
+			}
 		}
 	})
 	return values
