--- a/io/integration/edge_soak_test.go
+++ b/io/integration/edge_soak_test.go
@@ -310,12 +310,19 @@
 				}
 			}
 			if !served {
-				s.t.Fatalf("seed %d: %s does not serve %s %s; trouble: %v", s.seed, h.name, path, when, s.trouble)
+				s.t.Fatalf("seed %d: %s does not serve %s %s; trouble: %v; its log ends with %v", s.seed, h.name, path, when, s.trouble, h.process.tail())
 			}
 		}
 	}
 }
 
+// tail returns the last lines of the process's output.
+func (p *process) tail() []string {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.lines[max(len(p.lines)-5, 0):]
+}
+
 // judge checks what callers were told against what engines ran.
 func (s *soak) judge() {
 	s.mutex.Lock()
