--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -78,7 +78,7 @@
 	c.members.SetLevel(c.clock(), member.Level(int(c.running.Load())))
 	c.node.Tick()
 	c.settle()
-	c.links.Sweep(func(string) bool { return false })
+	c.links.Sweep()
 }
 
 // Post implements gossip.Owner.
--- a/io/link/link.go
+++ b/io/link/link.go
@@ -282,14 +282,14 @@
 	}
 }
 
-// Sweep closes connections that were idle for too long, and all those for which gone holds.
-func (p *Pool) Sweep(gone func(address string) bool) {
+// Sweep closes connections that were idle for too long.
+func (p *Pool) Sweep() {
 	var old []*conn
 	p.mutex.Lock()
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.idle) < idleTime && !gone(address) {
+			if time.Since(c.idle) < idleTime {
 				kept = append(kept, c)
 			} else {
 				old = append(old, c)
