Give the hosts of tests ports that no connection takes

Cause: TestEdgeSoak chose the ports of its hosts by listening on port 0 and closing again. Such a port lies in the range that the system gives to outgoing connections, so a connection of any process may hold it when the host starts, or starts again after a kill. Shown by giving a host the local port of a connection: exit code 1 with that message. Ruled out: a fault of the host; it never listened. io/integration had freeAddress against the same fault since the command tests; the soak and io/edge had written it again without. Change: one package, io/loopback, used by all three; the soak says at once if a host ended by itself; seed 2 stays as a regression case.

--- a/io/edge/world_test.go
+++ b/io/edge/world_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -15,6 +14,7 @@
 	"github.com/go-logr/logr"
 
 	"sassafrasward/io/edge"
+	"sassafrasward/io/loopback"
 	"sassafrasward/io/setting"
 	"sassafrasward/platform/standin"
 )
@@ -51,22 +51,11 @@
 	done                      chan error
 }
 
-// free returns an address on loopback that nothing listens on.
-func free(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // start runs a host named name against the store.
 func start(t *testing.T, s *standin.Store, name string, seeds ...string) (w *world, peer string) {
 	t.Helper()
-	w = &world{t: t, store: s, address: free(t), ready: free(t), directory: free(t), done: make(chan error, 1)}
-	peer = free(t)
+	w = &world{t: t, store: s, address: loopback.Free(), ready: loopback.Free(), directory: loopback.Free(), done: make(chan error, 1)}
+	peer = loopback.Free()
 	text := fmt.Sprintf("[host]\nname = %s\nzone = a\ncaller = %s\npeer = %s\n[edge]\nready = %s\ndirectory = %s\ngrace = 3\n[platform]\naddress = %s\n[join]\nmode = alone\n",
 		name, w.address, peer, w.ready, w.directory, s.Address())
 	if len(seeds) > 0 {
--- a/io/integration/edge_explain_test.go
+++ b/io/integration/edge_explain_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasward/io/loopback"
 	"sassafrasward/platform/standin"
 )
 
@@ -37,8 +38,8 @@
 	store.Configure(1)
 	store.Register(engine, "plain", "ready")
 	settings := filepath.Join(t.TempDir(), "host.ini")
-	front := loopback(t)
-	text := fmt.Sprintf("[host]\nname = e1\nzone = a\ncaller = %s\npeer = %s\n[platform]\naddress = %s\n[join]\nmode = alone\n", front, loopback(t), store.Address())
+	front := loopback.Free()
+	text := fmt.Sprintf("[host]\nname = e1\nzone = a\ncaller = %s\npeer = %s\n[platform]\naddress = %s\n[join]\nmode = alone\n", front, loopback.Free(), store.Address())
 	is.NoErr(os.WriteFile(settings, []byte(text), 0o600))
 	host := startProcess(t, "sassafrasward", "edge", "--settings", settings)
 
--- a/io/integration/edge_soak_test.go
+++ b/io/integration/edge_soak_test.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -15,6 +15,7 @@
 	"testing"
 	"time"
 
+	"sassafrasward/io/loopback"
 	"sassafrasward/platform/standin"
 )
 
@@ -22,7 +23,9 @@
 const soakTime = 6 * time.Second
 
 // regressions are the seeds that ever failed, each with its cause.
-var regressions = []uint64{}
+var regressions = []uint64{
+	2, // a connection of another test took the port of a host before the host listened
+}
 
 // TestEdgeSoak runs edge hosts as separate processes, injects faults from outside them in
 // overlapping series, and checks the promises from what callers and engines see: commands run
@@ -32,7 +35,9 @@
 	first, count := number("SOAK_FIRST", 1), number("SOAK_SEEDS", 2)
 	seeds := append([]uint64(nil), regressions...)
 	for i := range count {
-		seeds = append(seeds, first+i)
+		if seed := first + i; !slices.Contains(regressions, seed) {
+			seeds = append(seeds, seed)
+		}
 	}
 	for _, seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { newSoak(t, seed).run() })
@@ -96,7 +101,7 @@
 	s.store.Configure(1)
 	var seeds []string
 	for i := range soakHosts {
-		h := &soakHost{name: fmt.Sprintf("e%d", i), front: loopback(t), peer: loopback(t)}
+		h := &soakHost{name: fmt.Sprintf("e%d", i), front: loopback.Free(), peer: loopback.Free()}
 		seeds = append(seeds, h.peer)
 		s.hosts = append(s.hosts, h)
 	}
@@ -112,17 +117,6 @@
 	return s
 }
 
-// loopback returns an address that nothing listens on.
-func loopback(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // engine runs a request and notes it. The answer names the request, so that a mixed-up one
 // is seen.
 func (s *soak) engine(w http.ResponseWriter, r *http.Request) {
@@ -304,6 +298,9 @@
 		for _, path := range []string{"/write/", "/read/", "/chat/", "/talk/"} {
 			served := false
 			for n := 0; n < 400 && !served; n++ {
+				if h.process.over() {
+					s.t.Fatalf("seed %d: %s ended by itself %s; trouble: %v; its log ends with %v", s.seed, h.name, when, s.trouble, h.process.tail())
+				}
 				served = s.ask(client, h, path, fmt.Sprintf("w.%s.%s.%d%s", strings.ReplaceAll(when, " ", "-"), h.name, n, strings.ReplaceAll(path, "/", ".")))
 				if !served {
 					time.Sleep(50 * time.Millisecond)
@@ -316,6 +313,16 @@
 	}
 }
 
+// over reports whether the process has ended.
+func (p *process) over() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // tail returns the last lines of the process's output.
 func (p *process) tail() []string {
 	p.mutex.Lock()
--- a/io/integration/fleet_test.go
+++ b/io/integration/fleet_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"sassafrasward/io/loopback"
 	"sassafrasward/io/standin"
 	"sassafrasward/io/wire"
 )
@@ -80,7 +81,7 @@
 	}
 	var list []wire.Listed
 	for i := range n {
-		h := host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t), peer: freeAddress(t)}
+		h := host{name: fmt.Sprintf("h%d", i), caller: loopback.Free(), peer: loopback.Free()}
 		f.hosts = append(f.hosts, h)
 		f.fronts = append(f.fronts, newProxy(t, h.caller))
 		f.links = append(f.links, newProxy(t, h.peer))
--- a/io/integration/member_test.go
+++ b/io/integration/member_test.go
@@ -16,6 +16,7 @@
 
 	"sassafrasward/core/outcome"
 	"sassafrasward/io/daemon"
+	"sassafrasward/io/loopback"
 	"sassafrasward/io/standin"
 	"sassafrasward/io/wire"
 )
@@ -199,7 +200,7 @@
 	until(func() bool { return memberState(t, f.hosts[0], old) == "dead" })
 	is.True(!slices.Contains(advised(t, f.hosts[0]), h.name))
 
-	f.hosts[1] = host{name: h.name, caller: freeAddress(t), peer: freeAddress(t)}
+	f.hosts[1] = host{name: h.name, caller: loopback.Free(), peer: loopback.Free()}
 	f.platform.SetHosts([]wire.Listed{listed(f.hosts[0], "a"), listed(f.hosts[1], "b"), listed(f.hosts[2], "c")})
 	f.hosts[1].process = runHost(t, f.hosts[1], "b", f.shield.address())
 	f.hosts[1].line(`"event":1002`)
@@ -301,7 +302,7 @@
 	t.Helper()
 	s := &split{links: make(map[[2]int]*proxy)}
 	for i := range 4 {
-		s.hosts = append(s.hosts, host{name: fmt.Sprintf("h%d", i), caller: freeAddress(t), peer: freeAddress(t)})
+		s.hosts = append(s.hosts, host{name: fmt.Sprintf("h%d", i), caller: loopback.Free(), peer: loopback.Free()})
 	}
 	for i := range s.hosts {
 		p := standin.NewPlatform()
--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -5,8 +5,6 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -163,25 +161,6 @@
 	peer   string
 }
 
-// Ports below those that the system gives out by itself, so that no connection of another
-// test takes one between the choice and the start of the daemon.
-const (
-	firstPort = 10_000
-	portCount = 20_000
-)
-
-// freeAddress returns an address on which nothing listens.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	for {
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
-		if err == nil {
-			defer func() { _ = l.Close() }()
-			return l.Addr().String()
-		}
-	}
-}
-
 // startHost runs a daemon with the given extra settings lines in its host section, on
 // ports that the system chooses, so that no other process can take them before the daemon
 // listens.
--- /dev/null
+++ b/io/loopback/doc.go
@@ -0,0 +1,2 @@
+// Package loopback chooses addresses on this machine for tests.
+package loopback
