Give up late jobs whose turn does not come and learn what jobs take longer

Ruled out: stale backlogs alone; the error is there without a burst too. Change: a late job ends at once if its turn after all jobs that can be in time comes after its deadline; the dispatcher learns by how much jobs end later than expected and adds it to the waits that it tells.

--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -19,7 +19,7 @@
 	if ready > limit {
 		return min(max(ready-max(j.Aim, now), retryFloor), retryCeiling), false
 	}
-	e := &entry{job: j}
+	e := &entry{job: j, expected: ready, inTime: ready <= j.Aim}
 	for i := range j.Pieces {
 		e.waiting = append(e.waiting, i)
 	}
@@ -54,18 +54,49 @@
 // time, as a ratio; zero if the pool keeps up.
 func (d *Dispatcher) Backlog(now time.Duration) (soon, all time.Duration, growth float64) {
 	own := d.nominal(1)
-	left := 1.0
-	if rate := d.rate(now); rate > 0 {
-		arriving := d.arriving * math.Exp(-float64(now-d.arrived)/float64(arrivalTime))
-		growth = max(arriving/rate-1, 0)
-		left = max(1-arriving/rate, leastLeft)
-	}
+	growth, left := d.pressure(now)
 	inTime := Job{ID: 1<<64 - 1, Arrived: now, Rank: usualRank, Aim: 1<<62 - 1, Pieces: 1}
 	last := Job{ID: 1<<64 - 1, Arrived: 1<<62 - 1, Pieces: 1}
 	soon = d.expect(now, inTime) - now - own
 	all = d.expect(now, last) - now - own
 	// Jobs that come later and can be in time go before those that cannot.
-	return soon, soon + time.Duration(float64(max(all-soon, 0))/left), growth
+	all = soon + time.Duration(float64(max(all-soon, 0))/left)
+	excess := d.excessAt(now)
+	return soon + excess, all + excess, growth
+}
+
+// pressure compares the pieces that come with those that the pool can do: by how much the
+// waits grow, as a ratio, and the part of the pool's speed that is left for late jobs.
+func (d *Dispatcher) pressure(now time.Duration) (growth, left float64) {
+	rate := d.rate(now)
+	if rate == 0 {
+		return 0, 1
+	}
+	arriving := d.arriving * math.Exp(-float64(now-d.arrived)/float64(arrivalTime))
+	return max(arriving/rate-1, 0), max(1-arriving/rate, leastLeft)
+}
+
+// Complete takes that all pieces of a job have results.
+func (d *Dispatcher) Complete(now time.Duration, id uint64) {
+	if e, ok := d.jobs[id]; ok {
+		d.learnExcess(now, e)
+	}
+}
+
+// learnExcess learns by how much jobs end later than expected, because calls are shared with
+// others, wait for a target near, or fail. Jobs that were late from the start say nothing.
+func (d *Dispatcher) learnExcess(now time.Duration, e *entry) {
+	if !e.inTime {
+		return
+	}
+	sample := min(max(now-e.expected, 0), excessMost)
+	excess := d.excessAt(now)
+	d.excess, d.excessed = excess+time.Duration(excessLearn*float64(sample-excess)), now
+}
+
+// excessAt returns by how much jobs end later than expected; an old measurement counts less.
+func (d *Dispatcher) excessAt(now time.Duration) time.Duration {
+	return time.Duration(float64(d.excess) * math.Exp2(-float64(now-d.excessed)/float64(excessForget)))
 }
 
 // rate returns the pieces per second that the pool does with full calls; zero if no target
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -19,6 +19,12 @@
 	arrivalTime = 700 * time.Millisecond
 	// leastLeft is the least part of a pool's speed that counts as left for late jobs.
 	leastLeft = 0.15
+	// excessLearn is the weight of one job in what jobs take longer than expected: about twenty
+	// jobs, a second of load. Without jobs it halves every excessForget, so that a pool that
+	// looked too slow is tried again. excessMost bounds one sample.
+	excessLearn  = 0.05
+	excessForget = time.Second
+	excessMost   = time.Second
 	// nearWait is how long a job waits for a target in its zone if much would be moved.
 	nearWait = 120 * time.Millisecond
 	// rateTime is the time over which the speed of a pool is measured: a few calls.
@@ -100,6 +106,9 @@
 // entry is a queued job.
 type entry struct {
 	job Job
+	// expected is the end that was expected when the job came, inTime whether that was in time.
+	expected time.Duration
+	inTime   bool
 	// waiting has the pieces that are in no call, in order.
 	waiting []int
 }
@@ -119,6 +128,9 @@
 	// arriving is the recent rate of offered pieces per second, as of arrived.
 	arriving float64
 	arrived  time.Duration
+	// excess is by how much jobs end later than expected, as of excessed.
+	excess   time.Duration
+	excessed time.Duration
 }
 
 // New returns a dispatcher without targets.
@@ -165,11 +177,29 @@
 	}
 }
 
-// Hopeless returns the jobs that cannot end before their deadlines any more.
+// Hopeless returns the jobs that cannot end before their deadlines any more: with a call now,
+// or, if they are late, once their turn comes after the jobs that can be in time.
 func (d *Dispatcher) Hopeless(now time.Duration) (ids []uint64) {
+	rate := d.rate(now)
+	_, left := d.pressure(now)
+	ahead := 0
 	for _, e := range d.sorted {
-		if now+d.nominal(1) > e.job.Deadline {
+		if !d.late(now, e.job) {
+			ahead += len(e.waiting)
+		}
+	}
+	for _, e := range d.sorted {
+		wait := time.Duration(0)
+		if rate > 0 && d.late(now, e.job) {
+			wait = time.Duration(float64(ahead) / (rate * left) * float64(time.Second))
+		}
+		if now+wait+d.nominal(1) > e.job.Deadline {
 			ids = append(ids, e.job.ID)
+			d.learnExcess(now, e)
+			continue
+		}
+		if d.late(now, e.job) {
+			ahead += len(e.waiting)
 		}
 	}
 	return ids
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -28,6 +28,10 @@
 	arrivals []batch.Job
 	// slow has the factor by which targets are slowed.
 	slow map[string]float64
+	// healed is when slowed targets are as usual again; zero for never.
+	healed time.Duration
+	// calls counts the calls that each target got from some seconds after healed on.
+	calls map[string]int
 	// hold is how long results are needed after the end of a call.
 	hold time.Duration
 
@@ -55,7 +59,7 @@
 func newLoad(seed uint64) *load {
 	return &load{
 		random: rand.New(rand.NewPCG(seed, 1)), slow: make(map[string]float64), hold: 350 * time.Millisecond,
-		missing: make(map[uint64]int), jobs: make(map[uint64]batch.Job),
+		missing: make(map[uint64]int), jobs: make(map[uint64]batch.Job), calls: make(map[string]int),
 	}
 }
 
@@ -113,7 +117,12 @@
 	}
 	for _, o := range d.Next(now) {
 		took := spec.Call + time.Duration(len(o.Items))*spec.Piece
-		took = time.Duration(float64(took) * max(l.slow[o.Target.ID], 1))
+		if l.healed == 0 || now < l.healed {
+			took = time.Duration(float64(took) * max(l.slow[o.Target.ID], 1))
+		}
+		if now > l.healed+4*time.Second {
+			l.calls[o.Target.ID]++
+		}
 		l.busy += took
 		l.ends = append(l.ends, ending{at: now + took, order: o})
 	}
@@ -353,3 +362,46 @@
 	_, _, growth = d.Backlog(5 * time.Second)
 	is.Equal(growth, 0.0) // the burst is over
 }
+
+// TestLateJobIsGivenUp guards against jobs of begun requests that wait behind all jobs that
+// can be in time until their deadline has passed.
+func TestLateJobIsGivenUp(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 18, Bytes: 1, Aim: 60 * time.Second, Deadline: 90 * time.Second})
+	is.True(ok)
+	is.Equal(len(d.Next(0)), 1)
+	_, ok = d.Offer(0, batch.Job{ID: 2, Pieces: 6, Bytes: 1, Aim: 700 * time.Millisecond, Deadline: 4 * time.Second, Begun: true})
+	is.True(ok)
+	// One target does 48 pieces a second; 300 that can be in time take 6 s.
+	for id := range uint64(50) {
+		_, ok = d.Offer(0, batch.Job{ID: 10 + id, Pieces: 6, Bytes: 1, Aim: 30 * time.Second, Deadline: 60 * time.Second})
+		is.True(ok)
+	}
+	is.Equal(len(d.Hopeless(0)), 0)                         // it can still be in time
+	is.Equal(d.Hopeless(600*time.Millisecond), []uint64{2}) // its turn comes after 6 s
+	d.Remove(2)
+	is.Equal(len(d.Hopeless(700*time.Millisecond)), 0)
+}
+
+// TestExcessIsLearned guards against requests that are admitted by waits that jobs exceed all
+// the time, and against a pool that is avoided for good because it once was slow.
+func TestExcessIsLearned(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(5))
+	before, _, _ := d.Backlog(0)
+	now := time.Duration(0)
+	for id := range uint64(60) {
+		now += 50 * time.Millisecond
+		wait, ok := d.Offer(now, batch.Job{ID: id, Pieces: 1, Bytes: 1, Aim: now + 9*time.Second, Deadline: now + 20*time.Second})
+		is.True(ok)
+		d.Complete(now+wait+300*time.Millisecond, id)
+		d.Remove(id)
+	}
+	after, _, _ := d.Backlog(now + 300*time.Millisecond)
+	is.True(after-before > 200*time.Millisecond && after-before <= 300*time.Millisecond)
+	later, _, _ := d.Backlog(now + 6*time.Second)
+	is.True(later-before < 10*time.Millisecond)
+}
--- a/io/lead/call.go
+++ b/io/lead/call.go
@@ -117,6 +117,7 @@
 		case r.Fault == platform.FaultNone:
 			w.handles[i.Piece] = r.Handle
 			if w.left--; w.left == 0 {
+				p.dispatcher.Complete(now, w.id)
 				d.end(p, w)
 			}
 		case r.Fault == platform.FaultLate:
