Try targets that were slow again after seconds, with a small call

(1) helpline-desk i-ddbc97654d, slowed five times from second 12 to 16.3, got one call between second 16 and the restart at 34, while 80 to 130 pieces waited: a measured pace faded as 1/(1+age/4 s), so that it took 22 s to come below the limit. (2) After lost answers (second 19 to 25) water-ledger used 3 of 5 targets and 1.9 of 5 s at second 27 to 29: a late call occupied room until it was cut after 8 s, though results are kept for 4 s. Ruled out: lack of work (113 pieces waited), slow targets (the slowness was over). Change: the pace halves every 1.5 s; the first call to a target that was slow has one job; the room of a late call ends with the time of its results. Tests: TestRecoveredTargetIsUsed, TestTrialIsSmall, TestLostAnswerGivesUpRoom failed before.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -36,8 +36,9 @@
 	// slowPace is the ratio of the paces of two targets from which the slower one is used
 	// only if waiting for the other ones takes longer.
 	slowPace = 1.6
-	// forget halves what is known of the pace of a target, so that a slow one is tried again.
-	forget = 4 * time.Second
+	// forget halves what is known of the pace of a target, so that one that was five times
+	// slower is tried again after some four seconds.
+	forget = 1500 * time.Millisecond
 	// downFirst and downMost bound how long a target that does not answer is left alone.
 	downFirst = 300 * time.Millisecond
 	downMost  = 3 * time.Second
--- a/core/batch/choose.go
+++ b/core/batch/choose.go
@@ -141,11 +141,15 @@
 }
 
 // fill chooses the most urgent pieces that a call to the target has room for. A job is split
-// only if it is larger than a call or leads the queue.
+// only if it is larger than a call or leads the queue. A target on trial gets one job.
 func (d *Dispatcher) fill(now time.Duration, w *worker, queue []*entry) (takes []taking, bytes int64) {
 	room := d.spec.Room - d.taken(now, w)
 	left := d.spec.Size
+	trial := d.onTrial(now, w)
 	for i, e := range queue {
+		if trial && len(takes) == 1 {
+			break
+		}
 		n := min(len(e.waiting), left)
 		if size := e.job.Bytes; size > 0 {
 			n = min(n, int((room-bytes)/size))
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -363,6 +363,59 @@
 	is.Equal(growth, 0.0) // the burst is over
 }
 
+// TestRecoveredTargetIsUsed guards against a target that stays idle for many seconds after it
+// was slow for a few, while others have more waiting than they can do in time.
+func TestRecoveredTargetIsUsed(t *testing.T) {
+	for seed := range uint64(10) {
+		is := is.New(t)
+		l := newLoad(seed)
+		l.slow["t0"], l.slow["t1"] = 5, 5
+		l.healed = 4 * time.Second
+		l.arrive(0, 14*time.Second, 24, usual)
+		d := batch.New(spec)
+		d.SetTargets(targets(5))
+		l.run(d)
+		is.True(l.calls["t0"] >= 8) // in the 6 s that begin 4 s after the end of the slowness
+		is.True(l.calls["t1"] >= 8)
+	}
+}
+
+// TestTrialIsSmall guards against a full call to a target that may still be slow.
+func TestTrialIsSmall(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	offer := func(now time.Duration, id uint64, pieces int) {
+		_, ok := d.Offer(now, batch.Job{ID: id, Pieces: pieces, Bytes: 1, Aim: now + 60*time.Second, Deadline: now + 90*time.Second})
+		is.True(ok)
+	}
+	offer(0, 1, 18)
+	slow := d.Next(0)[0]
+	d.Done(5*slow.Fair, slow.ID, batch.Completed)
+	for id := range uint64(6) {
+		offer(8*time.Second, 2+id, 6)
+	}
+	trial := d.Next(8 * time.Second)
+	is.Equal(len(trial), 1)
+	is.Equal(len(trial[0].Items), 6) // one job
+	d.Done(8*time.Second+trial[0].Fair, trial[0].ID, batch.Completed)
+	is.Equal(len(d.Next(8*time.Second + trial[0].Fair)[0].Items), 18)
+}
+
+// TestLostAnswerGivesUpRoom guards against room that stays taken by a call whose answer was
+// lost for longer than a target keeps results.
+func TestLostAnswerGivesUpRoom(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 18, Bytes: 100_000, Aim: 4 * time.Second, Deadline: 5 * time.Second})
+	is.True(ok)
+	lost := d.Next(0)[0]
+	d.Late(800*time.Millisecond, lost.ID)
+	is.Equal(d.Taken(4*time.Second, "t0"), int64(1_800_000))
+	is.Equal(d.Taken(lost.Expected+spec.Keep+time.Millisecond, "t0"), int64(0))
+}
+
 // TestLateJobIsGivenUp guards against jobs of begun requests that wait behind all jobs that
 // can be in time until their deadline has passed.
 func TestLateJobIsGivenUp(t *testing.T) {
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -1,6 +1,7 @@
 package batch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -31,6 +32,8 @@
 	// late is set once its pieces were queued again. Its answer may be lost, so a late call
 	// does not count as in progress any more.
 	late bool
+	// until is when the results of a late call are gone.
+	until time.Duration
 }
 
 // result is room that is occupied until it is freed or its time ends.
@@ -50,10 +53,20 @@
 	return at
 }
 
-// paceOf returns the pace of a target; an old measurement counts less.
+// paceAt returns the measured pace; an old measurement counts less.
+func (w *worker) paceAt(now time.Duration) float64 {
+	return 1 + (w.pace-1)*math.Exp2(-float64(now-w.paced)/float64(forget))
+}
+
+// onTrial reports whether the target was slow when it was last measured, and is to show with a
+// small call whether it still is.
+func (d *Dispatcher) onTrial(now time.Duration, w *worker) bool {
+	return w.pace > slowPace && w.paceAt(now) <= slowPace
+}
+
+// paceOf returns the pace of a target with what its calls in progress tell.
 func (d *Dispatcher) paceOf(now time.Duration, w *worker) float64 {
-	age := float64(now-w.paced) / float64(forget)
-	pace := 1 + (w.pace-1)/(1+age)
+	pace := w.paceAt(now)
 	for _, c := range w.calls {
 		// A call that takes longer than expected tells of the pace before it ends.
 		if !c.late {
@@ -80,7 +93,9 @@
 		bytes += r.bytes
 	}
 	for _, c := range w.calls {
-		bytes += c.bytes // also of late calls, whose results may exist
+		if !c.late || now < c.until {
+			bytes += c.bytes // also of late calls, whose results may exist
+		}
 	}
 	return bytes
 }
@@ -99,7 +114,7 @@
 func (d *Dispatcher) Late(now time.Duration, id uint64) {
 	for _, w := range d.workers.All() {
 		if c, ok := w.calls[id]; ok && !c.late {
-			c.late = true
+			c.late, c.until = true, c.started+c.order.Expected+d.spec.Keep
 			d.pace(now, w, c)
 			d.leave(now, w)
 		}
@@ -109,7 +124,8 @@
 // pace learns from the duration of a call.
 func (d *Dispatcher) pace(now time.Duration, w *worker, c *call) {
 	measured := float64(now-c.started) / float64(max(c.order.Fair, 1))
-	w.pace, w.paced = w.pace+learn*(measured-w.pace), now
+	known := w.paceAt(now)
+	w.pace, w.paced = known+learn*(measured-known), now
 }
 
 // leave leaves a target alone for a time that grows with its failures.
