Look for all seeds in the first periods of a host that serves alone

A host that may serve alone counts as joined at its first tick, and a joined host calls one unknown address in five periods of 400 ms. Ruled out: the store (all six had the configuration 0.03 s after their start). Change: such a host calls all seeds that it does not know as alive in each of its first ten periods. Test: TestRestartOfAll failed before.

--- a/core/member/detect.go
+++ b/core/member/detect.go
@@ -90,14 +90,19 @@
 }
 
 // contact exchanges with hosts that are listed but not alive here: many while the host
-// joins, one at times later, which heals a partition.
+// joins, one at times later, which heals a partition. A host that serves before it has heard
+// from others goes on with many for a while, because the others may start at the same time.
 func (s *State) contact(now time.Duration) (sends []Send) {
 	addresses, n := s.unheard(), joinContacts
-	if s.join.joined {
-		if s.periods%contactPeriods != 0 {
-			return nil
+	searching := s.alone && s.periods <= searchPeriods
+	switch {
+	case s.join.joined && !searching && s.periods%contactPeriods != 0:
+		return nil
+	case s.join.joined:
+		addresses = s.contacts()
+		if !searching {
+			n = 1
 		}
-		addresses, n = s.contacts(), 1
 	}
 	s.random.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
 	for _, address := range addresses[:min(n, len(addresses))] {
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -26,6 +26,7 @@
 
 	randomPeriods  = 10 // between exchanges with a random host
 	contactPeriods = 5  // between exchanges with a host that is listed but not alive
+	searchPeriods  = 10 // in which a host that started alone looks for all seeds
 	repairPeriods  = 5  // between repairs
 	suspectPeriods = 5  // until a suspected host is dead
 	relays         = 3
--- a/core/member/state_test.go
+++ b/core/member/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
@@ -324,3 +325,19 @@
 	w.cut = func(*node, *node) bool { return false }
 	is.True(w.run(30*time.Second, func() bool { return net(w.nodes[5], 1) == 1 }))
 }
+
+// TestRestartOfAll guards against hosts that all start again within half a second, serve at
+// once and know only themselves for seconds, so that each works as if it were alone.
+func TestRestartOfAll(t *testing.T) {
+	for seed := range uint64(20) {
+		is := is.New(t)
+		w := &world{random: rand.New(rand.NewPCG(seed, 1)), cut: func(*node, *node) bool { return false }}
+		// The third seed is of a host that does not come back.
+		seeds := member.WithSeeds("p-h000", "p-h001", "p-h009")
+		for i := range 6 {
+			w.start(fmt.Sprintf("h%03d", i), member.List{}, seeds, member.WithAlone(true), member.WithPeriod(400*time.Millisecond))
+			w.run(step, func() bool { return false })
+		}
+		is.True(w.run(800*time.Millisecond, w.settled)) // two periods after the last start
+	}
+}
