Put requests that are expected late behind all others from their first stage

A request that the door expected late, but within its caller's patience, was queued like one in time until its slack was used up, so that the queue stayed at a length at which everyone is a little late. Change: core/admit decides at the door: prompt with a reserve of 15% of the objective, late (its jobs never count as in time), or refused; no late requests while a pool's waits grow by over 10%.

--- /dev/null
+++ b/core/admit/admit_test.go
@@ -0,0 +1,58 @@
+package admit_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/core/admit"
+)
+
+// TestAdmit guards against requests that are begun though their path does not end in time, and
+// against refusals of those that are served late within their caller's patience.
+func TestAdmit(t *testing.T) {
+	times := admit.Times{Objective: 2 * time.Second, Aim: 2 * time.Second, Patience: 8 * time.Second, Left: 8 * time.Second}
+	late := times
+	late.Left = 4 * time.Second
+	for name, c := range map[string]struct {
+		soon, all time.Duration
+		times     admit.Times
+		verdict   admit.Verdict
+		retry     time.Duration
+	}{
+		"free":                   {soon: time.Second, all: time.Second, times: times, verdict: admit.Prompt},
+		"just in time":           {soon: 1900 * time.Millisecond, all: 1900 * time.Millisecond, times: times, verdict: admit.Late},
+		"behind all others":      {soon: 2500 * time.Millisecond, all: 4 * time.Second, times: times, verdict: admit.Late},
+		"longer than the caller": {soon: 2500 * time.Millisecond, all: 5 * time.Second, times: times, verdict: admit.Refused, retry: 800 * time.Millisecond},
+		"came late":              {soon: 2500 * time.Millisecond, all: 2500 * time.Millisecond, times: late, verdict: admit.Refused, retry: 800 * time.Millisecond},
+		"far too long":           {soon: time.Minute, all: time.Minute, times: times, verdict: admit.Refused, retry: 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			verdict, retry := admit.Admit(c.soon, c.all, c.times)
+			is.Equal(verdict, c.verdict)
+			is.Equal(retry, c.retry)
+		})
+	}
+}
+
+// TestExpect guards against late requests that are begun where their turn does not come.
+func TestExpect(t *testing.T) {
+	is := is.New(t)
+	stages := []admit.Stage{
+		{Height: 2, Own: 200 * time.Millisecond, Backlog: admit.Backlog{Soon: 100 * time.Millisecond, All: 500 * time.Millisecond}},
+		{Height: 2, Own: 300 * time.Millisecond},
+		{Height: 1, Own: 200 * time.Millisecond, Keep: 4 * time.Second, Backlog: admit.Backlog{Soon: 50 * time.Millisecond, All: time.Second}},
+	}
+	soon, all := admit.Path{Stages: stages, Answer: 100 * time.Millisecond}.Expect()
+	is.Equal(soon, 650*time.Millisecond) // 300 and 250 ms, and the answer
+	is.Equal(all, 2*time.Second)
+	stages[2].Backlog.Growth = 0.5
+	soon, all = admit.Path{Stages: stages}.Expect()
+	is.Equal(soon, 700*time.Millisecond) // the wait grows by 150 ms before it is reached
+	is.True(all >= time.Hour)
+	stages[2].Backlog = admit.Backlog{All: 4 * time.Second}
+	_, all = admit.Path{Stages: stages}.Expect()
+	is.True(all >= time.Hour) // its inputs are gone by then
+}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"sassafrasward/core/admit"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/route"
 	"sassafrasward/io/event"
@@ -68,7 +69,9 @@
 	// pool runs the request.
 	pool string
 	rank int
-	body []byte
+	// verdict says whether an answer in time is expected of a request with stages.
+	verdict admit.Verdict
+	body    []byte
 	// print is the fingerprint of the request.
 	print uint64
 	// began is when the request came; aim is when an answer is in time, deadline when the
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sassafrasward/core/admit"
 	"sassafrasward/core/reason"
 	"sassafrasward/io/lead"
 	"sassafrasward/platform"
@@ -23,12 +24,6 @@
 	stageRetry = 300 * time.Millisecond
 	// nearBytes is from how much on moving inputs or results between zones is worth avoiding.
 	nearBytes = 500_000
-	// latePatience is the part of a caller's time within which a request that misses its
-	// objective has to be expected to end.
-	latePatience = 0.6
-	// retryLeast and retryMost bound the wait that a refused caller is told.
-	retryLeast = 200 * time.Millisecond
-	retryMost  = 3 * time.Second
 	// keepMargin is how long before their end results are no longer relied on: they are kept
 	// from the end of a call at the target, which this host learns a little later.
 	keepMargin = 150 * time.Millisecond
@@ -46,7 +41,7 @@
 		x.refuse(http.StatusBadRequest, reason.Field, 0)
 		return nil, false
 	}
-	if retry, ok := x.hopeful(); !ok {
+	if retry, ok := x.admitPath(); !ok {
 		x.detail = "backlog"
 		x.fail(reason.Late, retry)
 		return nil, false
@@ -108,53 +103,35 @@
 	return inputs, true
 }
 
-// hopeful reports whether the whole path, with what waits at the pools of its stages, can
-// end in time, or late within a part of the time that is left. It returns when the caller
-// should come back otherwise.
-func (x *exchange) hopeful() (retry time.Duration, ok bool) {
-	soon, all := x.path()
-	now := x.clock()
-	x.decide("door: in time %dms, after all others %dms, objective %dms", soon.Milliseconds(), all.Milliseconds(), x.route.Objective.Milliseconds())
-	if now+soon <= x.aim {
-		return 0, true
-	}
-	if now+all <= x.began+time.Duration(latePatience*float64(x.patience-x.began)) {
-		return 0, true
-	}
-	return min(max(now+soon-x.aim, retryLeast), retryMost), false
+// admitPath decides whether the request is begun, from its whole path with what waits at the
+// pools of its stages. It returns when the caller should come back otherwise.
+func (x *exchange) admitPath() (retry time.Duration, ok bool) {
+	soon, all := x.path().Expect()
+	passed := x.clock() - x.began
+	x.verdict, retry = admit.Admit(soon, all, admit.Times{
+		Objective: x.route.Objective, Aim: x.route.Objective - passed, Patience: x.patience - x.began, Left: x.patience - x.began - passed,
+	})
+	x.decide("door: in time %dms, after all others %dms, objective %dms: %s", soon.Milliseconds(), all.Milliseconds(), x.route.Objective.Milliseconds(), x.verdict)
+	return retry, x.verdict != admit.Refused
 }
 
-// path returns the expected time of the stages and the model engine: for a request that can
-// be in time, and for one that comes after all others. A stage is reached only after the
-// ones before, and what waits there grows until then.
-func (x *exchange) path() (soon, all time.Duration) {
+// path returns what is expected of the stages of the request and its model engine.
+func (x *exchange) path() (p admit.Path) {
 	s := x.state.Load()
-	highest := 0
-	for i := range x.route.Stages {
-		highest = max(highest, x.route.Height(i))
-	}
-	for h := highest; h > 0; h-- {
-		// Stages of the same height run at the same time.
-		var slowest, slowestAll time.Duration
-		for i, stage := range x.route.Stages {
-			p, ok := s.table.Pool(stage.Pool)
-			if !ok || p.Batch == nil || x.request.Pieces[i] == 0 || x.route.Height(i) != h {
-				continue
-			}
-			_, b := x.lead.Choose(stage.Pool, x.zone())
-			own := p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
-			grown := time.Duration(b.Growth * float64(soon))
-			if len(stage.After) > 0 && b.All+grown+own > p.Batch.Keep-keepMargin {
-				// Its inputs would be gone when its turn comes after all others.
-				b.All = x.deadline
-			}
-			slowest, slowestAll = max(slowest, b.Soon+grown+own), max(slowestAll, b.All+grown+own)
+	p.Answer = x.modelTime()
+	for i, stage := range x.route.Stages {
+		pool, ok := s.table.Pool(stage.Pool)
+		if !ok || pool.Batch == nil || x.request.Pieces[i] == 0 {
+			continue
+		}
+		_, backlog := x.lead.Choose(stage.Pool, x.zone())
+		part := admit.Stage{Height: x.route.Height(i), Backlog: backlog, Own: pool.Batch.Call + time.Duration(min(x.request.Pieces[i], pool.Batch.Size))*pool.Batch.Piece}
+		if len(stage.After) > 0 {
+			part.Keep = pool.Batch.Keep - keepMargin
 		}
-		soon += slowest
-		all += slowestAll
+		p.Stages = append(p.Stages, part)
 	}
-	model := x.modelTime()
-	return soon + model, all + model
+	return p
 }
 
 // modelTime returns the time to the first event of a model engine. Prompts count up to a
@@ -218,6 +195,9 @@
 		Begun: len(stage.After) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.began,
 		Aim: x.aim - later - now, Left: x.patience - later - now, Rank: x.rank, Bytes: stage.Bytes,
 	}
+	if x.verdict == admit.Late {
+		j.Aim = 0
+	}
 	j.Zone, j.Near = x.place(i)
 	j.Group, _ = x.lead.Choose(stage.Pool, j.Zone)
 	if len(stage.After) == 0 {
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -10,6 +10,7 @@
 
 	"google.golang.org/grpc"
 
+	"sassafrasward/core/admit"
 	"sassafrasward/core/member"
 	"sassafrasward/io/event"
 	"sassafrasward/io/lead/message"
@@ -57,17 +58,9 @@
 	backlogs map[string]told
 }
 
-// Backlog is how long a new job of a pool waits for its call.
-type Backlog struct {
-	// Soon holds for a job that can be in time, All for one that comes after all others.
-	Soon, All time.Duration
-	// Growth is by how much these waits grow in the same time, as a ratio.
-	Growth float64
-}
-
 // told is a backlog and when it was told.
 type told struct {
-	backlog Backlog
+	backlog admit.Backlog
 	at      time.Duration
 }
 
@@ -79,10 +72,10 @@
 // zone, and how long a new job waits there. Of two groups, that of the zone and one at
 // random, it takes the one with the shorter wait; a group counts as free if nothing was heard
 // of it lately.
-func (c *Client) Choose(pool, zone string) (group string, backlog Backlog) {
+func (c *Client) Choose(pool, zone string) (group string, backlog admit.Backlog) {
 	groups := c.dispatch.Groups(pool)
 	if len(groups) == 0 {
-		return "", Backlog{}
+		return "", admit.Backlog{}
 	}
 	group = groups[rand.IntN(len(groups))]
 	backlog = c.backlog(pool, group)
@@ -96,7 +89,7 @@
 	return group, backlog
 }
 
-func (c *Client) backlog(pool, group string) Backlog {
+func (c *Client) backlog(pool, group string) admit.Backlog {
 	if hosts := c.order(pool, group); len(hosts) == 1 {
 		return c.dispatch.Backlog(pool, group)
 	}
@@ -104,7 +97,7 @@
 	defer c.mutex.Unlock()
 	t, ok := c.backlogs[key(pool, group)]
 	if !ok || c.dispatch.clock()-t.at > backlogLife {
-		return Backlog{}
+		return admit.Backlog{}
 	}
 	return t.backlog
 }
@@ -114,7 +107,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.backlogs[key(j.Pool, j.Group)] = told{
-		backlog: Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll()), Growth: p.GetGrowth()}, at: c.dispatch.clock(),
+		backlog: admit.Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll()), Growth: p.GetGrowth()}, at: c.dispatch.clock(),
 	}
 }
 
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -10,6 +10,7 @@
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/admit"
 	"sassafrasward/core/batch"
 	"sassafrasward/core/quota"
 	"sassafrasward/core/roster"
@@ -188,7 +189,7 @@
 }
 
 // Backlog returns how long a new job of the group would wait here.
-func (d *Dispatch) Backlog(pool, group string) (b Backlog) {
+func (d *Dispatch) Backlog(pool, group string) (b admit.Backlog) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if p, ok := d.find(pool, group); ok {
