Count room by the results that exist

A completed call counted the room of all its pieces until their time of 4 s was over, also of pieces that it did not make (15 of 16 'room'), and of pieces whose job was gone, since these were recorded with no bytes and so never given back. Each disturbance took capacity away for 4 s after it. Change: items carry their bytes; a call counts what it made; if a target had no room, what this host does not know to be taken there counts as taken by others for 500 ms, so that no calls follow that make nothing. Test: TestMissingResultsTakeNoRoom.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -45,6 +45,9 @@
 	// leastFill is the part of the pieces that a call could take for which there has to be
 	// room before the call is made.
 	leastFill = 0.6
+	// strangeTime is how long room that others occupy at a target counts as taken: results of
+	// hosts that have died are kept for some seconds.
+	strangeTime = 500 * time.Millisecond
 	// fullPause is how long a target that refused a call as full is left alone.
 	fullPause = 60 * time.Millisecond
 	// retryFloor and retryCeiling bound the wait that a refused caller is told.
@@ -78,6 +81,8 @@
 type Item struct {
 	Job   uint64
 	Piece int
+	// Bytes is the size of its result.
+	Bytes int64
 }
 
 // Order is a call to make.
--- a/core/batch/choose.go
+++ b/core/batch/choose.go
@@ -169,7 +169,7 @@
 func (d *Dispatcher) take(takes []taking) (items []Item) {
 	for _, t := range takes {
 		for _, p := range t.entry.waiting[:t.pieces] {
-			items = append(items, Item{Job: t.entry.job.ID, Piece: p})
+			items = append(items, Item{Job: t.entry.job.ID, Piece: p, Bytes: t.entry.job.Bytes})
 		}
 		if t.entry.waiting = t.entry.waiting[t.pieces:]; len(t.entry.waiting) == 0 {
 			d.settle(t.entry)
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -458,3 +458,19 @@
 	later, _, _ := d.Backlog(now + 6*time.Second)
 	is.True(later-before < 10*time.Millisecond)
 }
+
+// TestMissingResultsTakeNoRoom guards against room that counts as taken by pieces that a call
+// did not make, and against calls to a target whose room others occupy.
+func TestMissingResultsTakeNoRoom(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(1))
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 18, Bytes: 100_000, Aim: 4 * time.Second, Deadline: 5 * time.Second})
+	is.True(ok)
+	o := d.Next(0)[0]
+	d.Made(371*time.Millisecond, o.ID, o.Items[:2], true)
+	d.Again(o.Items[2:])
+	is.Equal(len(d.Next(372*time.Millisecond)), 0) // the rest of the room is taken by others
+	is.Equal(d.Taken(time.Second, "t0"), int64(200_000))
+	is.Equal(len(d.Next(time.Second)[0].Items), 16)
+}
--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -22,6 +22,8 @@
 	failures int
 	// results has the room that results occupy, with the end of their time.
 	results []result
+	// strange is the room that others occupy, as far as it was noticed.
+	strange result
 }
 
 // call is an order in progress.
@@ -92,6 +94,9 @@
 	for _, r := range w.results {
 		bytes += r.bytes
 	}
+	if now < w.strange.until {
+		bytes += w.strange.bytes
+	}
 	for _, c := range w.calls {
 		if !c.late || now < c.until {
 			bytes += c.bytes // also of late calls, whose results may exist
@@ -144,26 +149,57 @@
 	}
 }
 
-// Done takes the end of a call. The caller queues again what has no result.
+// Done takes the end of a call. The caller queues again what has no result; a completed call
+// has results for all its items.
 func (d *Dispatcher) Done(now time.Duration, id uint64, end End) {
+	w, c := d.endCall(id)
+	if w == nil {
+		return
+	}
+	switch end {
+	case Completed:
+		d.completed(now, w, c, c.order.Items)
+	case Refused:
+		w.down = now + fullPause
+	case Broken:
+		d.leave(now, w)
+	}
+}
+
+// Made takes the end of a completed call that has results for some of its items only. Full
+// holds if there was no room for the others.
+func (d *Dispatcher) Made(now time.Duration, id uint64, made []Item, full bool) {
+	w, c := d.endCall(id)
+	if w == nil {
+		return
+	}
+	d.completed(now, w, c, made)
+	if full {
+		w.strange = result{}
+		w.strange = result{bytes: max(d.spec.Room-d.taken(now, w), 0), until: now + strangeTime}
+	}
+}
+
+// completed counts the room of the results of a call and learns from its duration.
+func (d *Dispatcher) completed(now time.Duration, w *worker, c *call, made []Item) {
+	d.pace(now, w, c)
+	w.failures, w.down = 0, 0
+	bytes := int64(0)
+	for _, i := range made {
+		bytes += i.Bytes
+	}
+	w.results = append(w.results, result{bytes: bytes, until: now + d.spec.Keep})
+}
+
+// endCall removes a call in progress; it returns nil if there is none with the id.
+func (d *Dispatcher) endCall(id uint64) (w *worker, c *call) {
 	for _, w := range d.workers.All() {
-		c, ok := w.calls[id]
-		if !ok {
-			continue
+		if c, ok := w.calls[id]; ok {
+			delete(w.calls, id)
+			return w, c
 		}
-		delete(w.calls, id)
-		switch end {
-		case Completed:
-			d.pace(now, w, c)
-			w.failures, w.down = 0, 0
-			w.results = append(w.results, result{bytes: c.bytes, until: now + d.spec.Keep})
-		case Refused:
-			w.down = now + fullPause
-		case Broken:
-			d.leave(now, w)
-		}
-		return
 	}
+	return nil, nil
 }
 
 // Free returns room at a target whose results were read or given up.
--- a/io/lead/call.go
+++ b/io/lead/call.go
@@ -56,8 +56,8 @@
 	now := d.clock()
 	_, inTime := p.orders[o.ID]
 	delete(p.orders, o.ID)
-	p.dispatcher.Done(now, o.ID, end)
 	if end != batch.Completed {
+		p.dispatcher.Done(now, o.ID, end)
 		event.Log(d.log, event.CallFailed, "pool", p.name, "target", o.Target.ID, "pieces", len(items), "refused", end == batch.Refused, "error", text(err))
 		if inTime {
 			d.again(p, now, items)
@@ -92,9 +92,14 @@
 // take assigns the results of a call to their jobs.
 func (d *Dispatch) take(p *group, now time.Duration, o batch.Order, items []batch.Item, results []platform.Made) {
 	faults := make(map[platform.Fault]int)
-	for _, r := range results {
+	var done []batch.Item
+	for n, r := range results {
 		faults[r.Fault]++
+		if r.Fault == platform.FaultNone {
+			done = append(done, items[n])
+		}
 	}
+	p.dispatcher.Made(now, o.ID, done, faults[platform.FaultRoom] > 0)
 	if made := faults[platform.FaultNone]; made < len(items) {
 		event.Log(d.log, event.PiecesFailed, "pool", p.name, "target", o.Target.ID, "made", made, "late", faults[platform.FaultLate],
 			"gone", faults[platform.FaultGone], "room", faults[platform.FaultRoom], "error", faults[platform.FaultError],
@@ -104,11 +109,7 @@
 		w, ok := p.jobs[i.Job]
 		r := results[n]
 		if r.Fault == platform.FaultNone {
-			bytes := int64(0)
-			if ok {
-				bytes = w.job.Bytes
-			}
-			p.results[r.Handle] = made{target: o.Target, bytes: bytes, until: now + p.spec.Keep}
+			p.results[r.Handle] = made{target: o.Target, bytes: i.Bytes, until: now + p.spec.Keep}
 		}
 		switch {
 		case !ok || w.handles[i.Piece] != "":
