Take groups that nothing was heard of for as busy as their pool

Each of 67 hosts hears from one of 15 groups about once a second; a group that was not heard of for a second counted as free, at the door and in the choice of a group. Change: core/admit.Board; such a group has the mean backlog of the others of its pool. Ruled out: wrong waits at the dispatching hosts (the same ones told after 1 s). Test: TestUnheardGroups.

--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -56,3 +56,18 @@
 	_, all = admit.Path{Stages: stages}.Expect()
 	is.True(all >= time.Hour) // its inputs are gone by then
 }
+
+// TestUnheardGroups guards against hosts of a large fleet that take a group of targets for
+// free because its dispatching host told them nothing lately.
+func TestUnheardGroups(t *testing.T) {
+	is := is.New(t)
+	b := admit.NewBoard()
+	is.Equal(b.Backlog(0, "desk", "a"), admit.Backlog{})
+	b.Tell(time.Second, "desk", "a", admit.Backlog{Soon: 200 * time.Millisecond, All: time.Second, Growth: 0.2})
+	b.Tell(2*time.Second, "desk", "b", admit.Backlog{Soon: 400 * time.Millisecond, All: 2 * time.Second, Growth: 0.4})
+	b.Tell(2*time.Second, "crew", "c", admit.Backlog{Soon: 9 * time.Second})
+	is.Equal(b.Backlog(2*time.Second, "desk", "a").Soon, 200*time.Millisecond)
+	is.Equal(b.Backlog(2*time.Second, "desk", "c").Soon, 300*time.Millisecond)
+	is.Equal(b.Backlog(2500*time.Millisecond, "desk", "a").Soon, 400*time.Millisecond) // its own word is too old
+	is.Equal(b.Backlog(4*time.Second, "desk", "b"), admit.Backlog{})
+}
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -54,24 +54,13 @@
 	ctx context.Context
 
 	mutex sync.Mutex
-	// backlogs has what the dispatching hosts last told of their pools.
-	backlogs map[string]told
+	// board has what the dispatching hosts last told of their pools.
+	board *admit.Board
 }
 
-// told is a backlog and when it was told.
-type told struct {
-	backlog admit.Backlog
-	at      time.Duration
-}
-
-// backlogLife is how long a backlog counts after it was told. Queues change within the
-// duration of a few calls.
-const backlogLife = time.Second
-
 // Choose returns the group of the pool's targets for a job whose results are preferred in a
 // zone, and how long a new job waits there. Of two groups, that of the zone and one at
-// random, it takes the one with the shorter wait; a group counts as free if nothing was heard
-// of it lately.
+// random, it takes the one with the shorter wait.
 func (c *Client) Choose(pool, zone string) (group string, backlog admit.Backlog) {
 	groups := c.dispatch.Groups(pool)
 	if len(groups) == 0 {
@@ -95,25 +84,19 @@
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	t, ok := c.backlogs[key(pool, group)]
-	if !ok || c.dispatch.clock()-t.at > backlogLife {
-		return admit.Backlog{}
-	}
-	return t.backlog
+	return c.board.Backlog(c.dispatch.clock(), pool, group)
 }
 
 // hear notes the backlog that a dispatching host told.
 func (c *Client) hear(j Job, p *message.Progress) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.backlogs[key(j.Pool, j.Group)] = told{
-		backlog: admit.Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll()), Growth: p.GetGrowth()}, at: c.dispatch.clock(),
-	}
+	c.board.Tell(c.dispatch.clock(), j.Pool, j.Group, admit.Backlog{Soon: milliseconds(p.GetSoon()), All: milliseconds(p.GetAll()), Growth: p.GetGrowth()})
 }
 
 // New returns a client on the host self that dispatches by itself if no other host does.
 func New(ctx context.Context, self string, hosts Hosts, peers *peer.Pool, dispatch *Dispatch) *Client {
-	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatch: dispatch, backlogs: make(map[string]told)}
+	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatch: dispatch, board: admit.NewBoard()}
 }
 
 // Register adds the service to a server.
