--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -110,5 +110,8 @@
 	if all <= t.Left-time.Duration((1-latePatience)*float64(t.Patience)) {
 		return Late, 0
 	}
+	if all >= never {
+		return Refused, retryMost // it comes back late, and is served then only without a backlog
+	}
 	return Refused, min(max(soon-aim, retryLeast), retryMost)
 }
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -26,6 +26,7 @@
 		"behind all others":      {soon: 2500 * time.Millisecond, all: 4 * time.Second, times: times, verdict: admit.Late},
 		"longer than the caller": {soon: 2500 * time.Millisecond, all: 5 * time.Second, times: times, verdict: admit.Refused, retry: 800 * time.Millisecond},
 		"came late":              {soon: 2500 * time.Millisecond, all: 2500 * time.Millisecond, times: late, verdict: admit.Refused, retry: 800 * time.Millisecond},
+		"while waits grow":       {soon: 2 * time.Second, all: time.Hour, times: times, verdict: admit.Refused, retry: 3 * time.Second},
 		"far too long":           {soon: time.Minute, all: time.Minute, times: times, verdict: admit.Refused, retry: 3 * time.Second},
 	} {
 		t.Run(name, func(t *testing.T) {
