Learn what most answers of a model pool take

The time from the stages to the first event was taken from the length of the prompt: 260 ms for a digest, measured 290 ms in the median and 730 ms for one in ten, as engines share their machines and read several prompts. Ruled out: stages alone; log queries, with a shorter prompt, come late half as often with the same stages. Change: the ratio of measured to expected time that three of four answers of a pool stay below (core/pick) is part of the path and of the aim of stages. Test: TestPoolPace.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -41,6 +41,12 @@
 	homePart = 0.6
 	// paceMost bounds one measurement of the pace of a target.
 	paceMost = 20
+	// poolStep is by which ratio one sample moves the pace of a pool down. A dozen slow answers,
+	// two seconds of load on one host, double it.
+	poolStep = 0.02
+	// paceLeast and poolMost bound the pace of a pool.
+	paceLeast = 0.5
+	poolMost  = 4.0
 	// downCost puts targets that are down behind all others.
 	downCost = 1e6
 )
@@ -85,10 +91,12 @@
 // Chooser chooses among the targets of one pool. It is not safe for concurrent use.
 type Chooser struct {
 	targets *table.Table[string, *state]
+	// pace is what three of four requests stay below, as ratio to the expected duration.
+	pace float64
 }
 
 // New returns a chooser without targets.
-func New() *Chooser { return &Chooser{targets: table.New[string, *state]()} }
+func New() *Chooser { return &Chooser{targets: table.New[string, *state](), pace: 1} }
 
 // SetTargets replaces the targets that may be chosen.
 func (c *Chooser) SetTargets(targets []roster.Target) {
@@ -238,6 +246,7 @@
 	}
 	st.failing, st.failed = st.failingAt(now)+learn*(sample-st.failingAt(now)), now
 	if r.Pace > 0 {
+		c.learnPool(r.Pace)
 		st.pace, st.paced = st.paceAt(now)+learn*(min(r.Pace, paceMost)-st.paceAt(now)), now
 	}
 	if r.Silent {
@@ -248,6 +257,23 @@
 	}
 }
 
+// learnPool learns the pace of the pool. Steps up are three times those down, so that it
+// settles where three of four samples are below it.
+func (c *Chooser) learnPool(pace float64) {
+	step := poolStep
+	if pace > c.pace {
+		step = 3 * poolStep
+	}
+	if pace < c.pace {
+		step = -step
+	}
+	c.pace = min(max(c.pace*(1+step), paceLeast), poolMost)
+}
+
+// Pace returns what three of four requests to the pool stay below, as a ratio of the measured
+// duration to the expected one.
+func (c *Chooser) Pace() float64 { return c.pace }
+
 // Live returns the number of targets that are neither leaving nor down.
 func (c *Chooser) Live(now time.Duration) (n int) {
 	for _, st := range c.targets.All() {
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -169,3 +169,21 @@
 	is.Equal(c.Live(0), 1)
 	is.Equal(c.Live(10*time.Second), 2)
 }
+
+// TestPoolPace guards against requests that are admitted by the duration of an answer that most
+// answers of the pool exceed.
+func TestPoolPace(t *testing.T) {
+	is := is.New(t)
+	c := pick.New()
+	c.SetTargets(targets(3))
+	is.Equal(c.Pace(), 1.0)
+	random := rand.New(rand.NewPCG(1, 1))
+	for i := range 2000 {
+		c.Finish(time.Duration(i)*time.Millisecond, pick.Result{Target: "i-0", Pace: 1 + 2*random.Float64()})
+	}
+	is.True(c.Pace() > 2.2 && c.Pace() < 2.8) // three quarters of 1 to 3
+	for i := range 400 {
+		c.Finish(time.Duration(3000+i)*time.Millisecond, pick.Result{Target: "i-0", Pace: 0.9})
+	}
+	is.True(c.Pace() < 1)
+}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -120,7 +120,7 @@
 // path returns what is expected of the stages of the request and its model engine.
 func (x *exchange) path() (p admit.Path) {
 	s := x.state.Load()
-	p.Answer = x.modelTime()
+	p.Answer = x.answerTime()
 	for i, stage := range x.route.Stages {
 		pool, ok := s.table.Pool(stage.Pool)
 		if !ok || pool.Batch == nil || x.request.Pieces[i] == 0 {
@@ -136,7 +136,13 @@
 	return p
 }
 
-// modelTime returns the time to the first event of a model engine. Prompts count up to a
+// answerTime returns the time to the first event of a model engine as most answers of the pool
+// take it now.
+func (x *exchange) answerTime() time.Duration {
+	return time.Duration(float64(x.modelTime()) * x.choosers.pace(x.pool))
+}
+
+// modelTime returns the time to the first event of an unloaded model engine. Prompts count up to a
 // length only, so that the longest ones are not refused more often than others.
 func (x *exchange) modelTime() time.Duration {
 	return firstEvent + time.Duration(min(x.request.Prompt, longestPrompt)/readSpeed)*time.Millisecond
@@ -262,7 +268,7 @@
 	if longest > 0 {
 		return longest
 	}
-	return x.modelTime()
+	return x.answerTime()
 }
 
 // failStage answers a request of which a stage failed. The request itself has not run.
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -104,6 +104,13 @@
 	c.pool(name).chooser.Finish(c.clock(), r)
 }
 
+// pace returns what most answers of the pool take, as a ratio to the expected time.
+func (c *choosers) pace(name string) float64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pool(name).chooser.Pace()
+}
+
 // request counts a caller's request to the pool.
 func (c *choosers) request(name string) {
 	c.mutex.Lock()
