Free the inputs of a stage once they were read while room is short

Requests whose inputs were gone failed, though they can be made again. Ruled out: the next stage as the bottleneck (calls of 60 to 70 of 96, few waiting). Change: a dispatching host tells 100 ms after the last pieces of a job are in a call that its inputs were read; the request gives them up then if new jobs wait over 300 ms at the pool that made them. If inputs are gone, the stages before are worked on once more. Test: TestLostInputs (failed before).

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -259,6 +259,27 @@
 	w.wait(func() bool { return pieces.Freed() >= 5 })
 }
 
+// TestLostInputs guards against requests that fail because results that a stage reads are gone,
+// though they can be made again, and against stages that are made again without end.
+func TestLostInputs(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w, pieces, model := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) })
+	w.wait(func() bool {
+		status, _, _ := w.call(http.MethodPost, "/talk/", "s1", standin.AskPieces)
+		return status == http.StatusOK
+	})
+	pieces.Lose(1)
+	status, _, _ := w.call(http.MethodPost, "/talk/", "s2", standin.AskPieces)
+	is.Equal(status, http.StatusOK)
+	is.Equal(len(strings.Split(model.Last().Header.Get("X-Inputs"), ",")), 3)
+	pieces.Lose(10)
+	status, _, h := w.call(http.MethodPost, "/talk/", "s3", standin.AskPieces)
+	is.Equal(status, http.StatusServiceUnavailable)
+	is.True(h.Get("Retry-After") != "")
+	is.Equal(model.Last().ID(), "s2")
+}
+
 // TestStreamBreaks guards against a stream that may run once and looks whole though it
 // broke, or is begun again.
 func TestStreamBreaks(t *testing.T) {
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -24,6 +24,8 @@
 	// one that was given up because its stages are behind: about the time of their backlog.
 	stageRetry = 300 * time.Millisecond
 	lateRetry  = 2 * time.Second
+	// crowdedWait is the wait of new jobs, about one call, from which on room is short.
+	crowdedWait = 300 * time.Millisecond
 	// nearBytes is from how much on moving inputs or results between zones is worth avoiding.
 	nearBytes = 500_000
 	// keepMargin is how long before their end results are no longer relied on: they are kept
@@ -58,6 +60,9 @@
 	ends := make(chan end, len(stages))
 	results := make([][]string, len(stages))
 	done := make([]bool, len(stages))
+	read := make([]bool, len(stages)) // stages that need their inputs no more
+	reads := make(chan int, len(stages))
+	redone := false
 	begun := make([]bool, len(stages))
 	running := 0
 	var failure *lead.Outcome
@@ -66,20 +71,38 @@
 			if failure == nil && !begun[i] && x.startable(i, done) {
 				begun[i] = true
 				if x.request.Pieces[i] == 0 {
-					done[i] = true
+					done[i], read[i] = true, true
 					continue
 				}
 				running++
 				job := x.job(i, results)
+				job.Read = func() { reads <- i }
 				go func() { ends <- end{stage: i, group: job.Group, outcome: x.lead.Do(ctx, job)} }()
 			}
 		}
 		if running == 0 {
 			break
 		}
-		e := <-ends
+		var e end
+		select {
+		case i := <-reads:
+			if read[i] = x.crowded(i); read[i] {
+				x.freeRead(read)
+			}
+			continue
+		case e = <-ends:
+		}
 		running--
 		x.decide("stage %d at %s group %q: %s", e.stage, e.outcome.Host, e.group, e.outcome.Word())
+		if e.outcome.Fault == lead.FaultGone && failure == nil && !redone {
+			// The inputs were freed early or lost with their target; they can be made again.
+			redone = true
+			begun[e.stage] = false
+			for _, a := range x.before(e.stage) {
+				begun[a], done[a], read[a] = false, false, false
+			}
+			continue
+		}
 		if e.outcome.Fault != lead.FaultNone {
 			if failure == nil {
 				failure = &e.outcome
@@ -87,12 +110,12 @@
 			}
 			continue
 		}
-		results[e.stage], done[e.stage] = e.outcome.Handles, true
+		results[e.stage], done[e.stage], read[e.stage] = e.outcome.Handles, true, true
 		x.held = append(x.held, holding{
 			stage: e.stage, host: e.outcome.Host, pool: stages[e.stage].Pool, group: e.group, handles: e.outcome.Handles,
 			bytes: stages[e.stage].Bytes * int64(len(e.outcome.Handles)), made: x.clock(),
 		})
-		x.freeRead(done)
+		x.freeRead(read)
 	}
 	if failure != nil {
 		x.failStage(*failure)
@@ -148,20 +171,47 @@
 	return firstEvent + time.Duration(min(x.request.Prompt, longestPrompt)/readSpeed)*time.Millisecond
 }
 
+// before returns the stages whose results a stage depends on, and gives up those that exist.
+func (x *exchange) before(stage int) (stages []int) {
+	for _, a := range x.route.Stages[stage].After {
+		stages = append(append(stages, a), x.before(a)...)
+	}
+	x.held = slices.DeleteFunc(x.held, func(h holding) bool {
+		found := slices.Contains(stages, h.stage)
+		if found {
+			x.lead.Free(h.host, h.pool, h.group, h.handles)
+		}
+		return found
+	})
+	return stages
+}
+
+// crowded reports whether room for the results that a stage reads is short: new jobs wait at the
+// pools that make them. Only then are they worth freeing before the stage has ended; if it
+// fails, they have to be made again.
+func (x *exchange) crowded(stage int) bool {
+	for _, h := range x.held {
+		if slices.Contains(x.route.Stages[stage].After, h.stage) && x.lead.Backlog(h.pool, h.group).Soon > crowdedWait {
+			return true
+		}
+	}
+	return false
+}
+
 // freeRead gives up the results that all stages after theirs have read, because the room for
 // results bounds the size of calls.
-func (x *exchange) freeRead(done []bool) {
+func (x *exchange) freeRead(read []bool) {
 	x.held = slices.DeleteFunc(x.held, func(h holding) bool {
-		followed, read := false, true
+		followed, unused := false, true
 		for i, s := range x.route.Stages {
 			if slices.Contains(s.After, h.stage) {
-				followed, read = true, read && done[i]
+				followed, unused = true, unused && read[i]
 			}
 		}
-		if followed && read {
+		if followed && unused {
 			x.lead.Free(h.host, h.pool, h.group, h.handles)
 		}
-		return followed && read
+		return followed && unused
 	})
 }
 
--- a/io/lead/call.go
+++ b/io/lead/call.go
@@ -35,6 +35,11 @@
 		if !ok {
 			continue
 		}
+		if w.tries[i.Piece] == 0 {
+			if w.started++; w.started == w.job.Pieces {
+				time.AfterFunc(readTime, func() { close(w.read) })
+			}
+		}
 		w.tries[i.Piece]++
 		wanted = append(wanted, i)
 		pieces = append(pieces, platform.Piece{
--- a/io/lead/client.go
+++ b/io/lead/client.go
@@ -67,18 +67,19 @@
 		return "", admit.Backlog{}
 	}
 	group = groups[rand.IntN(len(groups))]
-	backlog = c.backlog(pool, group)
+	backlog = c.Backlog(pool, group)
 	if !slices.Contains(groups, zone) || zone == group {
 		return group, backlog
 	}
-	near := c.backlog(pool, zone)
+	near := c.Backlog(pool, zone)
 	if near.Soon <= backlog.Soon+zoneGain {
 		return zone, near
 	}
 	return group, backlog
 }
 
-func (c *Client) backlog(pool, group string) admit.Backlog {
+// Backlog returns how long a new job of a group waits, as far as this host knows.
+func (c *Client) Backlog(pool, group string) admit.Backlog {
 	if hosts := c.order(pool, group); len(hosts) == 1 {
 		return c.dispatch.Backlog(pool, group)
 	}
@@ -215,6 +216,10 @@
 				o.Fault = FaultFailed
 			}
 			return o
+		case p.GetAccepted().GetWait() == 0 && j.Read != nil:
+			j.Read()
+			j.Read = nil
+			watch.Reset(beatTimeout)
 		default:
 			watch.Reset(beatTimeout)
 		}
--- a/io/lead/dispatch.go
+++ b/io/lead/dispatch.go
@@ -33,6 +33,9 @@
 	callMost = 8 * time.Second
 	// triesMost bounds how often one piece is worked on.
 	triesMost = 4
+	// readTime is how long after the start of a call its target has read its inputs: some
+	// megabytes over links of gigabits a second.
+	readTime = 100 * time.Millisecond
 	// splitFrom is how many targets a pool has at least if they are dispatched by availability
 	// zone. Fewer ones make up fuller calls together, and one host can dispatch them.
 	splitFrom = 10
@@ -181,7 +184,7 @@
 	p.quota.Request(now)
 	w = &Work{
 		id: d.last, pool: p, job: j, expires: now + j.Left, handles: make([]string, j.Pieces), tries: make([]int, j.Pieces),
-		left: j.Pieces, done: make(chan struct{}),
+		left: j.Pieces, done: make(chan struct{}), read: make(chan struct{}),
 	}
 	p.jobs[w.id] = w
 	d.pump(p)
@@ -200,9 +203,17 @@
 
 // Wait returns the results of a job. If the context ends first, the job is given up.
 func (d *Dispatch) Wait(ctx context.Context, w *Work) (handles []string, fault Fault) {
-	select {
-	case <-w.done:
-	case <-ctx.Done():
+	read := w.read
+	for !w.ended() && ctx.Err() == nil {
+		select {
+		case <-w.done:
+		case <-ctx.Done():
+		case <-read:
+			read = nil
+			if w.job.Read != nil {
+				w.job.Read()
+			}
+		}
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
--- a/io/lead/job.go
+++ b/io/lead/job.go
@@ -28,6 +28,8 @@
 	Near bool
 	// Begun holds if earlier stages of the request were worked on.
 	Begun bool
+	// Read is called at most once, when the targets have read all inputs; nil if nobody asks.
+	Read func()
 }
 
 // Fault says why a job has no results.
@@ -58,6 +60,9 @@
 	handles []string
 	tries   []int
 	left    int
+	// started counts the pieces that were in a call; read is closed a while after all were.
+	started int
+	read    chan struct{}
 	fault   Fault
 	done    chan struct{}
 }
--- a/io/lead/service.go
+++ b/io/lead/service.go
@@ -35,8 +35,15 @@
 	}
 	beat := time.NewTicker(beatTime)
 	defer beat.Stop()
+	read := w.read
 	for !w.ended() {
 		select {
+		case <-read:
+			read = nil
+			if err := send(&message.Progress{Step: &message.Progress_Accepted{Accepted: &message.Accepted{}}}); err != nil {
+				s.dispatch.GiveUp(w)
+				return err
+			}
 		case <-beat.C:
 			if err := send(accepted); err != nil {
 				s.dispatch.GiveUp(w)
