Count all pieces of a job that a call repeats as one repeat

Ruled out: broken targets (reason 'room' in the log, all targets answered). Change: the bound is on repeats of requests; the pieces of one job in one call are one. Test: TestFullTargets (failed before).

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -280,6 +280,23 @@
 	is.Equal(model.Last().ID(), "s2")
 }
 
+// TestFullTargets guards against requests that fail after the loss of all hosts, while results
+// that nobody needs any more take up the room of targets, because each piece of a call that found
+// no room counts as a repeat of its own.
+func TestFullTargets(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	w, pieces, _ := stageWorld(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) })
+	w.wait(func() bool {
+		status, _, _ := w.call(http.MethodPost, "/talk/", "s1", standin.AskPieces)
+		return status == http.StatusOK
+	})
+	// The host may repeat 1.25 requests in 10 s; a call takes 4 pieces.
+	pieces.Crowd(1)
+	status, _, _ := w.call(http.MethodPost, "/talk/", "s2", func(r *http.Request) { standin.AskCounts(r, 8, 3) })
+	is.Equal(status, http.StatusOK)
+}
+
 // TestStreamBreaks guards against a stream that may run once and looks whole though it
 // broke, or is begun again.
 func TestStreamBreaks(t *testing.T) {
--- a/io/lead/call.go
+++ b/io/lead/call.go
@@ -80,15 +80,18 @@
 	return err.Error()
 }
 
-// again queues items whose call failed, within the bound on repeats.
+// again queues items whose call failed, within the bound on repeats. All pieces of a job
+// that a call repeats are one repeat of its request.
 func (d *Dispatch) again(p *group, now time.Duration, items []batch.Item) {
+	repeated := make(map[uint64]bool)
 	for _, i := range items {
 		w, ok := p.jobs[i.Job]
 		switch {
 		case !ok || w.handles[i.Piece] != "":
-		case w.tries[i.Piece] >= triesMost || !p.quota.Spend(now):
+		case w.tries[i.Piece] >= triesMost || !repeated[i.Job] && !p.quota.Spend(now):
 			d.fail(p, w, FaultFailed)
 		default:
+			repeated[i.Job] = true
 			p.dispatcher.Again([]batch.Item{i})
 		}
 	}
@@ -110,6 +113,7 @@
 			"gone", faults[platform.FaultGone], "room", faults[platform.FaultRoom], "error", faults[platform.FaultError],
 			"taken", p.dispatcher.Taken(now, o.Target.ID))
 	}
+	var missing []batch.Item
 	for n, i := range items {
 		w, ok := p.jobs[i.Job]
 		r := results[n]
@@ -131,9 +135,10 @@
 		case r.Fault == platform.FaultGone:
 			d.fail(p, w, FaultGone)
 		default:
-			d.again(p, now, []batch.Item{i})
+			missing = append(missing, i)
 		}
 	}
+	d.again(p, now, missing)
 }
 
 // post sends a call to a target.
