Gather changes of the store for a part of the published bounds

Cause: changes were gathered for 800 ms everywhere. Change: the settings leave and apply carry the bounds; changes are gathered for 0.4 of the shorter one. The verdict of the door is called timely, since prompt means another thing here. Test: TestGather.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -93,8 +93,8 @@
 const (
 	// Refused requests cannot be served.
 	Refused Verdict = iota // refused
-	// Prompt requests are expected to be answered in time.
-	Prompt // prompt
+	// Timely requests are expected to be answered in time.
+	Timely // timely
 	// Late requests are expected to be answered, but not in time. They get what is left by
 	// those that can be in time; in the same queue they would make these late as well.
 	Late // late
@@ -105,7 +105,7 @@
 func Admit(soon, all time.Duration, t Times) (v Verdict, retry time.Duration) {
 	aim := t.Aim - time.Duration(reserve*float64(t.Objective))
 	if soon <= aim {
-		return Prompt, 0
+		return Timely, 0
 	}
 	if all <= t.Left-time.Duration((1-latePatience)*float64(t.Patience)) {
 		return Late, 0
--- a/core/admit/admit_test.go
+++ b/core/admit/admit_test.go
@@ -21,7 +21,7 @@
 		verdict   admit.Verdict
 		retry     time.Duration
 	}{
-		"free":                   {soon: time.Second, all: time.Second, times: times, verdict: admit.Prompt},
+		"free":                   {soon: time.Second, all: time.Second, times: times, verdict: admit.Timely},
 		"just in time":           {soon: 1900 * time.Millisecond, all: 1900 * time.Millisecond, times: times, verdict: admit.Late},
 		"behind all others":      {soon: 2500 * time.Millisecond, all: 4 * time.Second, times: times, verdict: admit.Late},
 		"longer than the caller": {soon: 2500 * time.Millisecond, all: 5 * time.Second, times: times, verdict: admit.Refused, retry: 800 * time.Millisecond},
--- a/core/admit/verdict_string.go
+++ b/core/admit/verdict_string.go
@@ -9,11 +9,11 @@
 	// Re-run the stringer command to generate them again.
 	var x [1]struct{}
 	_ = x[Refused-0]
-	_ = x[Prompt-1]
+	_ = x[Timely-1]
 	_ = x[Late-2]
 }
 
-const _Verdict_name = "refusedpromptlate"
+const _Verdict_name = "refusedtimelylate"
 
 var _Verdict_index = [...]uint8{0, 7, 13, 17}
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -116,10 +116,11 @@
 	e.node.Register(e.server.Registrar())
 	calls := e.metrics.Counter("platform.calls")
 	e.watcher = &watcher{
-		wait:  s.Bounds().Contact - watchSlack - watchMargin,
-		store: platform.NewStore(s.Platform(), link.Dial, func() { calls.Inc(1) }),
-		take:  func(ctx context.Context, n news) { c.Post(ctx, func() { c.take(n) }) },
-		lost:  func(ctx context.Context, err error) { c.Post(ctx, func() { c.lose(err) }) },
+		wait:   s.Bounds().Contact - watchSlack - watchMargin,
+		gather: s.Bounds().Gather(),
+		store:  platform.NewStore(s.Platform(), link.Dial, func() { calls.Inc(1) }),
+		take:   func(ctx context.Context, n news) { c.Post(ctx, func() { c.take(n) }) },
+		lost:   func(ctx context.Context, err error) { c.Post(ctx, func() { c.lose(err) }) },
 	}
 }
 
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -19,9 +19,6 @@
 	// watchMargin is what is left of the time to be up to date again for the first read after
 	// one that got no answer.
 	watchMargin = 300 * time.Millisecond
-	// gatherTime is how long changes are gathered before the next read, which saves calls
-	// when many targets change at once. It is small against the time to apply a change.
-	gatherTime = 800 * time.Millisecond
 	// pauseFirst and pauseMost bound the pause after a failed read.
 	pauseFirst = 100 * time.Millisecond
 	pauseMost  = 600 * time.Millisecond
@@ -43,6 +40,8 @@
 	store *platform.Store
 	// wait is how long a read waits for changes.
 	wait time.Duration
+	// gather is how long changes are gathered before the next read.
+	gather time.Duration
 	// take and lost run on the goroutine of the watcher.
 	take func(ctx context.Context, n news)
 	lost func(ctx context.Context, err error)
@@ -68,7 +67,7 @@
 		revision = n.revision
 		w.take(ctx, n)
 		if len(n.configs)+len(n.targets) > 0 {
-			sleep(ctx, gatherTime)
+			sleep(ctx, w.gather)
 		}
 	}
 	done <- nil
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -41,12 +41,25 @@
 	Lifetime time.Duration
 	// Contact is the time after a disruption within which the host has to be up to date again.
 	Contact time.Duration
+	// Leave is the time after which a leaving target gets no new work, and Apply that after
+	// which a published configuration is in force.
+	Leave, Apply time.Duration
 	// Ratio and Slack bound the repeats of the whole fleet in each Window.
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
 }
 
+// gatherPart is the part of the time to apply a change for which changes are gathered. A read
+// that fails can be repeated in the rest.
+const gatherPart = 0.4
+
+// Gather returns how long changes are gathered before the next read of the store, which saves
+// calls when many targets change at once.
+func (b Bounds) Gather() time.Duration {
+	return time.Duration(gatherPart * float64(min(b.Leave, b.Apply)))
+}
+
 // Ready returns the address that is asked whether the host takes requests.
 func (s Settings) Ready() string { return s.ready }
 
@@ -171,6 +184,16 @@
 		s.bounds.Contact = time.Duration(n * float64(time.Millisecond))
 		return ok && n >= 500
 	}},
+	{"edge", "leave", "2000", "500 or more (milliseconds)", "time after which a leaving target gets no new work", func(s *Settings, v string) bool {
+		n, ok := number(v)
+		s.bounds.Leave = time.Duration(n * float64(time.Millisecond))
+		return ok && n >= 500
+	}},
+	{"edge", "apply", "2000", "500 or more (milliseconds)", "time after which a published configuration is in force", func(s *Settings, v string) bool {
+		n, ok := number(v)
+		s.bounds.Apply = time.Duration(n * float64(time.Millisecond))
+		return ok && n >= 500
+	}},
 	{"edge", "ratio", "0.1", "0 or more", "repeats that the fleet may add, as a ratio of the requests", func(s *Settings, v string) (ok bool) {
 		s.bounds.Ratio, ok = number(v)
 		return ok
--- a/io/setting/setting_test.go
+++ b/io/setting/setting_test.go
@@ -87,3 +87,19 @@
 		}
 	})
 }
+
+// TestGather guards against hosts that learn of a change later than it has to be applied, or
+// that read the store more often than the bounds ask for.
+func TestGather(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"":                             800 * time.Millisecond,
+		"leave = 3000\napply = 3000\n": 1200 * time.Millisecond,
+		"leave = 3000\napply = 1000\n": 400 * time.Millisecond,
+		"leave = 500\n":                200 * time.Millisecond,
+	} {
+		is := is.New(t)
+		s, err := setting.Parse([]byte("[host]\nname = e\nzone = a\ncaller = 127.0.0.1:1\npeer = 127.0.0.1:2\n[edge]\n" + text + "[platform]\naddress = 127.0.0.1:3\n"))
+		is.NoErr(err)
+		is.Equal(s.Bounds().Gather(), want)
+	}
+}
