--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -13,13 +13,6 @@
 )
 
 const (
-	// readSpeed is the assumed prompt tokens that a model engine reads in a millisecond, and
-	// firstEvent the time to its first event besides; both are on the safe side of today's
-	// engines.
-	readSpeed  = 30
-	firstEvent = 60 * time.Millisecond
-	// longestPrompt is up to which length a prompt counts in what is expected.
-	longestPrompt = 6000 // tokens
 	// stageRetry is told to callers of a request whose pieces failed, and lateRetry to those of
 	// one that was given up because its stages are behind: about the time of their backlog.
 	stageRetry = 300 * time.Millisecond
@@ -50,125 +43,127 @@
 		x.fail(reason.Late, retry)
 		return nil, false
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type end struct {
-		stage   int
-		group   string
-		outcome lead.Outcome
-	}
-	ends := make(chan end, len(stages))
-	results := make([][]string, len(stages))
-	done := make([]bool, len(stages))
-	read := make([]bool, len(stages)) // stages that need their inputs no more
-	reads := make(chan int, len(stages))
-	redone := false
-	begun := make([]bool, len(stages))
-	running := 0
-	var failure *lead.Outcome
-	for {
-		for i := range stages {
-			if failure == nil && !begun[i] && x.startable(i, done) {
-				begun[i] = true
-				if x.request.Pieces[i] == 0 {
-					done[i], read[i] = true, true
-					continue
-				}
-				running++
-				job := x.job(i, results)
-				job.Read = func() { reads <- i }
-				go func() { ends <- end{stage: i, group: job.Group, outcome: x.lead.Do(ctx, job)} }()
-			}
-		}
-		if running == 0 {
-			break
-		}
-		var e end
-		select {
-		case i := <-reads:
-			if read[i] = x.crowded(i); read[i] {
-				x.freeRead(read)
-			}
-			continue
-		case e = <-ends:
-		}
-		running--
-		x.decide("stage %d at %s group %q: %s", e.stage, e.outcome.Host, e.group, e.outcome.Word())
-		if e.outcome.Fault == lead.FaultGone && failure == nil && !redone {
-			// The inputs were freed early or lost with their target; they can be made again.
-			redone = true
-			begun[e.stage] = false
-			for _, a := range x.before(e.stage) {
-				begun[a], done[a], read[a] = false, false, false
-			}
-			continue
-		}
-		if e.outcome.Fault != lead.FaultNone {
-			if failure == nil {
-				failure = &e.outcome
-				cancel()
-			}
-			continue
-		}
-		results[e.stage], done[e.stage], read[e.stage] = e.outcome.Handles, true, true
-		x.held = append(x.held, holding{
-			stage: e.stage, host: e.outcome.Host, pool: stages[e.stage].Pool, group: e.group, handles: e.outcome.Handles,
-			bytes: stages[e.stage].Bytes * int64(len(e.outcome.Handles)), made: x.clock(),
-		})
-		x.freeRead(read)
-	}
-	if failure != nil {
+	run := newStageRun(x)
+	if failure := run.play(ctx); failure != nil {
 		x.failStage(*failure)
 		return nil, false
 	}
 	inputs = []string{}
 	for _, i := range x.route.Final() {
-		inputs = append(inputs, results[i]...)
+		inputs = append(inputs, run.results[i]...)
 	}
 	return inputs, true
 }
 
-// admitPath decides whether the request is begun, from its whole path with what waits at the
-// pools of its stages. It returns when the caller should come back otherwise.
-func (x *exchange) admitPath() (retry time.Duration, ok bool) {
-	soon, all := x.path().Expect()
-	passed := x.clock() - x.began
-	x.verdict, retry = admit.Admit(soon, all, admit.Times{
-		Objective: x.route.Objective, Aim: x.route.Objective - passed, Patience: x.patience - x.began, Left: x.patience - x.began - passed,
-	})
-	x.decide("door: in time %dms, after all others %dms, objective %dms: %s", soon.Milliseconds(), all.Milliseconds(), x.route.Objective.Milliseconds(), x.verdict)
-	return retry, x.verdict != admit.Refused
+// stageRun is the progress of the stages of one request. Its slices are by stage.
+type stageRun struct {
+	*exchange
+
+	results [][]string
+	// begun stages were started or left out, done ones have their results.
+	begun, done []bool
+	// read holds for stages that need their inputs no more.
+	read []bool
+	// ends and reads have room for what all jobs in progress tell.
+	ends  chan stageEnd
+	reads chan int
+	// running counts the jobs in progress.
+	running int
+	// remade holds once stages were worked on again because their results were gone.
+	remade  bool
+	failure *lead.Outcome
+}
+
+// stageEnd is the end of the job of a stage.
+type stageEnd struct {
+	stage   int
+	group   string
+	outcome lead.Outcome
 }
 
-// path returns what is expected of the stages of the request and its model engine.
-func (x *exchange) path() (p admit.Path) {
-	s := x.state.Load()
-	p.Answer = x.answerTime()
-	for i, stage := range x.route.Stages {
-		pool, ok := s.table.Pool(stage.Pool)
-		if !ok || pool.Batch == nil || x.request.Pieces[i] == 0 {
+func newStageRun(x *exchange) *stageRun {
+	n := len(x.route.Stages)
+	return &stageRun{
+		exchange: x, results: make([][]string, n), begun: make([]bool, n), done: make([]bool, n), read: make([]bool, n),
+		ends: make(chan stageEnd, n), reads: make(chan int, n),
+	}
+}
+
+// play works on all stages and returns the first failure; nil if there are all results. It
+// returns after the end of all jobs.
+func (r *stageRun) play(ctx context.Context) (failure *lead.Outcome) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	for r.begin(ctx); r.running > 0; r.begin(ctx) {
+		select {
+		case i := <-r.reads:
+			if r.crowded(i) {
+				r.read[i] = true
+				r.freeRead(r.read)
+			}
+		case e := <-r.ends:
+			r.running--
+			r.take(e)
+			if r.failure != nil {
+				cancel()
+			}
+		}
+	}
+	return r.failure
+}
+
+// begin starts the stages that can be started.
+func (r *stageRun) begin(ctx context.Context) {
+	for i := range r.begun {
+		if r.failure != nil || r.begun[i] || !r.startable(i, r.done) {
 			continue
 		}
-		_, backlog := x.lead.Choose(stage.Pool, x.zone())
-		part := admit.Stage{Height: x.route.Height(i), Backlog: backlog, Own: pool.Batch.Call + time.Duration(min(x.request.Pieces[i], pool.Batch.Size))*pool.Batch.Piece}
-		if len(stage.After) > 0 {
-			part.Keep = pool.Batch.Keep - keepMargin
+		r.begun[i] = true
+		if r.request.Pieces[i] == 0 {
+			r.done[i], r.read[i] = true, true
+			continue
 		}
-		p.Stages = append(p.Stages, part)
+		r.running++
+		job := r.job(i, r.results)
+		job.Read = func() { r.reads <- i }
+		go func() { r.ends <- stageEnd{stage: i, group: job.Group, outcome: r.lead.Do(ctx, job)} }()
 	}
-	return p
 }
 
-// answerTime returns the time to the first event of a model engine as most answers of the pool
-// take it now.
-func (x *exchange) answerTime() time.Duration {
-	return time.Duration(float64(x.modelTime()) * x.choosers.pace(x.pool))
+// take takes the end of a job.
+func (r *stageRun) take(e stageEnd) {
+	r.decide("stage %d at %s group %q: %s", e.stage, e.outcome.Host, e.group, e.outcome.Word())
+	switch {
+	case e.outcome.Fault == lead.FaultNone:
+		r.results[e.stage], r.done[e.stage], r.read[e.stage] = e.outcome.Handles, true, true
+		stage := r.route.Stages[e.stage]
+		r.held = append(r.held, holding{
+			stage: e.stage, host: e.outcome.Host, pool: stage.Pool, group: e.group, handles: e.outcome.Handles,
+			bytes: stage.Bytes * int64(len(e.outcome.Handles)), made: r.clock(),
+		})
+		r.freeRead(r.read)
+	case r.failure != nil:
+		// The request has failed already.
+	case e.outcome.Fault == lead.FaultGone && !r.remade:
+		r.remake(e.stage)
+	default:
+		r.failure = &e.outcome
+	}
 }
 
-// modelTime returns the time to the first event of an unloaded model engine. Prompts count up to a
-// length only, so that the longest ones are not refused more often than others.
-func (x *exchange) modelTime() time.Duration {
-	return firstEvent + time.Duration(min(x.request.Prompt, longestPrompt)/readSpeed)*time.Millisecond
+// remake has a stage and those before it worked on again. Its inputs were freed early or lost
+// with their target.
+func (r *stageRun) remake(stage int) {
+	r.remade = true
+	r.begun[stage] = false
+	for _, a := range r.before(stage) {
+		r.begun[a], r.done[a], r.read[a] = false, false, false
+	}
+	// What the failed job told of its inputs must not free the new ones.
+	for len(r.reads) > 0 {
+		<-r.reads
+	}
+	r.read[stage] = false
 }
 
 // before returns the stages whose results a stage depends on, and gives up those that exist.
@@ -300,27 +295,6 @@
 	return x.settings.Zone()
 }
 
-// later returns the least time that the stages after one and the model engine need.
-func (x *exchange) later(stage int) time.Duration {
-	longest := time.Duration(0)
-	for i, s := range x.route.Stages {
-		for _, a := range s.After {
-			if a != stage || x.request.Pieces[i] == 0 {
-				continue
-			}
-			own := time.Duration(0)
-			if p, ok := x.state.Load().table.Pool(s.Pool); ok && p.Batch != nil {
-				own = p.Batch.Call + time.Duration(min(x.request.Pieces[i], p.Batch.Size))*p.Batch.Piece
-			}
-			longest = max(longest, own+x.later(i))
-		}
-	}
-	if longest > 0 {
-		return longest
-	}
-	return x.answerTime()
-}
-
 // failStage answers a request of which a stage failed. The request itself has not run.
 func (x *exchange) failStage(o lead.Outcome) {
 	x.detail = "stage " + string(o.Fault) + " at " + o.Host
--- a/io/lead/service.go
+++ b/io/lead/service.go
@@ -28,7 +28,7 @@
 	if !ok {
 		return send(&message.Progress{Step: &message.Progress_Refused{Refused: &message.Refused{Retry: wait.Milliseconds()}}})
 	}
-	accepted := &message.Progress{Step: &message.Progress_Accepted{Accepted: &message.Accepted{Wait: wait.Milliseconds()}}}
+	accepted := &message.Progress{Step: &message.Progress_Accepted{Accepted: &message.Accepted{Wait: max(wait.Milliseconds(), 1)}}}
 	if err := send(accepted); err != nil {
 		s.dispatch.GiveUp(w)
 		return err
