Work on the stages again when a stream goes on without its inputs

Change: before another attempt the stages are worked on again if their results were given up or the target says that they are gone; results are given up again with the next event. Test: TestStreamGoesOnWithNewInputs (failed before).

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -297,6 +297,40 @@
 	is.Equal(status, http.StatusOK)
 }
 
+// TestStreamGoesOnWithNewInputs guards against a stream that is cut because the results that it
+// read were given up when it began, and another target cannot go on without them.
+func TestStreamGoesOnWithNewInputs(t *testing.T) {
+	t.Parallel()
+	s := newStore(t)
+	s.Configure(1)
+	pieces := newEngine(t, "i-1", nil)
+	s.Register(pieces, "pieces", "ready")
+	// before has the number of calls for pieces when the stream broke.
+	var before atomic.Int64
+	for _, id := range []string{"i-2", "i-3"} {
+		s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+			calls := int64(len(pieces.Requests()))
+			switch {
+			case r.Header.Get("Last-Event-Id") == "":
+				before.Store(calls)
+				events(w, 1, 2, false)
+			case calls < before.Load()+2:
+				standin.Miss(w) // its two stages were not worked on again
+			default:
+				events(w, 3, 4, true)
+			}
+		}), "model", "ready")
+	}
+	w, _ := start(t, s, "e1")
+	w.waitReady()
+	n := 0
+	w.wait(func() bool {
+		n++
+		_, body, _ := w.call(http.MethodPost, "/plan/", fmt.Sprintf("p%d", n), standin.AskPieces)
+		return strings.HasSuffix(body, "token4\n\n")
+	})
+}
+
 // TestStreamBreaks guards against a stream that may run once and looks whole though it
 // broke, or is begun again.
 func TestStreamBreaks(t *testing.T) {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasward/core/admit"
 	"sassafrasward/core/pick"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/roster"
@@ -58,8 +59,9 @@
 type attempt struct {
 	target roster.Target
 	began  time.Duration
-	// last holds if no other attempt may follow.
-	last bool
+	// last holds if no other attempt may follow, gone if the target did not run the request
+	// because inputs do not exist any more.
+	last, gone bool
 	// response is the head of the answer.
 	response *link.Response
 	body     []byte
@@ -102,11 +104,36 @@
 			x.giveUp(ctx, v, a)
 			return
 		}
+		if inputs, ok = x.renew(ctx, s, a, inputs); !ok {
+			x.giveUp(ctx, v, a)
+			return
+		}
 		event.Log(x.log, event.RequestRepeated, "request", x.request.ID, "pool", x.pool, "target", t.ID, "cause", v.word(), "error", errText(a.err))
 		x.metrics.Retry(v.retry())
 	}
 }
 
+// renew has the stages worked on again if the next attempt would not find its inputs: they are
+// given up with the first event of a stream, and lost with the targets that made them.
+func (x *exchange) renew(ctx context.Context, s *stream, a *attempt, inputs []string) (renewed []string, ok bool) {
+	if a.gone {
+		x.free()
+	}
+	if len(inputs) == 0 || len(x.held) > 0 {
+		return inputs, true
+	}
+	if s.passed > 0 {
+		// The stream has begun in time; now its caller waits for the next event.
+		x.patience = min(x.deadline, x.clock()+x.route.Patience())
+		x.aim, x.verdict = x.patience, admit.Timely
+	}
+	run := newStageRun(x)
+	if failure := run.play(ctx); failure != nil {
+		return nil, false
+	}
+	return run.inputs(), true
+}
+
 func silent(err error) bool { return errors.Is(err, context.DeadlineExceeded) || link.Sent(err) }
 
 func errText(err error) string {
@@ -228,6 +255,7 @@
 	}
 	answer := platform.ReadAnswer(a.response.Status, a.response.Header)
 	if answer.NotRun {
+		a.gone = answer.InputsGone
 		a.response.Close(false)
 		return unrun
 	}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -48,11 +48,7 @@
 		x.failStage(*failure)
 		return nil, false
 	}
-	inputs = []string{}
-	for _, i := range x.route.Final() {
-		inputs = append(inputs, run.results[i]...)
-	}
-	return inputs, true
+	return run.inputs(), true
 }
 
 // stageRun is the progress of the stages of one request. Its slices are by stage.
@@ -112,6 +108,15 @@
 	return r.failure
 }
 
+// inputs returns the results that the request reads.
+func (r *stageRun) inputs() (handles []string) {
+	handles = []string{}
+	for _, i := range r.route.Final() {
+		handles = append(handles, r.results[i]...)
+	}
+	return handles
+}
+
 // begin starts the stages that can be started.
 func (r *stageRun) begin(ctx context.Context) {
 	for i := range r.begun {
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -69,8 +69,8 @@
 			a.err = errors.New("the caller takes no events")
 			return left
 		}
-		if s.passed == 1 {
-			s.free()
+		if len(s.held) > 0 {
+			s.free() // the target has read them
 		}
 	}
 }
