--- a/core/batch/worker.go
+++ b/core/batch/worker.go
@@ -175,7 +175,7 @@
 	}
 	d.completed(now, w, c, made)
 	if full {
-		w.strange = result{}
+		w.strange = result{} // not counted in what this host knows to be taken
 		w.strange = result{bytes: max(d.spec.Room-d.taken(now, w), 0), until: now + strangeTime}
 	}
 }
