--- a/io/integration/member_test.go
+++ b/io/integration/member_test.go
@@ -83,7 +83,8 @@
 	c := &rawCaller{client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
 	answer, err := c.send(context.Background(), h.caller, "summary", wire.Request{Workspace: "thun", Input: json.RawMessage(`1`)})
 	is.NoErr(err)
-	is.Equal(answer.Outcome, outcome.Done.String())
+	// The reason tells why a host refused.
+	is.Equal([]string{answer.Outcome, answer.Reason, answer.Detail}, []string{outcome.Done.String(), "", ""})
 }
 
 // TestStaleRestart guards against an older preset that comes back with a host that
