Log events after the state that they announce is published

Cause: events 1002, 1003, 1101 and 1602 of the daemon and 1002, 1003, 1101 and 1205 of the edge host were logged before the new state was published, so that whoever acts on a line could meet the state before. Ruled out: waiting in the tests; the lines are read by operators as well. Change: event.Deferred holds an event until the view is published. The events of the watch (1603, 1604) and of refused commands (1404) follow the change, too. Handovers (1401, 1403) already did.

--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -60,6 +60,8 @@
 	serving, everServed bool
 	// loggedMembers holds the members by incarnation as last logged.
 	loggedMembers map[uint64]gossip.Member
+	// announcements has the events whose state is not published yet.
+	announcements *event.Deferred
 }
 
 // newControl returns the control state of the daemon's host. running returns the number of
@@ -68,7 +70,7 @@
 	return &control{
 		self: self, clock: d.clock, log: d.log, views: d.views, pools: d.pools, metrics: d.metrics,
 		owner: d.owner, orders: d.orders, suspects: suspects, running: running,
-		changes: make(chan func(), 16), loggedMembers: make(map[uint64]gossip.Member),
+		changes: make(chan func(), 16), loggedMembers: make(map[uint64]gossip.Member), announcements: event.NewDeferred(d.log),
 	}
 }
 
@@ -133,6 +135,7 @@
 
 // applyMembership updates the pools and the view if the membership has changed.
 func (c *control) applyMembership() {
+	defer c.announcements.Flush()
 	serving := c.document != nil && c.members.Ready() && !c.draining
 	if serving != c.serving {
 		c.serving = serving
@@ -140,7 +143,7 @@
 		c.members.SetServing(c.clock(), serving)
 		if serving {
 			c.configure()
-			event.Log(c.log, event.HostServing, "host", c.self.Host, "version", c.version.String())
+			c.announcements.Add(event.HostServing, "host", c.self.Host, "version", c.version.String())
 		}
 	}
 	if !c.node.Publish() {
@@ -187,7 +190,7 @@
 		return true
 	}
 	c.document, c.version = d, v
-	event.Log(c.log, event.ConfigAccepted, "version", v.String(), "preset", d.ActivePreset().Name())
+	c.announcements.Add(event.ConfigAccepted, "version", v.String(), "preset", d.ActivePreset().Name())
 	c.configure()
 	c.node.SetDocument(d.Raw(), v)
 	c.node.Tick()
@@ -302,7 +305,7 @@
 	return slices.Compact(names)
 }
 
-// logMemberChanges logs each other host whose liveness or lifecycle has changed.
+// logMemberChanges announces each other host whose liveness or lifecycle has changed.
 func (c *control) logMemberChanges() {
 	current := make(map[uint64]gossip.Member)
 	for _, m := range c.node.Snapshot().Members() {
@@ -311,7 +314,7 @@
 		if m.Name == c.self.Host || (ok && old.Liveness == m.Liveness && old.Lifecycle == m.Lifecycle) {
 			continue
 		}
-		event.Log(c.log, event.MemberChanged, "host", m.Name, "phase", m.Liveness.String(), "stage", m.Lifecycle.String())
+		c.announcements.Add(event.MemberChanged, "host", m.Name, "phase", m.Liveness.String(), "stage", m.Lifecycle.String())
 	}
 	c.loggedMembers = current
 }
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -201,10 +201,10 @@
 // drainDelay, waits for running requests and stops the servers. The drain timeout of the settings
 // or Halt ends it at once.
 func (d *Daemon) drain() (err error) {
-	event.Log(d.log, event.HostDraining, "host", d.settings.Host())
 	ctx, cancel := context.WithTimeout(d.haltCtx, d.settings.DrainTimeout())
 	defer cancel()
 	d.control.drain(ctx)
+	event.Log(d.log, event.HostDraining, "host", d.settings.Host())
 	timer := time.NewTimer(d.drainDelay)
 	defer timer.Stop()
 	select {
--- a/io/daemon/watch.go
+++ b/io/daemon/watch.go
@@ -48,15 +48,15 @@
 		return
 	}
 	if !on {
-		event.Log(w.log, event.WatchStopped)
 		w.cancel()
 		w.cancel = nil
+		event.Log(w.log, event.WatchStopped)
 		return
 	}
-	event.Log(w.log, event.WatchStarted)
 	ctx, w.cancel = context.WithCancel(ctx)
 	w.running.Go(func() { w.poll(ctx, w.readConfig(pollWait)) })
 	w.running.Go(func() { w.poll(ctx, w.readHosts(pollWait)) })
+	event.Log(w.log, event.WatchStarted)
 }
 
 // readOnce reads the configuration and the host list without waiting for a change.
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -47,6 +47,8 @@
 	storeDown bool
 	draining  bool
 	serving   bool
+	// announcements has the events whose state is not published yet.
+	announcements *event.Deferred
 	// listVersion is the version of the last list of targets that was sent to other hosts, and
 	// leaving has the addresses of its leaving targets.
 	listVersion uint64
@@ -135,7 +137,7 @@
 		return true
 	}
 	c.table, c.version = t, v
-	event.Log(c.log, event.ConfigAccepted, "version", t.Version(), "source", source)
+	c.announcements.Add(event.ConfigAccepted, "version", t.Version(), "source", source)
 	c.node.SetDocument(raw, v)
 	c.publishState()
 	c.node.Tick()
@@ -149,7 +151,7 @@
 	if serving != c.serving {
 		c.serving = serving
 		c.members.SetServing(c.clock(), serving)
-		event.Log(c.log, event.HostServing, "serving", serving)
+		c.announcements.Add(event.HostServing, "serving", serving)
 	}
 	targetsChanged := c.targetSet.Changed()
 	membersChanged := c.node.Publish()
@@ -232,10 +234,11 @@
 		c.dispatcher.Configure(c.table, s.targets)
 	}
 	if old := c.state.Load(); old == nil || old.targetCount != count {
-		event.Log(c.log, event.TargetsChanged, "targets", count, "revision", c.targetSet.Revision())
+		c.announcements.Add(event.TargetsChanged, "targets", count, "revision", c.targetSet.Revision())
 	}
 	s.targetCount = count
 	c.state.Store(s)
+	c.announcements.Flush()
 }
 
 // drain starts draining the host and returns once the published state says so.
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -105,7 +105,7 @@
 
 // newControl creates the control state, the gossip node and the store watcher.
 func (e *Edge) newControl() {
-	c := &control{Edge: e, tasks: make(chan func(), queueLen), targetSet: discovery.New()}
+	c := &control{Edge: e, tasks: make(chan func(), queueLen), targetSet: discovery.New(), announcements: event.NewDeferred(e.log)}
 	e.control = c
 	s := e.settings
 	incarnation := rand.Uint64()
@@ -204,10 +204,10 @@
 // drain removes the host from address responses, serves callers with cached addresses until
 // there are none or the grace period is almost over, and shuts the servers down.
 func (e *Edge) drain(servers []*http.Server) (err error) {
-	event.Log(e.log, event.HostDraining, "host", e.settings.Host(), "running", e.running.Load())
 	began := e.clock()
 	e.frontend.drainStart.Store(int64(began))
 	e.control.drain(e.ctx)
+	event.Log(e.log, event.HostDraining, "host", e.settings.Host(), "running", e.running.Load())
 	grace := e.settings.Limits().GracePeriod
 	for now := e.clock(); now < began+grace-exitMargin; now = e.clock() {
 		quiet := now - max(time.Duration(e.lastArrival.Load()), began)
--- a/io/edge/host_test.go
+++ b/io/edge/host_test.go
@@ -47,38 +47,54 @@
 type testHost struct {
 	t     *testing.T
 	store *standin.Store
+	// settings is the text of the settings file.
+	settings string
 	// address serves callers, ready the readiness check, and directory the address responses.
-	address, ready, directory string
-	stop                      context.CancelFunc
-	done                      chan error
+	// peer is the address for other hosts.
+	address, ready, directory, peer string
+	stop                            context.CancelFunc
+	done                            chan error
 }
 
 // startHost runs a host with the name on the store until the end of the test. It returns the host
 // and its address for other hosts.
 func startHost(t *testing.T, s *standin.Store, name string, seeds ...string) (host *testHost, peer string) {
 	t.Helper()
-	host = &testHost{t: t, store: s, address: loopback.FreeAddress(), ready: loopback.FreeAddress(), directory: loopback.FreeAddress(), done: make(chan error, 1)}
-	peer = loopback.FreeAddress()
-	text := fmt.Sprintf("[host]\nname = %s\nzone = a\ncaller = %s\npeer = %s\n[edge]\nready = %s\ndirectory = %s\ngrace = 3\n[platform]\naddress = %s\n[join]\nmode = alone\n",
-		name, host.address, peer, host.ready, host.directory, s.Address())
+	host = prepareHost(t, s, name, seeds...)
+	ctx, stop := context.WithCancel(context.Background())
+	host.stop = stop
+	host.run(ctx, logr.Discard())
+	return host, host.peer
+}
+
+// prepareHost returns a host with the name on the store that does not run yet.
+func prepareHost(t *testing.T, s *standin.Store, name string, seeds ...string) (host *testHost) {
+	t.Helper()
+	host = &testHost{t: t, store: s, address: loopback.FreeAddress(), peer: loopback.FreeAddress(), ready: loopback.FreeAddress(), directory: loopback.FreeAddress(), done: make(chan error, 1)}
+	host.settings = fmt.Sprintf("[host]\nname = %s\nzone = a\ncaller = %s\npeer = %s\n[edge]\nready = %s\ndirectory = %s\ngrace = 3\n[platform]\naddress = %s\n[join]\nmode = alone\n",
+		name, host.address, host.peer, host.ready, host.directory, s.Address())
 	if len(seeds) > 0 {
-		text += "seeds = " + strings.Join(seeds, ",") + "\n"
+		host.settings += "seeds = " + strings.Join(seeds, ",") + "\n"
 	}
-	settings, err := setting.Parse([]byte(text))
+	return host
+}
+
+// run runs the host until the context or the test ends.
+func (host *testHost) run(ctx context.Context, log logr.Logger) {
+	host.t.Helper()
+	settings, err := setting.Parse([]byte(host.settings))
 	if err != nil {
-		t.Fatal(err)
+		host.t.Fatal(err)
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	host.stop = stop
-	e := edge.New(settings, logr.Discard())
+	ctx, stop := context.WithCancel(ctx)
+	e := edge.New(settings, log)
 	go func() { host.done <- e.Run(ctx) }()
-	t.Cleanup(func() {
+	host.t.Cleanup(func() {
 		stop()
 		if err := <-host.done; err != nil {
-			t.Errorf("the host ended with %v", err)
+			host.t.Errorf("the host ended with %v", err)
 		}
 	})
-	return host, peer
 }
 
 // wait waits until f returns true, or fails the test after 10 s.
--- a/io/owner/drain.go
+++ b/io/owner/drain.go
@@ -26,11 +26,12 @@
 func (o *Owner) StopAccepting() {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
-	if !o.draining {
-		event.Log(o.log, event.CommandsRefused, "running", len(o.running))
+	if o.draining {
+		return
 	}
 	o.draining = true
 	o.closeIfIdle()
+	event.Log(o.log, event.CommandsRefused, "running", len(o.running))
 }
 
 // Drain refuses new commands, waits for running ones and hands over the records of finished
