Make the work per tick and per change independent of the fleet's size

Cause: each tick of the membership looked at all members several times, each change of any fact recomputed the digest, the ranking and the neighbours from all members, and the choice of a dispatching host ranked all hosts for each stage of each request. Ruled out: a longer gossip period; it would delay the news of failed hosts. Change: digests and counters are kept with the tables; neighbours are found again only when a member comes or goes; the candidates of a group are ranked once per list of eligible hosts.

--- a/core/member/fact.go
+++ b/core/member/fact.go
@@ -215,7 +215,7 @@
 
 // hash returns a hash that is never zero, since zero excludes a fact from the digest.
 func hash(text string, numbers ...uint64) uint64 {
-	raw := []byte(text)
+	raw := append(make([]byte, 0, 64), text...)
 	for _, n := range numbers {
 		raw = binary.BigEndian.AppendUint64(raw, n)
 	}
--- a/core/member/failure.go
+++ b/core/member/failure.go
@@ -44,15 +44,19 @@
 
 // neighbours returns the neighbours of this host, including suspected members.
 func (s *State) neighbours() (list []Member) {
-	others := s.otherMembers()
-	if s.neighbourNames == nil {
-		s.neighbourNames = Neighbours(s.self.Name, names(others))
-	}
-	for _, m := range others {
-		if _, ok := slices.BinarySearch(s.neighbourNames, m.Name); ok {
-			list = append(list, m)
+	if s.neighbourIDs == nil {
+		others := s.otherMembers()
+		neighbours := Neighbours(s.self.Name, names(others))
+		for _, m := range others {
+			if _, ok := slices.BinarySearch(neighbours, m.Name); ok {
+				s.neighbourIDs = append(s.neighbourIDs, m.Incarnation)
+			}
 		}
 	}
+	for _, id := range s.neighbourIDs {
+		m, _ := s.members.get(id)
+		list = append(list, m)
+	}
 	return list
 }
 
@@ -62,7 +66,10 @@
 	if m, ok := s.nextNeighbour(neighbours); ok {
 		calls = append(calls, s.newExchange(now, m, s.requestPacket(now, m.Incarnation)))
 	}
-	if others := s.otherMembers(); s.periods%randomExchangePeriods == 0 && len(others) > len(neighbours) {
+	if s.periods%randomExchangePeriods != 0 {
+		return calls
+	}
+	if others := s.otherMembers(); len(others) > len(neighbours) {
 		m := others[s.random.IntN(len(others))]
 		calls = append(calls, s.newExchange(now, m, s.requestPacket(now, m.Incarnation)))
 	}
@@ -208,7 +215,7 @@
 	if m.Name == s.self.Name && m.Peer == s.self.Peer && m.Liveness != Dead {
 		m.Liveness = Dead
 	}
-	if !mergeFact(s, now, s.members, m, bulk) {
+	if !s.putMember(now, m, bulk) {
 		return
 	}
 	if m.Liveness == Suspected {
@@ -230,12 +237,15 @@
 func (s *State) expire(now time.Duration) {
 	dead := s.members.expire(now)
 	for _, m := range dead {
-		s.loads.rows.Delete(m.Incarnation)
+		s.loads.remove(m.Incarnation)
 		delete(s.watch.heartbeats, m.Incarnation)
 	}
+	if len(dead) > 0 {
+		s.neighbourIDs, s.watch.ranked = nil, nil
+	}
 	removed := len(dead) + len(s.leavings.expire(now)) + len(s.crashes.expire(now)) + len(s.handovers.expire(now))
 	if removed > 0 {
-		s.markChanged()
+		s.changed = true
 		s.publishLeavings(now)
 	}
 }
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -116,7 +116,7 @@
 		s.publishLeavings(now)
 	}
 	for _, c := range p.Crashes {
-		mergeFact(s, now, s.crashes, c, bulk)
+		s.mergeCrash(now, c, bulk)
 	}
 	for _, h := range p.Handovers {
 		mergeFact(s, now, s.handovers, h, bulk)
--- a/core/member/graph.go
+++ b/core/member/graph.go
@@ -56,18 +56,41 @@
 // set of hosts, and the loss of one host does not reorder the others.
 func Rank(key string, hosts []string) []string { return rank(hash(key), hosts) }
 
-func rank(seed uint64, hosts []string) []string {
-	type rankedHost struct {
-		host string
-		hash uint64
+// rankedHost is a host with its hash for a key.
+type rankedHost struct {
+	host string
+	hash uint64
+}
+
+// First returns the first n hosts of Rank.
+func First(key string, n int, hosts []string) (first []string) {
+	seed := hash(key)
+	var best []rankedHost
+	for _, h := range hosts {
+		r := rankedHost{host: h, hash: hash(h, seed)}
+		i, found := slices.BinarySearchFunc(best, r, compareRanked)
+		if found || i >= n {
+			continue
+		}
+		best = slices.Insert(best, i, r)
+		best = best[:min(n, len(best))]
+	}
+	for _, r := range best {
+		first = append(first, r.host)
 	}
+	return first
+}
+
+func compareRanked(a, b rankedHost) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.host, b.host))
+}
+
+func rank(seed uint64, hosts []string) []string {
 	byHash := make([]rankedHost, 0, len(hosts))
 	for _, h := range hosts {
 		byHash = append(byHash, rankedHost{host: h, hash: hash(h, seed)})
 	}
-	slices.SortFunc(byHash, func(a, b rankedHost) int {
-		return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.host, b.host))
-	})
+	slices.SortFunc(byHash, compareRanked)
 	ranked := make([]string, 0, len(byHash))
 	for _, p := range byHash {
 		ranked = append(ranked, p.host)
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -3,7 +3,6 @@
 import (
 	"math/bits"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"sassafrasward/core/config"
@@ -73,14 +72,14 @@
 
 	// changed is set by each change that is visible to readers.
 	changed bool
-	// digestStale is set when digest must be recomputed.
-	digestStale bool
-	digest      Digest
+	// crashesChanged is set by each change of the crash evidence.
+	crashesChanged bool
 
 	now, lastTick, nextPeriod, lastFlood, lastRepair time.Duration
 	periods                                          int
-	// neighbourNames caches the names of the neighbours; nil after a change of the members.
-	neighbourNames []string
+	// neighbourIDs caches the incarnations of the neighbours; nil after a change of the live
+	// members.
+	neighbourIDs []uint64
 	// probeOrder holds the neighbours that are still to be probed in the current round.
 	probeOrder []string
 	// suspectedAt holds when this host learned of each suspicion, by incarnation.
@@ -123,7 +122,7 @@
 		crashes:     newStore[string, Crash](factRetransmits),
 		handovers:   newStore[uint64, Handover](factRetransmits),
 		suspectedAt: make(map[uint64]time.Duration), pendingProbes: make(map[uint64]int),
-		now: now, lastTick: now, digestStale: true, changed: true,
+		now: now, lastTick: now, changed: true,
 		join: newJoinState(), watch: newWatchState(now),
 	}
 	for _, o := range options {
@@ -218,7 +217,18 @@
 }
 
 // ReportCrash publishes the crash evidence of one host for a request fingerprint.
-func (s *State) ReportCrash(now time.Duration, c Crash) { mergeFact(s, now, s.crashes, c, false) }
+func (s *State) ReportCrash(now time.Duration, c Crash) { s.mergeCrash(now, c, false) }
+
+func (s *State) mergeCrash(now time.Duration, c Crash, bulk bool) {
+	s.crashesChanged = mergeFact(s, now, s.crashes, c, bulk) || s.crashesChanged
+}
+
+// CrashesChanged reports whether the crash evidence has changed since the last call.
+func (s *State) CrashesChanged() bool {
+	changed := s.crashesChanged
+	s.crashesChanged = false
+	return changed
+}
 
 // AnnounceHandover publishes which host answers from the records of this host.
 func (s *State) AnnounceHandover(now time.Duration, successor uint64, host string) {
@@ -239,7 +249,7 @@
 // publishSelf publishes the member of this host with a higher counter.
 func (s *State) publishSelf(now time.Duration) {
 	s.self.Counter++
-	mergeFact(s, now, s.members, s.self, false)
+	s.putMember(now, s.self, false)
 }
 
 // SetLoadLevel publishes the load level of this host, at most once in 30 periods.
@@ -276,8 +286,14 @@
 }
 
 // otherMembers returns all live members except those of this host.
-func (s *State) otherMembers() []Member {
-	return slices.DeleteFunc(s.liveMembers(), func(m Member) bool { return m.Name == s.self.Name })
+func (s *State) otherMembers() (list []Member) {
+	list = make([]Member, 0, s.members.rows.Len())
+	for _, r := range s.members.rows.All() {
+		if r.fact.Liveness != Dead && r.fact.Name != s.self.Name {
+			list = append(list, r.fact)
+		}
+	}
+	return list
 }
 
 func names(members []Member) (list []string) {
@@ -301,25 +317,28 @@
 	if !in.put(now, f, bulk) {
 		return false
 	}
-	s.markChanged()
+	s.changed = true
 	return true
 }
 
-// markChanged invalidates everything that is derived from the tables.
-func (s *State) markChanged() {
-	s.changed, s.digestStale = true, true
-	s.neighbourNames, s.watch.ranked = nil, nil
+// putMember merges the fact of a member, and reports whether it was new.
+func (s *State) putMember(now time.Duration, m Member, bulk bool) bool {
+	old, known := s.members.get(m.Incarnation)
+	if !mergeFact(s, now, s.members, m, bulk) {
+		return false
+	}
+	s.watch.ranked = nil
+	if m, _ := s.members.get(m.Incarnation); !known || (old.Liveness == Dead) != (m.Liveness == Dead) {
+		s.neighbourIDs = nil
+	}
+	return true
 }
 
-// tableDigest returns the digest of the tables, recomputing it if needed.
-func (s *State) tableDigest() Digest {
-	if s.digestStale {
-		s.digest = Digest{}
-		s.members.addToDigest(&s.digest)
-		s.leavings.addToDigest(&s.digest)
-		s.crashes.addToDigest(&s.digest)
-		s.handovers.addToDigest(&s.digest)
-		s.digestStale = false
-	}
-	return s.digest
+// tableDigest returns the digest of the tables.
+func (s *State) tableDigest() (d Digest) {
+	d.add(s.members.digest)
+	d.add(s.leavings.digest)
+	d.add(s.crashes.digest)
+	d.add(s.handovers.digest)
+	return d
 }
--- a/core/member/store.go
+++ b/core/member/store.go
@@ -25,6 +25,13 @@
 	rows *sortedmap.Map[K, *row[F]]
 	// retransmits is how many regular packets carry a new fact.
 	retransmits int
+	// digest has the checksums of all facts.
+	digest Digest
+	// urgent and pending count the facts that are still to be flooded, and to be sent by regular
+	// packets.
+	urgent, pending int
+	// nextExpiry is not after the first expiry of a fact; zero if no fact expires.
+	nextExpiry time.Duration
 }
 
 // row is a fact with the state that this host needs to gossip it.
@@ -68,6 +75,7 @@
 	if ok && old.fact.Merge(f) == old.fact {
 		if old.fact == f && expiresAt > 0 {
 			old.expiresAt = min(old.expiresAt, expiresAt)
+			s.nextExpiry = min(s.nextExpiry, old.expiresAt)
 		}
 		return false
 	}
@@ -81,23 +89,76 @@
 	if ok {
 		next.firstSeen = old.firstSeen
 	}
+	if ok {
+		s.uncount(old)
+	}
 	s.rows.Put(f.key(), next)
+	s.count(next)
 	return true
 }
 
+// count adds a row to the digest and the counters, and uncount removes it.
+func (s *store[K, F]) count(r *row[F]) {
+	s.addChecksum(r.fact)
+	if r.urgent {
+		s.urgent++
+	}
+	if r.sendsLeft > 0 {
+		s.pending++
+	}
+	if r.expiresAt > 0 && (s.nextExpiry == 0 || r.expiresAt < s.nextExpiry) {
+		s.nextExpiry = r.expiresAt
+	}
+}
+
+func (s *store[K, F]) uncount(r *row[F]) {
+	s.addChecksum(r.fact) // a second addition cancels the first
+	if r.urgent {
+		s.urgent--
+	}
+	if r.sendsLeft > 0 {
+		s.pending--
+	}
+}
+
+// addChecksum adds the checksum of a fact to its bucket of the digest.
+func (s *store[K, F]) addChecksum(f F) {
+	if sum := f.checksum(); sum != 0 {
+		s.digest[bucket(f)] ^= uint32(sum >> 32)
+	}
+}
+
 // expire removes the expired facts and returns them.
 func (s *store[K, F]) expire(now time.Duration) (removed []F) {
+	if s.nextExpiry == 0 || now < s.nextExpiry {
+		return nil
+	}
+	s.nextExpiry = 0
+	var expired []*row[F]
 	for _, r := range s.rows.All() {
-		if r.expiresAt > 0 && now >= r.expiresAt {
-			removed = append(removed, r.fact)
+		switch {
+		case r.expiresAt == 0:
+		case now >= r.expiresAt:
+			expired = append(expired, r)
+		case s.nextExpiry == 0 || r.expiresAt < s.nextExpiry:
+			s.nextExpiry = r.expiresAt
 		}
 	}
-	for _, f := range removed {
-		s.rows.Delete(f.key())
+	for _, r := range expired {
+		s.remove(r.fact.key())
+		removed = append(removed, r.fact)
 	}
 	return removed
 }
 
+// remove removes the fact with the key.
+func (s *store[K, F]) remove(k K) {
+	if r, ok := s.rows.Get(k); ok {
+		s.uncount(r)
+		s.rows.Delete(k)
+	}
+}
+
 // collect returns up to limit matching facts with their remaining TTLs. A negative limit
 // means no limit.
 func (s *store[K, F]) collect(now time.Duration, limit int, match func(r *row[F]) bool) (facts []F) {
@@ -120,43 +181,36 @@
 // takePending returns up to limit facts that regular packets still have to carry, and counts them
 // as sent once more.
 func (s *store[K, F]) takePending(now time.Duration, limit int) []F {
+	if s.pending == 0 {
+		return nil
+	}
 	return s.collect(now, limit, func(r *row[F]) bool {
 		if r.sendsLeft == 0 {
 			return false
 		}
-		r.sendsLeft--
+		if r.sendsLeft--; r.sendsLeft == 0 {
+			s.pending--
+		}
 		return true
 	})
 }
 
 // takeUrgent returns the facts to flood to all neighbours, and marks them as flooded.
 func (s *store[K, F]) takeUrgent(now time.Duration) []F {
+	if s.urgent == 0 {
+		return nil
+	}
 	return s.collect(now, -1, func(r *row[F]) bool {
 		if !r.urgent {
 			return false
 		}
 		r.urgent = false
+		s.urgent--
 		return true
 	})
 }
 
-func (s *store[K, F]) hasUrgent() bool {
-	for _, r := range s.rows.All() {
-		if r.urgent {
-			return true
-		}
-	}
-	return false
-}
-
-// addToDigest adds the checksums of the facts to their buckets.
-func (s *store[K, F]) addToDigest(buckets *Digest) {
-	for _, r := range s.rows.All() {
-		if sum := r.fact.checksum(); sum != 0 {
-			buckets[bucket(r.fact)] ^= uint32(sum >> 32)
-		}
-	}
-}
+func (s *store[K, F]) hasUrgent() bool { return s.urgent > 0 }
 
 // inBuckets returns the facts in the buckets of the mask.
 func (s *store[K, F]) inBuckets(now time.Duration, mask uint32) []F {
@@ -181,6 +235,13 @@
 // Digest holds a checksum of the tables for each bucket.
 type Digest [DigestBuckets]uint32
 
+// add adds the checksums of another table.
+func (d *Digest) add(o Digest) {
+	for i, sum := range o {
+		d[i] ^= sum
+	}
+}
+
 // differ returns a bit mask of the buckets in which two digests differ.
 func (d Digest) differ(o Digest) (mask uint32) {
 	for i := range d {
--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -35,7 +35,8 @@
 
 // Hosts provides the hosts that may dispatch.
 type Hosts interface {
-	// Eligible returns the live, serving hosts, this one included while it serves.
+	// Eligible returns the live, serving hosts, this one included while it serves. The list is not
+	// changed once it was returned.
 	Eligible() []Host
 	// Peer returns the address and incarnation of a host.
 	Peer(host string) (address string, incarnation uint64, ok bool)
@@ -54,6 +55,9 @@
 	ctx context.Context
 
 	mutex sync.Mutex
+	// ranked caches the candidates of each group for the eligible hosts rankedHosts.
+	ranked      map[string][]string
+	rankedHosts []Host
 	// backlogs caches the backlogs that the dispatching hosts last reported.
 	backlogs *admit.BacklogCache
 }
@@ -99,7 +103,7 @@
 // NewClient returns a client on the host self, which uses the dispatcher for jobs that no other host
 // dispatches.
 func NewClient(ctx context.Context, self string, hosts Hosts, peers *peer.ConnPool, dispatcher *Dispatcher) *Client {
-	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, backlogs: admit.NewBacklogCache()}
+	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache()}
 }
 
 // Register adds the service by which other hosts submit jobs to this one to a server.
@@ -148,19 +152,40 @@
 	return o
 }
 
-// candidates returns the hosts to try in order, ending with this one. Hosts in the group's zone
-// come first.
+// candidates returns the hosts to try in order, ending with this one. They are ranked once for each
+// list of eligible hosts.
 func (c *Client) candidates(pool, group string) (hosts []string) {
+	eligible, key := c.hosts.Eligible(), groupKey(pool, group)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if !sameList(eligible, c.rankedHosts) {
+		c.ranked, c.rankedHosts = make(map[string][]string), eligible
+	}
+	hosts, ok := c.ranked[key]
+	if !ok {
+		hosts = c.rankCandidates(eligible, key, group)
+		c.ranked[key] = hosts
+	}
+	return hosts
+}
+
+// sameList reports whether two lists are the same slice.
+func sameList(a, b []Host) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
+// rankCandidates ranks the eligible hosts for the key of a group. Hosts in the group's zone come
+// first.
+func (c *Client) rankCandidates(eligible []Host, key, group string) (hosts []string) {
 	var near, far []string
-	for _, h := range c.hosts.Eligible() {
+	for _, h := range eligible {
 		if h.Zone == group {
 			near = append(near, h.Name)
 		} else {
 			far = append(far, h.Name)
 		}
 	}
-	k := groupKey(pool, group)
-	for _, h := range append(member.Rank(k, near), member.Rank(k, far)...) {
+	for _, h := range append(member.First(key, maxRemoteHosts+1, near), member.First(key, maxRemoteHosts+1, far)...) {
 		if h == c.self || len(hosts) == maxRemoteHosts {
 			break
 		}
