Let a few hosts read the store and the others follow them

Ruled out: the flood of the gossip for target entries (each host would send each change to eight others, some 2,600 calls per change at 295 hosts), and a longer wait (a connection that went silent would be noticed too late). Change: core/feed has the copy of the entries with its changes, the choice of readers (two per availability zone, eight at least, by rendezvous hashing), and the rule by which a host that hears from no reader reads itself; io/feed has the copies that follow each other over gRPC: two upstreams per host, one in the own zone, with heartbeats. The gossip of leaving targets by edge hosts is gone. TestReplicasConverge found that a copy which was read in full at a later revision hid removals from its followers; mended.

--- /dev/null
+++ b/core/feed/log.go
@@ -0,0 +1,110 @@
+package feed
+
+import "sassafrasward/core/sortedmap"
+
+// maxRemoved is the number of removed entries that a Log remembers.
+const maxRemoved = 2048
+
+// Item is a published entry, or the removal of one.
+type Item struct {
+	Key   string
+	Value []byte
+	// Revision is the revision of the store at which the entry last changed.
+	Revision uint64
+	// Deleted marks a removed entry; it has no value.
+	Deleted bool
+}
+
+// Update is a set of changes.
+type Update struct {
+	Items []Item
+	// Full is set if Items has all entries. Entries that it lacks were removed.
+	Full bool
+	// Revision is the revision of the store up to which the receiver is then complete.
+	Revision uint64
+}
+
+// Log is a copy of the published entries that can tell what changed since a revision. It is not
+// safe for concurrent use.
+type Log struct {
+	// items has all entries, and the last maxRemoved removed ones.
+	items *sortedmap.Map[string, Item]
+	// removed has the keys of the removed entries, in the order of their removal. A key that was
+	// published again may still be listed.
+	removed []string
+	// complete is the oldest revision since which all removals are known.
+	complete uint64
+	revision uint64
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{items: sortedmap.New[string, Item]()} }
+
+// Revision returns the revision of the store up to which the log is complete; zero if it is empty.
+func (l *Log) Revision() uint64 { return l.revision }
+
+// Apply adds the changes that are newer than the log, and returns these.
+func (l *Log) Apply(u Update) (changes []Item) {
+	if u.Full && u.Revision < l.revision {
+		return nil
+	}
+	if u.Full {
+		u.Items = append(l.missing(u), u.Items...)
+	}
+	for _, item := range u.Items {
+		old, known := l.items.Get(item.Key)
+		if known && old.Revision >= item.Revision || !known && item.Revision <= l.complete {
+			continue
+		}
+		l.items.Put(item.Key, item)
+		if item.Deleted {
+			l.removed = append(l.removed, item.Key)
+		}
+		changes = append(changes, item)
+	}
+	if u.Full {
+		// Entries that were published and removed before the full read are not known.
+		l.complete = max(l.complete, u.Revision)
+	}
+	l.revision = max(l.revision, u.Revision)
+	l.forget()
+	return changes
+}
+
+// missing returns the removals of the entries that a full update lacks.
+func (l *Log) missing(u Update) (removals []Item) {
+	listed := make(map[string]bool, len(u.Items))
+	for _, item := range u.Items {
+		listed[item.Key] = true
+	}
+	for key, item := range l.items.All() {
+		if !listed[key] && !item.Deleted && item.Revision < u.Revision {
+			removals = append(removals, Item{Key: key, Revision: u.Revision, Deleted: true})
+		}
+	}
+	return removals
+}
+
+// forget drops the oldest removed entries above maxRemoved.
+func (l *Log) forget() {
+	for len(l.removed) > maxRemoved {
+		key := l.removed[0]
+		l.removed = l.removed[1:]
+		if item, ok := l.items.Get(key); ok && item.Deleted {
+			l.complete = max(l.complete, item.Revision)
+			l.items.Delete(key)
+		}
+	}
+}
+
+// Since returns the changes after a revision. They are all entries if the removals since then are
+// not known any more.
+func (l *Log) Since(revision uint64) (u Update) {
+	u = Update{Revision: l.revision, Full: revision < l.complete}
+	for _, item := range l.items.All() {
+		if u.Full && !item.Deleted || !u.Full && item.Revision > revision {
+			u.Items = append(u.Items, item)
+		}
+	}
+	return u
+}
--- /dev/null
+++ b/core/feed/log_test.go
@@ -0,0 +1,142 @@
+package feed_test
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"sassafrasward/core/feed"
+)
+
+// store is a model of the store: its entries, and all changes since the start.
+type store struct {
+	revision uint64
+	entries  map[string]feed.Item
+	history  []feed.Item
+}
+
+func (s *store) put(key string, deleted bool) {
+	s.revision++
+	item := feed.Item{Key: key, Revision: s.revision, Deleted: deleted}
+	if deleted {
+		delete(s.entries, key)
+	} else {
+		item.Value = fmt.Append(nil, s.revision)
+		s.entries[key] = item
+	}
+	s.history = append(s.history, item)
+}
+
+// since returns what a long poll returns, and list what a full read returns.
+func (s *store) since(revision uint64) feed.Update {
+	u := feed.Update{Revision: s.revision}
+	for _, item := range s.history {
+		if item.Revision > revision {
+			u.Items = append(u.Items, item)
+		}
+	}
+	return u
+}
+
+func (s *store) list() feed.Update {
+	u := feed.Update{Revision: s.revision, Full: true}
+	for _, item := range s.entries {
+		u.Items = append(u.Items, item)
+	}
+	return u
+}
+
+// replica applies the changes that a log reports, as a host does.
+type replica struct {
+	log     *feed.Log
+	entries map[string]string
+}
+
+func newReplica() *replica { return &replica{log: feed.NewLog(), entries: make(map[string]string)} }
+
+func (r *replica) apply(u feed.Update) {
+	for _, item := range r.log.Apply(u) {
+		if item.Deleted {
+			delete(r.entries, item.Key)
+		} else {
+			r.entries[item.Key] = string(item.Value)
+		}
+	}
+}
+
+// TestReplicasConverge guards against a host that brings back a removed entry or keeps an old one,
+// whatever it receives from the store and from other hosts, in whatever order and however late.
+func TestReplicasConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &store{entries: make(map[string]feed.Item)}
+		s.put("x", false)
+		replicas := []*replica{newReplica(), newReplica(), newReplica()}
+		var late []feed.Update
+		for range rapid.IntRange(5, 60).Draw(t, "steps") {
+			r := replicas[rapid.IntRange(0, 2).Draw(t, "replica")]
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			case 0, 1:
+				s.put(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "key"), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				late = append(late, s.list())
+				r.apply(s.list())
+			case 3:
+				if r.log.Revision() > 0 {
+					r.apply(s.since(r.log.Revision()))
+				}
+			case 4:
+				from := replicas[rapid.IntRange(0, 2).Draw(t, "from")]
+				if from.log.Revision() > 0 {
+					u := from.log.Since(r.log.Revision())
+					late = append(late, u)
+					r.apply(u)
+				}
+			case 5:
+				if len(late) > 0 && r.log.Revision() > 0 {
+					r.apply(rapid.SampledFrom(late).Draw(t, "late"))
+				}
+			}
+		}
+		replicas[0].apply(s.list())
+		replicas[1].apply(replicas[0].log.Since(replicas[1].log.Revision()))
+		replicas[2].apply(replicas[1].log.Since(replicas[2].log.Revision()))
+		want := make(map[string]string)
+		for key, item := range s.entries {
+			want[key] = string(item.Value)
+		}
+		for i, r := range replicas {
+			if !maps.Equal(r.entries, want) {
+				t.Fatalf("replica %d has %v, the store %v", i, r.entries, want)
+			}
+		}
+	})
+}
+
+// TestManyRemovals guards against a copy that grows with each target that ever left, and against a
+// host that misses a removal that is forgotten: it gets all entries instead.
+func TestManyRemovals(t *testing.T) {
+	is := is.New(t)
+	s := &store{entries: make(map[string]feed.Item)}
+	reader := newReplica()
+	s.put("kept", false)
+	s.put("early", false)
+	reader.apply(s.list())
+	behind := newReplica()
+	behind.apply(reader.log.Since(0))
+	s.put("early", true)
+	for i := range 5000 {
+		key := fmt.Sprintf("target%d", i)
+		s.put(key, false)
+		s.put(key, true)
+	}
+	reader.apply(s.since(reader.log.Revision()))
+	u := reader.log.Since(behind.log.Revision())
+	is.True(u.Full)
+	is.Equal(len(u.Items), 1)
+	behind.apply(u)
+	is.Equal(behind.entries, map[string]string{"kept": "1"})
+	is.True(len(reader.log.Since(s.revision-10).Items) < 11) // the newest removals are known
+}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -8,11 +8,13 @@
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/feed"
 	"sassafrasward/core/hostselect"
 	"sassafrasward/core/member"
 	"sassafrasward/core/route"
 	"sassafrasward/io/dispatch"
 	"sassafrasward/io/event"
+	iofeed "sassafrasward/io/feed"
 	"sassafrasward/platform"
 )
 
@@ -25,6 +27,11 @@
 	// minHosts is the minimum number of hosts by which the retry slack is divided, for a host
 	// that doesn't know of all the others yet.
 	minHosts = 8
+	// publishInterval is the minimum time between two publications of changes of the members, each
+	// of which takes work that grows with the fleet.
+	publishInterval = 300 * time.Millisecond
+	// settleTime is the time after the start within which a host learns of the others.
+	settleTime = 3 * time.Second
 	// queueLen is the capacity of the queues of the control goroutine.
 	queueLen = 64
 )
@@ -38,23 +45,24 @@
 
 	members   *member.State
 	targetSet *discovery.Set
-	table     *route.Table
-	version   config.Version
+	// targets and zones are those of the published state. They are not changed any more.
+	targets map[string][]discovery.Target
+	zones   map[string]string
+	table   *route.Table
+	version config.Version
 	// maxHosts is the largest number of live hosts that was known at a time, at least minHosts. The
 	// retry slack is divided by it.
 	maxHosts int
-	// storeDown is set while the store does not respond.
-	storeDown bool
-	draining  bool
-	serving   bool
+	// storeRevision is the revision of the store that the targets reflect.
+	storeRevision uint64
+	// settled is set from settleTime on.
+	settled  bool
+	draining bool
+	serving  bool
+	// nextPublish is when changes of the members may be published again.
+	nextPublish time.Duration
 	// announcements has the events whose state is not published yet.
 	announcements *event.Deferred
-	// listVersion is the version of the last list of targets that was sent to other hosts, and
-	// leaving has the addresses of its leaving targets.
-	listVersion uint64
-	leaving     []string
-	// reportedLeaving has the addresses of leaving targets that other hosts reported.
-	reportedLeaving []string
 }
 
 // run is the control loop. It sends nil on done once the context has ended.
@@ -65,7 +73,6 @@
 		select {
 		case task := <-c.tasks:
 			task()
-			c.publishChanges()
 		case record := <-c.suspects.records:
 			c.gossipCrash(record)
 		case <-ticker.C:
@@ -80,13 +87,14 @@
 // tick does the periodic work of the control loop.
 func (c *control) tick() {
 	c.targetSet.Tick(c.clock())
-	c.members.SetLoadLevel(c.clock(), member.LoadLevel(int(c.running.Load())))
 	c.node.Tick()
 	c.publishChanges()
 	c.conns.CloseIdle()
 }
 
-// Post implements gossip.EventLoop. It queues f to run on the control goroutine.
+// Post implements gossip.EventLoop. It queues f to run on the control goroutine. The changes that f
+// makes to the membership are applied by the next tick: while many hosts start, a new state per
+// packet would cost more than all packets.
 func (c *control) Post(ctx context.Context, f func()) {
 	select {
 	case c.tasks <- f:
@@ -102,26 +110,34 @@
 	return c.applyConfig(raw, "host")
 }
 
-// onUpdate applies the result of a read of the store.
-func (c *control) onUpdate(u update) {
-	if c.storeDown {
-		c.storeDown = false
-		event.Log(c.log, event.StoreRecovered, "revision", u.revision)
-	}
-	c.targetSet.StoreUp(c.clock())
-	for _, item := range u.configs {
-		c.applyConfig(item.Value, "store")
-	}
-	c.applyTargets(u)
+// OnChanges implements feed.Handler.
+func (c *control) OnChanges(ctx context.Context, changes []feed.Item, revision uint64) {
+	c.Post(ctx, func() {
+		for _, item := range changes {
+			if item.Key == platform.KeyConfig && !item.Deleted {
+				c.applyConfig(item.Value, "store")
+			}
+		}
+		c.applyTargets(changes)
+		c.storeRevision = revision
+		c.publishChanges()
+	})
+}
+
+// OnStoreUp implements feed.Handler.
+func (c *control) OnStoreUp(ctx context.Context) {
+	c.Post(ctx, func() {
+		c.targetSet.StoreUp(c.clock())
+		event.Log(c.log, event.StoreRecovered, "revision", c.storeRevision)
+	})
 }
 
-// onStoreError records that the store does not respond.
-func (c *control) onStoreError(err error) {
-	c.targetSet.StoreDown()
-	if !c.storeDown {
-		c.storeDown = true
+// OnStoreDown implements feed.Handler.
+func (c *control) OnStoreDown(ctx context.Context, err error) {
+	c.Post(ctx, func() {
+		c.targetSet.StoreDown()
 		event.LogError(c.log, event.StoreLost, err)
-	}
+	})
 }
 
 // applyConfig applies a configuration if it is newer than the current one. It returns false if
@@ -139,7 +155,7 @@
 	c.table, c.version = t, v
 	c.announcements.Add(event.ConfigAccepted, "version", t.Version(), "source", source)
 	c.node.SetDocument(raw, v)
-	c.publishState()
+	c.publishTargets()
 	c.node.Tick()
 	return true
 }
@@ -148,52 +164,59 @@
 // members have changed.
 func (c *control) publishChanges() {
 	serving := c.table != nil && !c.draining
-	if serving != c.serving {
+	servingChanged := serving != c.serving
+	if servingChanged {
 		c.serving = serving
 		c.members.SetServing(c.clock(), serving)
 		c.announcements.Add(event.HostServing, "serving", serving)
 	}
-	targetsChanged := c.targetSet.Changed()
-	membersChanged := c.node.Publish()
-	if targetsChanged {
-		c.gossipTargets()
+	if c.members.CrashesChanged() {
+		c.suspects.merge(c.members.Crashes())
+	}
+	targetsChanged, membersChanged := c.targetSet.Changed(), false
+	if now := c.clock(); servingChanged || now >= c.nextPublish {
+		membersChanged = c.node.Publish()
+		c.nextPublish = now + publishInterval
+	}
+	if membersChanged || !c.settled && c.clock() >= settleTime {
+		c.updatePlan()
 	}
 	if !targetsChanged && !membersChanged {
 		return
 	}
 	if membersChanged {
-		c.reportedLeaving = c.members.LeavingAddresses()
-		c.suspects.merge(c.node.Snapshot().Crashes())
 		c.updateSlack()
 	}
-	c.publishState()
+	if targetsChanged {
+		c.publishTargets()
+	} else {
+		c.publishState()
+	}
 }
 
-// gossipTargets sends the addresses of the leaving and the live targets to other hosts, for those
-// that can't read the store.
-func (c *control) gossipTargets() {
-	leaving := c.targetSet.LeavingAddresses()
-	var live []string
-	for _, list := range c.targetSet.Targets() {
-		for _, t := range list {
-			if !t.Leaving {
-				live = append(live, t.Address)
-			}
+// updatePlan decides whether this host reads the store, and which hosts it follows otherwise. Until
+// settleTime after its start, when it may not know the others yet, it leaves the store to the seeds.
+func (c *control) updatePlan() {
+	var hosts []feed.Host
+	for _, m := range c.node.Snapshot().Members() {
+		if m.Liveness == member.Alive && m.Lifecycle != member.Draining {
+			hosts = append(hosts, feed.Host{Name: m.Name, Zone: m.Zone, Address: m.Peer})
 		}
 	}
-	if slices.Equal(leaving, c.leaving) && len(c.reportedLeaving) == 0 {
-		return
-	}
-	c.leaving = leaving
-	c.listVersion = max(c.listVersion+1, c.targetSet.Revision())
-	c.members.SetHostList(c.clock(), member.HostList{Version: c.listVersion, Leaving: leaving, Live: live})
-	c.node.Tick()
+	self := feed.Host{Name: c.settings.Host(), Zone: c.settings.Zone(), Address: c.settings.PeerAddress()}
+	seeds := c.settings.Seeds()
+	readers := feed.Readers(hosts)
+	c.settled = c.settled || c.clock() >= settleTime
+	first := len(seeds) == 0 || slices.Contains(seeds, self.Address)
+	reader := first && !c.settled || c.settled && slices.ContainsFunc(readers, func(h feed.Host) bool { return h.Name == self.Name })
+	c.watcher.reader.Store(reader)
+	c.follower.SetPlan(iofeed.Plan{Reader: reader, Upstreams: feed.Upstreams(self, readers, seeds)})
 }
 
 // updateSlack sets this host's share of the retry slack.
 func (c *control) updateSlack() {
 	live := 0
-	for _, m := range c.members.Members() {
+	for _, m := range c.node.Snapshot().Members() {
 		if m.Liveness != member.Dead {
 			live++
 		}
@@ -204,39 +227,42 @@
 	c.dispatcher.SetSlack(slack)
 }
 
-// publishState publishes a new state and configures the choosers and the dispatcher with it.
-func (c *control) publishState() {
-	s := &state{table: c.table, targets: c.targetSet.Targets(), zones: make(map[string]string), draining: c.draining}
-	count := 0
-	for name, list := range s.targets {
-		for i, t := range list {
-			s.zones[t.Address] = t.Zone
-			if c.storeDown && slices.Contains(c.reportedLeaving, t.Address) {
-				list[i].Leaving = true
-			}
-			count++
+// publishTargets configures the choosers and the dispatcher with the targets and the configuration,
+// and publishes a new state.
+func (c *control) publishTargets() {
+	c.targets, c.zones = c.targetSet.Targets(), make(map[string]string)
+	for _, list := range c.targets {
+		for _, t := range list {
+			c.zones[t.Address] = t.Zone
 		}
-		s.targets[name] = list
 	}
+	c.choosers.configure(c.targets)
+	if c.table != nil {
+		c.dispatcher.Configure(c.table, c.targets)
+	}
+	if old := c.state.Load(); len(old.zones) != len(c.zones) {
+		c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision)
+	}
+	c.publishState()
+}
+
+// publishState publishes a new state with the targets of the last publishTargets.
+func (c *control) publishState() {
+	s := &state{table: c.table, targets: c.targets, zones: c.zones, draining: c.draining}
 	for _, m := range c.node.Snapshot().Members() {
 		if m.Liveness == member.Dead || m.Lifecycle != member.Serving {
 			continue
 		}
 		s.hosts = append(s.hosts, hostselect.Candidate{
-			Host: m.Name, Address: m.Address, Zone: m.Zone, LoadLevel: m.LoadLevel, Suspected: m.Liveness == member.Suspected,
+			Host: m.Name, Address: m.Address, Zone: m.Zone, Suspected: m.Liveness == member.Suspected,
 		})
 		if m.Liveness == member.Alive {
 			s.eligible = append(s.eligible, dispatch.Host{Name: m.Name, Zone: m.Zone})
 		}
 	}
-	c.choosers.configure(s.targets)
-	if c.table != nil {
-		c.dispatcher.Configure(c.table, s.targets)
-	}
-	if old := c.state.Load(); old == nil || old.targetCount != count {
-		c.announcements.Add(event.TargetsChanged, "targets", count, "revision", c.targetSet.Revision())
+	if old := c.state.Load(); slices.Equal(old.eligible, s.eligible) {
+		s.eligible = old.eligible // keeps what is cached for this list
 	}
-	s.targetCount = count
 	c.state.Store(s)
 	c.announcements.Flush()
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -20,6 +20,7 @@
 	"sassafrasward/core/quota"
 	"sassafrasward/io/dispatch"
 	"sassafrasward/io/event"
+	iofeed "sassafrasward/io/feed"
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/peer"
@@ -55,10 +56,12 @@
 	state    atomic.Pointer[state]
 	choosers *choosers
 	conns    *transport.Pool
-	// peers has the connections for jobs, gossipPeers those for gossip. They are separate because
-	// gossip closes a connection when a call fails, which would cut off the jobs on it.
+	// peers has the connections for jobs, gossipPeers those for gossip, and feedPeers those to the
+	// hosts that this one follows. They are separate because gossip and the follower close a
+	// connection when a call fails, which would cut off the other calls on it.
 	peers          *peer.ConnPool
 	gossipPeers    *peer.ConnPool
+	feedPeers      *peer.ConnPool
 	server         *peer.Server
 	dispatcher     *dispatch.Dispatcher
 	dispatchClient *dispatch.Client
@@ -67,6 +70,8 @@
 	frontend       *frontend
 	suspects       *suspects
 	watcher        *watcher
+	hub            *iofeed.Hub
+	follower       *iofeed.Follower
 	// running is the number of requests in progress. lastArrival is when the last request arrived,
 	// on the clock of this host, in nanoseconds.
 	running     atomic.Int64
@@ -93,7 +98,7 @@
 	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		return transport.Dial(ctx, "tcp", address)
 	})
-	e.peers, e.gossipPeers = peer.NewConnPool(dial), peer.NewConnPool(dial)
+	e.peers, e.gossipPeers, e.feedPeers = peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial)
 	e.server = peer.NewServer()
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, log, e.metrics, newQuota)
 	e.newControl()
@@ -115,14 +120,17 @@
 	}, member.WithSeeds(s.Seeds()...), member.WithStandalone(true), member.WithPeriod(gossipInterval))
 	e.node = gossip.New(c.members, c, e.gossipPeers, e.log, e.metrics)
 	e.node.Register(e.server.Registrar())
+	e.hub = iofeed.NewHub(e.clock, c)
+	e.hub.Register(e.server.Registrar())
+	e.follower = iofeed.NewFollower(e.hub, e.feedPeers)
 	calls := e.metrics.Counter("platform.calls")
 	e.watcher = &watcher{
-		wait:     s.Limits().RecoveryTime - watchSlack - watchMargin,
+		hub: e.hub, clock: e.clock, jitter: rand.Float64(),
+		wait:     min(s.Limits().RecoveryTime-watchSlack-watchMargin, maxWait),
 		coalesce: s.Limits().CoalesceDelay(),
 		store:    platform.NewStore(s.PlatformAddress(), transport.Dial, func() { calls.Inc(1) }),
-		onUpdate: func(ctx context.Context, u update) { c.Post(ctx, func() { c.onUpdate(u) }) },
-		onError:  func(ctx context.Context, err error) { c.Post(ctx, func() { c.onStoreError(err) }) },
 	}
+	c.updatePlan()
 }
 
 // dispatchHosts implements dispatch.Hosts with the published state and the gossip node.
@@ -156,8 +164,8 @@
 	}
 	servers := e.servers()
 	// ends receives one value each from the HTTP servers, the peer server, the control goroutine,
-	// the watcher and the dispatcher. It is buffered for all of them, so that none blocks.
-	ends := make(chan error, len(servers)+4)
+	// the watcher, the follower and the dispatcher. It is buffered for all of them, so that none blocks.
+	ends := make(chan error, len(servers)+5)
 	for _, s := range servers {
 		l, err := transport.Listen(ctx, s.Addr)
 		if err != nil {
@@ -168,6 +176,7 @@
 	go e.server.Serve(peerListener, ends)
 	go e.control.run(e.ctx, ends)
 	go e.watcher.run(e.ctx, ends)
+	go e.follower.Run(e.ctx, ends)
 	go e.dispatcher.Run(e.ctx, ends)
 	select {
 	case <-ctx.Done():
@@ -181,6 +190,7 @@
 	e.server.Stop()
 	e.peers.Close()
 	e.gossipPeers.Close()
+	e.feedPeers.Close()
 	event.Log(e.log, event.HostStopped, "host", e.settings.Host())
 	return err
 }
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -25,8 +25,6 @@
 	hosts []hostselect.Candidate
 	// eligible has the hosts that may dispatch.
 	eligible []dispatch.Host
-	// targetCount is the number of targets in all pools.
-	targetCount int
 	// draining is set while the host drains before it stops.
 	draining bool
 }
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -4,14 +4,21 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"time"
 
-	"sassafrasward/core/discovery"
+	"sassafrasward/core/feed"
 	"sassafrasward/io/event"
+	iofeed "sassafrasward/io/feed"
 	"sassafrasward/platform"
 )
 
 const (
+	// maxWait is the longest time that a long poll waits for changes. Hosts that follow this one
+	// rely on it to know how current their copy is.
+	maxWait = 2 * time.Second
+	// idleCheck is the longest time between two checks of a host that does not read the store.
+	idleCheck = 1 * time.Second
 	// readTimeout is the timeout of a read of the store that doesn't wait for changes.
 	readTimeout = 1 * time.Second
 	// watchSlack is how much longer than its wait a long poll may take.
@@ -24,102 +31,104 @@
 	maxBackoff = 600 * time.Millisecond
 )
 
-// update is the result of one read of the store.
-type update struct {
-	// configs has the published configurations, oldest first.
-	configs []platform.Item
-	// targets has the changed entries of targets, or all entries if full is set.
-	targets []platform.Item
-	full    bool
-	// revision is the revision of the store.
-	revision uint64
-}
-
-// watcher reads the store with long polls and reports changes.
+// watcher reads the store with long polls while this host has to, and adds what it reads to the copy
+// that other hosts follow.
 type watcher struct {
 	store *platform.Store
+	hub   *iofeed.Hub
+	clock func() time.Duration
+	// reader is set while this host reads the store for others.
+	reader atomic.Bool
+	// jitter is a random number of this host in [0, 1).
+	jitter float64
 	// wait is how long a long poll waits for changes.
 	wait time.Duration
 	// coalesce is the delay after a read with changes, so that the next read returns more of them.
 	coalesce time.Duration
-	// onUpdate is called for each read and onError for each failed read, on the goroutine of the
-	// watcher.
-	onUpdate func(ctx context.Context, u update)
-	onError  func(ctx context.Context, err error)
+	// lastRead is when the last read ended.
+	lastRead time.Duration
 }
 
 // run reads the store until the context ends, then sends nil on done. If the store has compacted
 // the last revision, it reads everything again.
 func (w *watcher) run(ctx context.Context, done chan<- error) {
 	backoff := minBackoff
-	revision := uint64(0)
+	compacted := false
 	for ctx.Err() == nil {
-		u, err := w.read(ctx, revision)
-		if errors.Is(err, platform.ErrCompacted) {
-			revision = 0
+		if wait := w.readIn(); wait > 0 {
+			w.hub.StoreUnread()
+			sleep(ctx, min(wait, idleCheck))
 			continue
 		}
-		if err != nil {
-			w.onError(ctx, err)
+		u, err := w.read(ctx, compacted)
+		w.lastRead = w.clock()
+		compacted = errors.Is(err, platform.ErrCompacted)
+		switch {
+		case compacted:
+		case err != nil:
+			w.hub.StoreFailed(ctx, err)
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
-			continue
-		}
-		backoff = minBackoff
-		revision = u.revision
-		w.onUpdate(ctx, u)
-		if len(u.configs)+len(u.targets) > 0 {
-			sleep(ctx, w.coalesce)
+		default:
+			backoff = minBackoff
+			w.hub.StoreResponded(ctx, u)
+			if len(u.Items) > 0 {
+				sleep(ctx, w.coalesce)
+			}
 		}
 	}
 	done <- nil
 }
 
-// read returns everything if the revision is zero, otherwise the changes after the revision.
-func (w *watcher) read(ctx context.Context, revision uint64) (u update, err error) {
-	if revision == 0 {
+// readIn returns the time after which the store has to be read, zero for now.
+func (w *watcher) readIn() time.Duration {
+	return feed.ReadState{
+		Reader: w.reader.Load(), Empty: w.hub.Revision() == 0, Down: w.hub.DownElsewhere(), Age: w.hub.Age(), SinceRead: w.clock() - w.lastRead, Jitter: w.jitter,
+	}.ReadIn()
+}
+
+// read returns the changes after the revision of the copy, or everything if there is none or the
+// store no longer has the changes.
+func (w *watcher) read(ctx context.Context, compacted bool) (u feed.Update, err error) {
+	revision := w.hub.Revision()
+	if revision == 0 || compacted {
 		return w.readAll(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, w.wait+watchSlack)
 	defer cancel()
 	items, newRevision, err := w.store.Watch(ctx, "", revision, w.wait)
 	if err != nil {
-		return update{}, err
+		return feed.Update{}, err
 	}
-	u.revision = max(newRevision, revision)
-	for _, item := range items {
-		u.add(item)
-	}
-	return u, nil
+	return feed.Update{Items: published(items), Revision: max(newRevision, revision)}, nil
 }
 
-// add adds a changed entry if it is a configuration or a target, and ignores other entries.
-func (u *update) add(item platform.Item) {
-	switch {
-	case item.Key == platform.KeyConfig && !item.Deleted:
-		u.configs = append(u.configs, item)
-	case strings.HasPrefix(item.Key, platform.PrefixTargets):
-		u.targets = append(u.targets, item)
+// published returns the items that are the configuration or targets.
+func published(items []platform.Item) (list []feed.Item) {
+	for _, i := range items {
+		if i.Key == platform.KeyConfig || strings.HasPrefix(i.Key, platform.PrefixTargets) {
+			list = append(list, feed.Item(i))
+		}
 	}
+	return list
 }
 
 // readAll returns the configuration and all targets.
-func (w *watcher) readAll(ctx context.Context) (u update, err error) {
+func (w *watcher) readAll(ctx context.Context) (u feed.Update, err error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	items, revision, err := w.store.List(ctx, platform.PrefixTargets)
 	if err != nil {
-		return update{}, err
+		return feed.Update{}, err
 	}
 	config, _, ok, err := w.store.Get(ctx, platform.KeyConfig)
 	if err != nil {
-		return update{}, err
+		return feed.Update{}, err
 	}
-	u = update{targets: items, full: true, revision: revision}
 	if ok {
-		u.configs = append(u.configs, config)
+		items = append(items, config)
 	}
-	return u, nil
+	return feed.Update{Items: published(items), Full: true, Revision: revision}, nil
 }
 
 // sleep waits for d or until the context ends.
@@ -132,32 +141,25 @@
 	}
 }
 
-// applyTargets applies the target entries of a read to the known targets. An invalid entry counts
-// as removed.
-func (c *control) applyTargets(u update) {
+// applyTargets applies changed target entries to the known targets. An invalid entry counts as
+// removed.
+func (c *control) applyTargets(changes []feed.Item) {
 	now := c.clock()
-	var list []discovery.Target
-	for _, item := range u.targets {
-		id := strings.TrimPrefix(item.Key, platform.PrefixTargets)
-		if item.Deleted {
+	for _, item := range changes {
+		id, ok := strings.CutPrefix(item.Key, platform.PrefixTargets)
+		switch {
+		case !ok:
+			continue
+		case item.Deleted:
 			c.targetSet.Remove(now, id, item.Revision)
 			continue
 		}
-		t, err := platform.DecodeTarget(item)
+		t, err := platform.DecodeTarget(platform.Item(item))
 		if err != nil {
 			event.LogError(c.log, event.EntryIgnored, err, "key", item.Key, "revision", item.Revision)
-			if !u.full {
-				c.targetSet.Remove(now, id, item.Revision)
-			}
+			c.targetSet.Remove(now, id, item.Revision)
 			continue
 		}
-		list = append(list, t)
-	}
-	if u.full {
-		c.targetSet.Replace(now, list, u.revision)
-		return
-	}
-	for _, t := range list {
 		c.targetSet.Put(t)
 	}
 }
--- /dev/null
+++ b/io/feed/feed_test.go
@@ -0,0 +1,240 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/grpc"
+
+	"sassafrasward/core/feed"
+	iofeed "sassafrasward/io/feed"
+	"sassafrasward/io/feed/message"
+	"sassafrasward/io/peer"
+)
+
+// recorder is a Handler that keeps what it gets.
+type recorder struct {
+	mutex     sync.Mutex
+	entries   map[string]string
+	down, ups int
+}
+
+func (r *recorder) OnChanges(_ context.Context, changes []feed.Item, _ uint64) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, item := range changes {
+		if item.Deleted {
+			delete(r.entries, item.Key)
+		} else {
+			r.entries[item.Key] = string(item.Value)
+		}
+	}
+}
+
+func (r *recorder) OnStoreDown(context.Context, error) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.down++
+}
+
+func (r *recorder) OnStoreUp(context.Context) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.ups++
+}
+
+func (r *recorder) get(key string) string {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.entries[key]
+}
+
+func (r *recorder) downs() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.down
+}
+
+// testHost is a hub with its server and its follower.
+type testHost struct {
+	*recorder
+	hub      *iofeed.Hub
+	follower *iofeed.Follower
+	address  string
+	server   *peer.Server
+	// followed counts the hosts that followed this one.
+	followed *atomic.Int64
+}
+
+// countingRegistrar counts the calls to the streaming method of a service.
+type countingRegistrar struct {
+	grpc.ServiceRegistrar
+	calls *atomic.Int64
+}
+
+func (c countingRegistrar) RegisterService(d *grpc.ServiceDesc, impl any) {
+	counted := *d
+	counted.Streams = nil
+	for _, s := range d.Streams {
+		handler := s.Handler
+		s.Handler = func(srv any, stream grpc.ServerStream) error {
+			c.calls.Add(1)
+			return handler(srv, stream)
+		}
+		counted.Streams = append(counted.Streams, s)
+	}
+	c.ServiceRegistrar.RegisterService(&counted, impl)
+}
+
+func startHost(t *testing.T) *testHost {
+	t.Helper()
+	began := time.Now()
+	h := &testHost{recorder: &recorder{entries: make(map[string]string)}, server: peer.NewServer(), followed: &atomic.Int64{}}
+	h.hub = iofeed.NewHub(func() time.Duration { return time.Since(began) }, h.recorder)
+	h.hub.Register(countingRegistrar{h.server.Registrar(), h.followed})
+	conns := peer.NewConnPool()
+	h.follower = iofeed.NewFollower(h.hub, conns)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	h.address = listener.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	ends := make(chan error, 2)
+	go h.server.Serve(listener, ends)
+	go h.follower.Run(ctx, ends)
+	t.Cleanup(func() {
+		cancel()
+		h.server.Stop()
+		conns.Close()
+		<-ends
+		<-ends
+	})
+	return h
+}
+
+// publish adds an entry as if the host had read it from the store.
+func (h *testHost) publish(key, value string, revision uint64) {
+	h.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: key, Value: []byte(value), Revision: revision}}, Revision: revision, Full: h.hub.Revision() == 0})
+}
+
+func wait(t *testing.T, condition func() bool) {
+	t.Helper()
+	for range 1000 {
+		if condition() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	t.Fatal("condition not met within 10 s")
+}
+
+// TestFollow guards against a follower that misses a change: those before it began, those after, and
+// those while a host that it follows is gone.
+func TestFollow(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b, c := startHost(t), startHost(t), startHost(t)
+	a.publish("x", "1", 1)
+	b.publish("x", "1", 1)
+	c.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address, b.address}})
+	wait(t, func() bool { return c.get("x") == "1" })
+	a.publish("x", "2", 2)
+	wait(t, func() bool { return c.get("x") == "2" })
+	is.True(c.hub.Age() < time.Second)
+	a.server.Stop()
+	b.publish("x", "3", 3)
+	wait(t, func() bool { return c.get("x") == "3" })
+	is.Equal(c.hub.Revision(), uint64(3))
+}
+
+// TestReaderFollowsNobody guards against readers that follow each other while they reach the store,
+// and against one that is turned away by the store and does not ask those that are not.
+func TestReaderFollowsNobody(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b := startHost(t), startHost(t)
+	a.publish("x", "1", 1)
+	b.publish("x", "1", 1)
+	b.follower.SetPlan(iofeed.Plan{Reader: true, Upstreams: []string{a.address}})
+	time.Sleep(100 * time.Millisecond)
+	is.Equal(a.followed.Load(), int64(0))
+	b.hub.StoreFailed(context.Background(), errors.New("turned away"))
+	a.publish("x", "2", 2)
+	wait(t, func() bool { return b.get("x") == "2" })
+	is.Equal(a.followed.Load(), int64(1))
+	is.Equal(b.downs(), 1)
+	b.publish("x", "3", 3) // the store responds again
+	is.Equal(b.get("x"), "3")
+}
+
+// TestStoreDownAtUpstream guards against a host that stays with a reader which the store turned
+// away while another reader reaches it, and against one that takes that for an outage.
+func TestStoreDownAtUpstream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b, c, d := startHost(t), startHost(t), startHost(t), startHost(t)
+	for _, h := range []*testHost{a, b, c} {
+		h.publish("x", "1", 1)
+	}
+	d.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address, b.address, c.address}})
+	wait(t, func() bool { return a.followed.Load() == 1 && b.followed.Load() == 1 && d.get("x") == "1" })
+	is.Equal(c.followed.Load(), int64(0))
+	a.hub.StoreFailed(context.Background(), errors.New("turned away"))
+	b.hub.StoreFailed(context.Background(), errors.New("turned away"))
+	c.publish("x", "2", 2)
+	wait(t, func() bool { return d.get("x") == "2" })
+	is.True(d.downs() <= 1)
+	wait(t, func() bool { return !d.hub.DownElsewhere() })
+}
+
+// silentServer accepts the call and sends nothing, as a paused host does.
+type silentServer struct {
+	message.UnimplementedFeedServer
+}
+
+func (silentServer) Follow(_ *message.Position, stream grpc.ServerStreamingServer[message.Update]) error {
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
+// TestSilentUpstream guards against a host that waits for a paused host instead of following
+// another one.
+func TestSilentUpstream(t *testing.T) {
+	t.Parallel()
+	server := peer.NewServer()
+	message.RegisterFeedServer(server.Registrar(), silentServer{})
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go server.Serve(listener, ended)
+	defer func() {
+		server.Stop()
+		<-ended
+	}()
+	a, b := startHost(t), startHost(t)
+	a.publish("x", "1", 1)
+	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{listener.Addr().String(), "127.0.0.1:1", a.address}})
+	wait(t, func() bool { return b.get("x") == "1" })
+}
+
+// TestEmptyUpstream guards against a host that takes the empty copy of a host that has just started
+// for the truth.
+func TestEmptyUpstream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b := startHost(t), startHost(t)
+	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
+	time.Sleep(300 * time.Millisecond)
+	is.Equal(b.hub.Revision(), uint64(0))
+	a.publish("x", "1", 1)
+	wait(t, func() bool { return b.get("x") == "1" })
+}
--- /dev/null
+++ b/io/feed/follower.go
@@ -0,0 +1,230 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"sassafrasward/core/feed"
+	"sassafrasward/io/feed/message"
+	"sassafrasward/io/peer"
+)
+
+const (
+	// maxLinks is the number of hosts that a host follows at a time.
+	maxLinks = 2
+	// acceptTimeout is how long to wait for the first update of another host.
+	acceptTimeout = 700 * time.Millisecond
+	// heartbeatTimeout is the time without an update after which the other host counts as gone.
+	heartbeatTimeout = heartbeatInterval + 1500*time.Millisecond
+	// retryDelay is the time after which a host that could not be followed is tried again, and
+	// startRetryDelay that time while there is no copy.
+	retryDelay      = 1500 * time.Millisecond
+	startRetryDelay = 200 * time.Millisecond
+	// downRetryDelay is the time after which a host to which the store did not respond is followed
+	// again.
+	downRetryDelay = 10 * time.Second
+)
+
+// errStoreDown is reported if the store does not respond to the followed hosts.
+var errStoreDown = errors.New("the store does not respond to the hosts that this one follows")
+
+// Plan is the role of this host in the fleet.
+type Plan struct {
+	// Reader is set if this host reads the store for others. It follows other hosts only while the
+	// store does not respond to it.
+	Reader bool
+	// Upstreams has the addresses of the hosts that can be followed, the preferred ones first.
+	Upstreams []string
+}
+
+// Follower keeps the copy of a hub current from other hosts. It is safe for concurrent use.
+type Follower struct {
+	hub   *Hub
+	peers *peer.ConnPool
+	// planned gets a value when the plan changes.
+	planned chan struct{}
+
+	mutex sync.Mutex
+	plan  Plan
+}
+
+// NewFollower returns a follower that adds to the hub what it receives. Run starts it.
+func NewFollower(hub *Hub, peers *peer.ConnPool) *Follower {
+	return &Follower{hub: hub, peers: peers, planned: make(chan struct{}, 1)}
+}
+
+// SetPlan sets the role of this host.
+func (f *Follower) SetPlan(p Plan) {
+	f.mutex.Lock()
+	same := f.plan.Reader == p.Reader && slices.Equal(f.plan.Upstreams, p.Upstreams)
+	f.plan = p
+	f.mutex.Unlock()
+	if same {
+		return
+	}
+	select {
+	case f.planned <- struct{}{}:
+	default:
+	}
+}
+
+func (f *Follower) currentPlan() Plan {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.plan
+}
+
+// links has the followed hosts by address. Only the goroutine of Run uses it.
+type links struct {
+	cancels map[string]context.CancelFunc
+	// retryAt is when a host that could not be followed is tried again.
+	retryAt map[string]time.Duration
+	// ends receives the address of each link that has ended.
+	ends chan string
+}
+
+// Run follows other hosts until the context ends. It then sends nil on done.
+func (f *Follower) Run(ctx context.Context, done chan<- error) {
+	l := &links{cancels: make(map[string]context.CancelFunc), retryAt: make(map[string]time.Duration), ends: make(chan string)}
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		f.adjust(ctx, l)
+		timer.Reset(f.delay())
+		select {
+		case address := <-l.ends:
+			f.remove(l, address)
+		case <-f.planned:
+		case <-timer.C:
+			f.replace(l)
+		case <-ctx.Done():
+		}
+	}
+	for _, cancel := range l.cancels {
+		cancel()
+	}
+	for len(l.cancels) > 0 {
+		f.remove(l, <-l.ends)
+	}
+	done <- nil
+}
+
+// delay returns the time after which the links are looked at again.
+func (f *Follower) delay() time.Duration {
+	if f.hub.Revision() == 0 {
+		return startRetryDelay
+	}
+	return retryDelay
+}
+
+// remove forgets a link that has ended.
+func (f *Follower) remove(l *links, address string) {
+	l.cancels[address]()
+	delete(l.cancels, address)
+	delay := f.delay()
+	if f.hub.failing(address) {
+		delay = downRetryDelay
+	}
+	l.retryAt[address] = f.hub.clock() + delay
+	f.hub.gone(address)
+}
+
+// wanted returns the number of hosts to follow.
+func (f *Follower) wanted(plan Plan) int {
+	if plan.Reader && !f.hub.failing(storeSource) {
+		return 0
+	}
+	return min(maxLinks, len(plan.Upstreams))
+}
+
+// available returns the hosts of the plan that can be followed in addition.
+func (f *Follower) available(l *links, plan Plan) (addresses []string) {
+	now := f.hub.clock()
+	for _, address := range plan.Upstreams {
+		if l.cancels[address] == nil && now >= l.retryAt[address] {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// adjust starts and ends links so that their number matches the plan.
+func (f *Follower) adjust(ctx context.Context, l *links) {
+	plan := f.currentPlan()
+	want := f.wanted(plan)
+	for address, cancel := range l.cancels {
+		if len(l.cancels) > want && !slices.Contains(plan.Upstreams[:want], address) || want == 0 {
+			cancel()
+			return // the links are looked at again once this one has ended
+		}
+	}
+	for _, address := range f.available(l, plan) {
+		if len(l.cancels) < want {
+			f.start(ctx, l, address)
+		}
+	}
+}
+
+// replace ends a link if an available host is preferred: because the store does not respond to the
+// followed one, or by the order of the plan.
+func (f *Follower) replace(l *links) {
+	plan := f.currentPlan()
+	want, available := f.wanted(plan), f.available(l, plan)
+	for address, cancel := range l.cancels {
+		preferred := len(available) > 0 && slices.Contains(plan.Upstreams[:want], available[0])
+		if len(available) > 0 && f.hub.failing(address) || preferred && !slices.Contains(plan.Upstreams[:want], address) {
+			cancel()
+			return
+		}
+	}
+}
+
+// start follows a host.
+func (f *Follower) start(ctx context.Context, l *links, address string) {
+	ctx, cancel := context.WithCancel(ctx)
+	l.cancels[address] = cancel
+	go func() {
+		f.follow(ctx, address)
+		l.ends <- address
+	}()
+}
+
+// follow adds the updates of another host to the hub until it does not respond or the context
+// ends.
+func (f *Follower) follow(ctx context.Context, address string) {
+	conn, err := f.peers.Conn(address)
+	if err != nil {
+		return
+	}
+	callCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := time.AfterFunc(acceptTimeout, cancel)
+	defer timer.Stop()
+	stream, err := message.NewFeedClient(conn).Follow(callCtx, &message.Position{Revision: f.hub.Revision()})
+	for err == nil {
+		var m *message.Update
+		if m, err = stream.Recv(); err != nil {
+			break
+		}
+		timer.Reset(heartbeatTimeout)
+		err = f.receive(ctx, address, m)
+	}
+	if ctx.Err() == nil {
+		// The connection may be dead while new ones to the host work.
+		f.peers.Drop(address, conn)
+	}
+}
+
+// receive adds one update of a followed host to the hub.
+func (f *Follower) receive(ctx context.Context, address string, m *message.Update) (err error) {
+	items, err := unpack(m.GetPacked())
+	if err != nil {
+		return err
+	}
+	u := feed.Update{Items: items, Full: m.GetFull(), Revision: m.GetRevision()}
+	f.hub.apply(ctx, address, time.Duration(m.GetAge())*time.Millisecond, m.GetDown(), u)
+	return nil
+}
--- /dev/null
+++ b/io/feed/hub.go
@@ -0,0 +1,142 @@
+package feed
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"sassafrasward/core/feed"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("feed")
+
+// storeSource is the name of the store among the sources of the copy.
+const storeSource = "store"
+
+// Handler gets what changes in the copy. Its methods are called one at a time.
+type Handler interface {
+	// OnChanges is called with the entries that changed, and the revision of the copy.
+	OnChanges(ctx context.Context, changes []feed.Item, revision uint64)
+	// OnStoreDown is called when the store responds neither to this host any more nor to those that
+	// it follows, and OnStoreUp when it responds again.
+	OnStoreDown(ctx context.Context, err error)
+	OnStoreUp(ctx context.Context)
+}
+
+// Hub holds this host's copy of the published entries. It is safe for concurrent use.
+type Hub struct {
+	clock   func() time.Duration
+	handler Handler
+	// order serializes the calls of the handler. It is locked before mutex.
+	order sync.Mutex
+
+	mutex     sync.Mutex
+	log       *feed.Log
+	freshness *feed.Freshness
+	// changed is closed and replaced when the copy changes or the store goes down.
+	changed chan struct{}
+	// snapshot caches the packed entries of a full update at a revision.
+	snapshot         []byte
+	snapshotRevision uint64
+}
+
+// NewHub returns a hub without entries.
+func NewHub(clock func() time.Duration, handler Handler) *Hub {
+	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), changed: make(chan struct{})}
+}
+
+// Revision returns the revision of the store up to which the copy is complete; zero if it is empty.
+func (h *Hub) Revision() uint64 {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.log.Revision()
+}
+
+// Age returns how long ago the copy was last known to be current.
+func (h *Hub) Age() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.freshness.Age(h.clock())
+}
+
+// DownElsewhere reports whether this host follows others and the store responds to none of them.
+func (h *Hub) DownElsewhere() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.freshness.Down() && h.freshness.Followed(storeSource)
+}
+
+// failing reports whether the store does not respond to a source.
+func (h *Hub) failing(source string) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.freshness.Failing(source)
+}
+
+// StoreResponded adds what this host read from the store.
+func (h *Hub) StoreResponded(ctx context.Context, u feed.Update) {
+	h.apply(ctx, storeSource, 0, false, u)
+}
+
+// StoreFailed records a failed read of the store.
+func (h *Hub) StoreFailed(ctx context.Context, err error) {
+	h.order.Lock()
+	defer h.order.Unlock()
+	h.fail(ctx, storeSource, err)
+}
+
+// StoreUnread records that this host does not read the store at present.
+func (h *Hub) StoreUnread() { h.gone(storeSource) }
+
+// apply adds an update of a source whose copy was current age ago. down is set if the store does not
+// respond to the source.
+func (h *Hub) apply(ctx context.Context, source string, age time.Duration, down bool, u feed.Update) {
+	h.order.Lock()
+	defer h.order.Unlock()
+	h.mutex.Lock()
+	changes := h.log.Apply(u)
+	revision := h.log.Revision()
+	recovered := !down && h.freshness.Succeeded(source, h.clock()-age)
+	if len(changes) > 0 || recovered {
+		h.notify()
+	}
+	h.mutex.Unlock()
+	if recovered {
+		h.handler.OnStoreUp(ctx)
+	}
+	if len(changes) > 0 {
+		h.handler.OnChanges(ctx, changes, revision)
+	}
+	if down {
+		h.fail(ctx, source, errStoreDown)
+	}
+}
+
+// fail records that the store does not respond to a source. The order is locked.
+func (h *Hub) fail(ctx context.Context, source string, err error) {
+	h.mutex.Lock()
+	lost := h.freshness.Failed(source)
+	if lost {
+		h.notify()
+	}
+	h.mutex.Unlock()
+	if lost {
+		h.handler.OnStoreDown(ctx, err)
+	}
+}
+
+// gone records that a source itself does not respond.
+func (h *Hub) gone(source string) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.freshness.Gone(source)
+}
+
+// notify wakes those that wait for a change. The mutex is held.
+func (h *Hub) notify() {
+	close(h.changed)
+	h.changed = make(chan struct{})
+}
--- /dev/null
+++ b/io/feed/message/doc.go
@@ -0,0 +1,3 @@
+// Package message holds the gRPC service and messages by which hosts follow each other's copy of
+// the published entries.
+package message
