Stop the ticks of a dispatcher that has nothing to dispatch

Cause: each host woke 20 times a second for its dispatcher, though in a large fleet most hosts dispatch nothing. Change: the dispatcher ticks only while it has jobs, calls or results.

--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -77,6 +77,8 @@
 	groups      map[string][]string
 	// lastID is the ID of the last job.
 	lastID uint64
+	// submitted gets a value when a job is submitted.
+	submitted chan struct{}
 	// running tracks the goroutines of calls and of the release of results.
 	running sync.WaitGroup
 	// ctx ends all calls.
@@ -85,7 +87,7 @@
 
 // NewDispatcher returns a dispatcher without pools; its calls end with the context.
 func NewDispatcher(ctx context.Context, clock func() time.Duration, conns *transport.Pool, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatcher {
-	return &Dispatcher{ctx: ctx, clock: clock, conns: conns, log: log, metrics: metrics, newQuota: newQuota, groupsByKey: make(map[string]*group), groups: make(map[string][]string)}
+	return &Dispatcher{ctx: ctx, clock: clock, conns: conns, log: log, metrics: metrics, newQuota: newQuota, groupsByKey: make(map[string]*group), groups: make(map[string][]string), submitted: make(chan struct{}, 1)}
 }
 
 // Configure sets the specifications and targets of the pools that run pieces in batches.
@@ -196,6 +198,10 @@
 		piecesLeft: j.Pieces, done: make(chan struct{}), inputsRead: make(chan struct{}),
 	}
 	g.jobs[a.id] = a
+	select {
+	case d.submitted <- struct{}{}:
+	default:
+	}
 	d.startCalls(g)
 	return a, wait, true
 }
@@ -268,9 +274,14 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for {
+		ticks := ticker.C
+		if d.idle() {
+			ticks = nil // most hosts of a large fleet dispatch nothing
+		}
 		select {
-		case <-ticker.C:
+		case <-ticks:
 			d.tick()
+		case <-d.submitted:
 		case <-ctx.Done():
 			d.running.Wait()
 			done <- nil
@@ -279,6 +290,18 @@
 	}
 }
 
+// idle reports whether there are no jobs, calls or results.
+func (d *Dispatcher) idle() bool {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	for _, g := range d.groupsByKey {
+		if len(g.jobs)+len(g.calls)+len(g.results) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
 // tick does the periodic work of Run once.
 func (d *Dispatcher) tick() {
 	d.mutex.Lock()
