Bound the bytes that are no answer

Cause: a target in trouble may send a first line, headers, informational responses, the response to another request or an event without end. The head of a response was read without a bound, the body of a stray response to its end, an event of many short lines without a bound, and comments counted as events, so that a stalled stream was never resumed. Ruled out: a timeout alone; the deadline of a caller leaves seconds in which hundreds of megabytes arrive. Comments no longer postpone the timeout between events.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -230,6 +230,51 @@
 	is.Equal(body, want)
 }
 
+// TestStreamWithoutEvents guards against a stalled stream that never ends because its target sends
+// comments, a line without end or an event without end. Another target resumes it.
+func TestStreamWithoutEvents(t *testing.T) {
+	t.Parallel()
+	for name, noise := range map[string]struct {
+		text  string
+		pause time.Duration
+	}{
+		"comments":          {":\n\n", 20 * time.Millisecond},
+		"a byte at a time":  {"x", 20 * time.Millisecond},
+		"line without end":  {strings.Repeat("x", 64<<10), 0},
+		"event without end": {strings.Repeat("data: x\n", 8<<10), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore(t)
+			s.PublishConfig(1)
+			for _, id := range []string{"i-1", "i-2"} {
+				s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Last-Event-Id") != "" {
+						events(w, 4, 6, true)
+						return
+					}
+					events(w, 1, 3, true)
+					for r.Context().Err() == nil {
+						if _, err := io.WriteString(w, noise.text); err != nil {
+							return
+						}
+						w.(http.Flusher).Flush()
+						time.Sleep(noise.pause)
+					}
+				}), "model", "ready")
+			}
+			host, _ := startHost(t, s, "e1")
+			host.waitReady()
+			host.wait(func() bool {
+				_, body, _ := host.call(http.MethodPost, "/chat/", "s1", nil)
+				is.True(len(body) < 64<<10)
+				return strings.HasSuffix(body, "token6\n\n")
+			})
+		})
+	}
+}
+
 // startStaged starts a host with a target for the pieces of stages and a target for the model.
 func startStaged(t *testing.T, handle func(w http.ResponseWriter, r *http.Request)) (host *testHost, pieces, model *standin.Target) {
 	s := newStore(t)
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -56,7 +56,9 @@
 			a.err = err
 			return broken
 		}
-		timer.Reset(limit)
+		if !isComment(raw) {
+			timer.Reset(limit)
+		}
 		if n, err := strconv.ParseInt(id, 10, 64); err == nil {
 			if s.lastID != "" && n <= s.lastNumber {
 				continue // the target repeats an event that was sent already
@@ -77,6 +79,17 @@
 	}
 }
 
+// isComment reports whether all lines of an event are comments, as targets send them to keep a
+// connection open while they produce nothing.
+func isComment(raw []byte) bool {
+	for line := range bytes.Lines(raw) {
+		if line = bytes.TrimRight(line, "\r\n"); len(line) > 0 && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // slowdown returns the time to the first event of an attempt as a ratio to the expected time of an
 // unloaded engine; zero if the attempt did not bring the stream's first event.
 func (s *stream) slowdown(a *attempt) float64 {
@@ -122,10 +135,9 @@
 		line, err := r.ReadSlice('\n')
 		raw = append(raw, line...)
 		switch {
+		case len(raw) > maxEventBytes:
+			return nil, "", errors.New("event exceeds the maximum size")
 		case errors.Is(err, bufio.ErrBufferFull):
-			if len(raw) > maxEventBytes {
-				return nil, "", errors.New("event exceeds the maximum size")
-			}
 			continue
 		case err != nil:
 			return raw, id, err
--- a/io/order/client.go
+++ b/io/order/client.go
@@ -23,6 +23,8 @@
 const (
 	callTimeout      = 2 * time.Second
 	maxResponseBytes = 1 << 20
+	// maxHeadBytes is the maximum size of the headers of a response.
+	maxHeadBytes = 64 << 10
 )
 
 // client reads reports from engines and sends orders to them over the target protocol.
@@ -33,7 +35,7 @@
 func newClient() *client {
 	// Each call uses a new connection: orders are rare, and a connection that was idle between
 	// two time slots may be dead.
-	return &client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	return &client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}}
 }
 
 // report returns the models and the role that the engine reports, and its fencing token.
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -33,9 +33,18 @@
 	calls  metrics.Counter
 }
 
+// maxHeadBytes is the maximum size of the headers of an answer.
+const maxHeadBytes = 64 << 10
+
+func newTransport() *http.Transport {
+	t := http.DefaultTransport.(*http.Transport).Clone()
+	t.MaxResponseHeaderBytes = maxHeadBytes
+	return t
+}
+
 // New returns a client of the platform at address. It counts its calls with calls.
 func New(address string, calls metrics.Counter) *Client {
-	return &Client{base: "http://" + address, client: &http.Client{}, calls: calls}
+	return &Client{base: "http://" + address, client: &http.Client{Transport: newTransport()}, calls: calls}
 }
 
 // Config is a published configuration that has not been parsed yet.
--- a/io/sse/sse.go
+++ b/io/sse/sse.go
@@ -31,15 +31,20 @@
 // Data returns the data. Several data lines are joined by line feeds.
 func (e Event) Data() string { return e.data }
 
-// Read iterates over the events in body. A line longer than limit bytes or a failed read
-// yields an error and ends the iteration. The end of the body ends it without an error.
+// Read iterates over the events in body. A line or an event longer than limit bytes, or a failed
+// read, yields an error and ends the iteration. The end of the body ends it without an error.
 func Read(body io.Reader, limit int) iter.Seq2[Event, error] {
 	return func(yield func(Event, error) bool) {
 		scanner := bufio.NewScanner(body)
 		scanner.Buffer(make([]byte, 0, min(initialBufferSize, limit)), limit)
 		var e Event
 		var data []string
+		size := 0
 		for scanner.Scan() {
+			if size += len(scanner.Bytes()); size > limit {
+				yield(Event{}, Error.New("event exceeds %d bytes", limit))
+				return
+			}
 			key, value, _ := strings.Cut(scanner.Text(), ":")
 			value = strings.TrimPrefix(value, " ")
 			switch {
@@ -47,7 +52,7 @@
 				if data != nil && !yield(Event{name: e.name, data: strings.Join(data, "\n")}, nil) {
 					return
 				}
-				e, data = Event{}, nil
+				e, data, size = Event{}, nil, 0
 			case key == "event":
 				e.name = value
 			case key == "data":
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -41,6 +41,9 @@
 // Option configures a Client.
 type Option func(*Client)
 
+// maxHeadBytes is the maximum size of the headers of an answer.
+const maxHeadBytes = 64 << 10
+
 // WithClock sets the clock against which the deadlines of commands are checked. It must be
 // monotonic.
 func WithClock(clock func() time.Duration) Option { return func(c *Client) { c.clock = clock } }
@@ -52,8 +55,10 @@
 		DialContext:         dialer().DialContext,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     idleTimeout,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
-	noKeepAlive := &http.Transport{DialContext: dialer().DialContext, DisableKeepAlives: true}
+	noKeepAlive := &http.Transport{DialContext: dialer().DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
 	c := &Client{client: &http.Client{Transport: transport}, noKeepAlive: &http.Client{Transport: noKeepAlive}, clock: func() time.Duration { return time.Since(start) }}
 	for _, o := range options {
 		o(c)
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -31,11 +32,19 @@
 	// maxStrayResponses is the number of informational (1xx) responses and responses to other
 	// requests after which a connection is given up.
 	maxStrayResponses = 3
+	// maxHeadBytes is the maximum size of the status line and headers of a response, maxStrayBody
+	// that of the body of a response to another request.
+	maxHeadBytes = 64 << 10
+	maxStrayBody = 1 << 20
 	// maxInlineBody is the size in bytes up to which a body is written before the response is
 	// read. Larger bodies are written concurrently, because a target may respond early.
 	maxInlineBody = 16 << 10
 )
 
+// ErrTooLong is returned if a target sends more bytes than a response may have where its head or
+// the response to another request should end.
+var ErrTooLong = errors.New("the target sends bytes without end")
+
 // Request is one request to a target.
 type Request struct {
 	// Method and URI are sent in the request line exactly as the caller sent them.
@@ -97,6 +106,9 @@
 	net.Conn
 	reader  *bufio.Reader
 	address string
+	// headLeft is how many bytes of the current head may still be received; negative while a body
+	// is read. Only the goroutine that reads uses it.
+	headLeft int
 	// idleSince is when the connection became idle.
 	idleSince time.Time
 	// keepAlive is the timeout in the target's last Keep-Alive header; zero if none.
@@ -158,7 +170,7 @@
 		}()
 	}
 	for range maxStrayResponses {
-		received, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
+		received, err := c.readHead(r.Method)
 		if err != nil {
 			return nil, err
 		}
@@ -172,13 +184,33 @@
 			}, nil
 		}
 		c.sawStray = true
-		if _, err := io.Copy(io.Discard, received.Body); err != nil {
-			return nil, err
+		if n, err := io.Copy(io.Discard, io.LimitReader(received.Body, maxStrayBody)); err != nil || n == maxStrayBody {
+			return nil, cmp.Or(err, ErrTooLong)
 		}
 	}
 	return nil, errors.New("received no response to this request on the connection")
 }
 
+// readHead reads the head of a response, which has at most maxHeadBytes.
+func (c *conn) readHead(method string) (response *http.Response, err error) {
+	c.headLeft = maxHeadBytes
+	defer func() { c.headLeft = -1 }()
+	return http.ReadResponse(c.reader, &http.Request{Method: method})
+}
+
+// Read implements io.Reader. It fails with ErrTooLong if a head has more than maxHeadBytes.
+func (c *conn) Read(b []byte) (n int, err error) {
+	if c.headLeft < 0 {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft == 0 {
+		return 0, ErrTooLong
+	}
+	n, err = c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 // head encodes the request line and headers.
 func head(r Request) []byte {
 	var b bytes.Buffer
@@ -249,7 +281,9 @@
 		return nil, err
 	}
 	p.onDial()
-	return &conn{Conn: n, reader: bufio.NewReaderSize(n, readBufferSize), address: address}, nil
+	c := &conn{Conn: n, address: address, headLeft: -1}
+	c.reader = bufio.NewReaderSize(c, readBufferSize)
+	return c, nil
 }
 
 // openAndSilent reports whether an idle connection has received neither data nor an end of file.
