Treat full targets as busy, and let callers return once the fleet serves

The targets still run the calls of before, and hosts that don't know all others yet dispatch the same targets. Each refusal counted as an attempt of the pieces and as a retry; and while all targets were in the 60 ms after one, the pool counted as down and admission refused with an expected 4.3 s. Ruled out: the start itself; all hosts serve 0.4 to 0.7 s after it. Change: a target that refuses as full counts as busy for 60 to 240 ms, the refused pieces wait without an attempt spent; callers of a fleet of which no host serves come back after about a second; a host serves once it has the targets as well. Before: TestTargetsFullAfterRestart 503, TestFullTargets of core/batch refuses new requests. After: both pass, all of io/edge with -race.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -58,8 +58,10 @@
 	// foreignMemoryTTL is how long memory that is occupied by results of other hosts counts as
 	// used. Targets keep the results of crashed hosts for some seconds.
 	foreignMemoryTTL = 500 * time.Millisecond
-	// fullBackoff is the backoff after a target refuses a call because it is full.
-	fullBackoff = 60 * time.Millisecond
+	// A target that refuses a call because it is full is tried again after fullBackoff, which doubles
+	// up to maxFullBackoff, about the duration of a call.
+	fullBackoff    = 60 * time.Millisecond
+	maxFullBackoff = 240 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry delay that is sent with a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 4 * time.Second
--- a/core/batch/choose.go
+++ b/core/batch/choose.go
@@ -23,13 +23,18 @@
 // hasIdleTarget reports whether a target can take a call.
 func (d *Dispatcher) hasIdleTarget(now time.Duration) bool {
 	for _, ts := range d.targets.All() {
-		if !ts.target.Leaving && now >= ts.backoffUntil && ts.runningCalls() < max(d.spec.Slots, 1) {
+		if !ts.target.Leaving && now >= ts.backoffUntil && d.hasFreeSlot(now, ts) {
 			return true
 		}
 	}
 	return false
 }
 
+// hasFreeSlot reports whether a target has a free slot as far as this host knows.
+func (d *Dispatcher) hasFreeSlot(now time.Duration, ts *targetState) bool {
+	return now >= ts.fullUntil && ts.runningCalls() < max(d.spec.Slots, 1)
+}
+
 // jobsByUrgency returns the jobs with pending pieces, on-time jobs before late ones.
 func (d *Dispatcher) jobsByUrgency(now time.Duration) (jobs []*queuedJob) {
 	jobs = make([]*queuedJob, 0, len(d.queue))
@@ -118,7 +123,7 @@
 		if slowdown <= slowThreshold {
 			fast++
 		}
-		if ts.runningCalls() < max(d.spec.Slots, 1) {
+		if d.hasFreeSlot(now, ts) {
 			list = append(list, ts)
 		}
 	}
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -395,6 +395,35 @@
 	is.True(inTime*100 >= jobs*98)
 }
 
+// TestFullTargets guards against a pool that counts as down, or is hammered with calls, while all its
+// targets are full for a moment: after a restart of all hosts they still run the calls of before.
+func TestFullTargets(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(spec)
+	d.SetTargets(targets(3))
+	_, ok := d.Offer(0, batch.Job{ID: 1, Pieces: 6, SoftDeadline: 2 * time.Second, Deadline: 5 * time.Second})
+	is.True(ok)
+	var items []batch.Item
+	calls := 0
+	const freeAt = 600 * time.Millisecond
+	for now := time.Duration(0); now < freeAt; now += 10 * time.Millisecond {
+		for _, c := range d.NextCalls(now) {
+			calls++
+			items = c.Items
+			d.FinishCall(now, c.ID, batch.Busy)
+			d.Requeue(items)
+		}
+		onTime, _, _ := d.Backlog(now)
+		is.True(onTime < time.Second) // new requests are not refused
+	}
+	is.True(calls <= 3*4) // each target is tried after 60, 120 and 240 ms
+	started := false
+	for now := freeAt; now < 2*freeAt && !started; now += 10 * time.Millisecond {
+		started = len(d.NextCalls(now)) > 0
+	}
+	is.True(started)
+}
+
 // TestBacklogGrowth guards against admitting requests to a pool whose wait is short now but
 // will have grown when the requests reach it.
 func TestBacklogGrowth(t *testing.T) {
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -21,6 +21,10 @@
 	// failed calls.
 	backoffUntil time.Duration
 	failures     int
+	// fullUntil is when a target that refused a call because it is full is tried again; refusals
+	// counts the consecutive refusals.
+	fullUntil time.Duration
+	refusals  int
 	// results lists the memory that results occupy.
 	results []allocation
 	// foreign is the memory that results of other hosts occupy, estimated when the target
@@ -46,9 +50,10 @@
 	expires time.Duration
 }
 
-// idleAt returns when the calls in progress at a target are expected to end.
+// idleAt returns when a target is expected to take a call: when its calls in progress have ended and
+// it is no longer full.
 func (d *Dispatcher) idleAt(now time.Duration, ts *targetState) time.Duration {
-	at := now
+	at := max(now, ts.fullUntil)
 	for _, c := range ts.calls {
 		if !c.late {
 			at = max(at, c.started+c.call.Expected)
@@ -162,7 +167,8 @@
 	case Completed:
 		d.recordResults(now, ts, c, c.call.Items)
 	case Busy:
-		ts.backoffUntil = now + fullBackoff
+		ts.fullUntil = now + min(fullBackoff<<min(ts.refusals, 8), maxFullBackoff)
+		ts.refusals++
 	case Failed:
 		d.backOff(now, ts)
 	}
@@ -185,7 +191,7 @@
 // recordResults records the memory used by the results of a call and the call's duration.
 func (d *Dispatcher) recordResults(now time.Duration, ts *targetState, c *activeCall, produced []Item) {
 	d.recordDuration(now, ts, c)
-	ts.failures, ts.backoffUntil = 0, 0
+	ts.failures, ts.backoffUntil, ts.refusals, ts.fullUntil = 0, 0, 0, 0
 	bytes := int64(0)
 	for _, i := range produced {
 		bytes += i.Bytes
--- a/io/dispatch/call.go
+++ b/io/dispatch/call.go
@@ -66,7 +66,11 @@
 	if outcome != batch.Completed {
 		g.batcher.FinishCall(now, c.ID, outcome)
 		event.Log(d.log, event.CallFailed, "pool", g.key, "target", c.Target.ID, "pieces", len(items), "refused", outcome == batch.Busy, "error", errorText(err))
-		if unhedged {
+		switch {
+		case !unhedged:
+		case outcome == batch.Busy:
+			d.requeueRefused(g, items)
+		default:
 			d.requeue(g, now, items)
 		}
 	} else {
@@ -83,6 +87,17 @@
 	return err.Error()
 }
 
+// requeueRefused queues the items of a call again that the target did not run because it is full.
+// Such a call is no attempt; the target is not tried again at once.
+func (d *Dispatcher) requeueRefused(g *group, items []batch.Item) {
+	for _, item := range items {
+		if a, ok := g.jobs[item.Job]; ok && a.handles[item.Piece] == "" {
+			a.attempts[item.Piece]--
+			g.batcher.Requeue([]batch.Item{item})
+		}
+	}
+}
+
 // requeue queues the items of a failed or late call again, within the retry quota. All items of
 // one job in the call count as one retry. A job that may not be retried fails.
 func (d *Dispatcher) requeue(g *group, now time.Duration, items []batch.Item) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -113,13 +113,13 @@
 // OnChanges implements feed.Handler.
 func (c *control) OnChanges(ctx context.Context, changes []feed.Item, revision uint64) {
 	c.Post(ctx, func() {
+		c.storeRevision = revision
+		c.applyTargets(changes)
 		for _, item := range changes {
 			if item.Key == platform.KeyConfig && !item.Deleted {
 				c.applyConfig(item.Value, "store")
 			}
 		}
-		c.applyTargets(changes)
-		c.storeRevision = revision
 		c.publishChanges()
 	})
 }
@@ -163,7 +163,7 @@
 // publishChanges updates the serving state of this host, and publishes a new state if targets or
 // members have changed.
 func (c *control) publishChanges() {
-	serving := c.table != nil && !c.draining
+	serving := c.table != nil && c.storeRevision > 0 && !c.draining
 	servingChanged := serving != c.serving
 	if servingChanged {
 		c.serving = serving
@@ -248,7 +248,7 @@
 
 // publishState publishes a new state with the targets of the last publishTargets.
 func (c *control) publishState() {
-	s := &state{table: c.table, targets: c.targets, zones: c.zones, draining: c.draining}
+	s := &state{table: c.table, targets: c.targets, zones: c.zones, targetsKnown: c.storeRevision > 0, draining: c.draining}
 	for _, m := range c.node.Snapshot().Members() {
 		if m.Liveness == member.Dead || m.Lifecycle != member.Serving {
 			continue
--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -81,6 +82,23 @@
 	}
 }
 
+// TestFleetStart guards against callers that come back to a starting fleet before any host serves,
+// and use up their retries: they are told to wait until then.
+func TestFleetStart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	host, _ := startHost(t, s, "e1")
+	host.wait(func() bool { status, _, _ := host.call(http.MethodGet, "/read/", "r", nil); return status != 0 })
+	for range 20 {
+		status, _, h := host.call(http.MethodGet, "/read/", "r", nil)
+		is.Equal(status, http.StatusServiceUnavailable)
+		seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+		is.NoErr(err)
+		is.True(seconds >= 0.8 && seconds <= 1.2)
+	}
+}
+
 // TestCommandRunsOnce guards against a command that is retried after it may have run, and against
 // a status that says that it did not run.
 func TestCommandRunsOnce(t *testing.T) {
@@ -275,6 +293,25 @@
 	}
 }
 
+// TestTargetsFullAfterRestart guards against requests that fail because the targets of their pieces are full for
+// a moment, as after a restart of all hosts, when the targets still work for those of before.
+func TestTargetsFullAfterRestart(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	host, pieces, _ := startStaged(t, func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) })
+	host.wait(func() bool {
+		status, _, _ := host.call(http.MethodPost, "/talk/", "s1", standin.SetPieces)
+		return status == http.StatusOK
+	})
+	const refused = 6
+	pieces.RefuseCalls(refused)
+	calls := len(pieces.RequestIDs())
+	status, body, _ := host.call(http.MethodPost, "/talk/", "s2", standin.SetPieces)
+	is.Equal(status, http.StatusOK)
+	is.True(strings.HasSuffix(body, "token2\n\n"))
+	is.Equal(len(pieces.RequestIDs())-calls, refused+2) // two stages
+}
+
 // startStaged starts a host with a target for the pieces of stages and a target for the model.
 func startStaged(t *testing.T, handle func(w http.ResponseWriter, r *http.Request)) (host *testHost, pieces, model *standin.Target) {
 	s := newStore(t)
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -27,8 +27,11 @@
 	defaultMaxBody = 4 << 20
 	// bodyTimeout is how long a caller may take to send the request body.
 	bodyTimeout = 10 * time.Second
-	// startRetryAfter is the retry delay for callers of a host without a configuration.
+	// startRetryAfter is the retry delay for callers of a host that is starting while others serve,
+	// and fleetRetryAfter that while no other host serves either: about the time in which a fleet
+	// starts.
 	startRetryAfter = 300 * time.Millisecond
+	fleetRetryAfter = 1 * time.Second
 	// drainRetryAfter is the retry delay for callers that should use another host immediately.
 	drainRetryAfter = 50 * time.Millisecond
 	// targetRetryAfter is the retry delay for callers for which no target could run the request.
@@ -170,8 +173,8 @@
 	if s.table != nil {
 		x.version = s.table.Version()
 	}
-	if s.table == nil {
-		x.refuse(http.StatusServiceUnavailable, reason.Joining, startRetryAfter)
+	if !s.started() {
+		x.refuse(http.StatusServiceUnavailable, reason.Joining, s.startRetryAfter())
 		return
 	}
 	if !x.admit(s.table) {
@@ -187,6 +190,15 @@
 	x.forward(ctx, inputs)
 }
 
+// startRetryAfter returns the retry delay for callers of a host that is starting. It is random, so
+// that the callers of a fleet that starts don't return all at once.
+func (s *state) startRetryAfter() time.Duration {
+	if len(s.hosts) > 0 {
+		return startRetryAfter
+	}
+	return time.Duration(float64(fleetRetryAfter) * (0.8 + 0.4*rand.Float64()))
+}
+
 // admit reads the request, checks it against the configuration and sets its limits. It writes
 // the response to a request that is not admitted.
 func (x *exchange) admit(t *route.Table) (ok bool) {
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -25,12 +25,17 @@
 	hosts []hostselect.Candidate
 	// eligible has the hosts that may dispatch.
 	eligible []dispatch.Host
+	// targetsKnown is set once the published targets were received from the store or another host.
+	targetsKnown bool
 	// draining is set while the host drains before it stops.
 	draining bool
 }
 
+// started reports whether the host knows the configuration and the targets.
+func (s *state) started() bool { return s.table != nil && s.targetsKnown }
+
 // ready reports whether the host accepts new callers.
-func (s *state) ready() bool { return s.table != nil && !s.draining }
+func (s *state) ready() bool { return s.started() && !s.draining }
 
 // choosers has a target chooser and a retry quota for each pool. It is safe for concurrent use.
 type choosers struct {
