Show by tests what operators of similar systems met at edge hosts

TestSlowStream: a stream with pauses of 800 ms runs at one target to its end. TestRestartWhileStoreDown: a host that starts while the store is down uses neither a target that left nor a withdrawn key. Conclusion: no change of the code.

--- a/io/edge/edge_test.go
+++ b/io/edge/edge_test.go
@@ -248,6 +248,34 @@
 	is.Equal(body, want)
 }
 
+// TestSlowStream guards against a slow but sound stream that is cut, or started again at another
+// target, because its events come just within the longest pause.
+func TestSlowStream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.PublishConfig(1)
+	engines := []*standin.Target{}
+	for _, id := range []string{"i-1", "i-2"} {
+		e := newEngine(t, id, func(w http.ResponseWriter, _ *http.Request) {
+			for i := 1; i <= 3; i++ {
+				events(w, i, i, true)
+				_ = http.NewResponseController(w).Flush()
+				time.Sleep(800 * time.Millisecond)
+			}
+		})
+		engines = append(engines, e)
+		s.Register(e, "model", "ready")
+	}
+	host, _ := startHost(t, s, "e1")
+	host.waitReady()
+	host.wait(func() bool {
+		_, body, _ := host.call(http.MethodPost, "/chat/", "s1", nil)
+		return strings.HasSuffix(body, "token3\n\n")
+	})
+	is.Equal(len(engines[0].RequestIDs())+len(engines[1].RequestIDs()), 1)
+}
+
 // TestStreamWithoutEvents guards against a stalled stream that never ends because its target sends
 // comments, a line without end or an event without end. Another target resumes it.
 func TestStreamWithoutEvents(t *testing.T) {
@@ -512,6 +540,55 @@
 	})
 }
 
+// TestRestartWhileStoreDown guards against a target that left, or a key that was withdrawn, in use
+// again after the restart of a host that can't read the store.
+func TestRestartWhileStoreDown(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.PublishConfig(1)
+	left, stays := newEngine(t, "i-1", signed("left")), newEngine(t, "i-2", signed("stays"))
+	s.Register(left, "plain", "ready")
+	s.Register(stays, "plain", "ready")
+	host1, peer := startHost(t, s, "e1")
+	host1.waitReady()
+	host1.wait(func() bool { _, body, _ := host1.call(http.MethodGet, "/read/", "warm", nil); return body == "left" })
+	s.ReplaceKey("new")
+	s.PublishConfig(2)
+	s.Put("servers/i-1", "")
+	withKey := func(key string) func(r *http.Request) {
+		return func(r *http.Request) { r.Header.Set("X-Api-Key", key) }
+	}
+	host1.wait(func() bool {
+		status, _, _ := host1.call(http.MethodGet, "/read/", "warm", withKey("new"))
+		return status == http.StatusOK
+	})
+	host1.wait(func() bool { // the removal is known as well
+		before := len(left.RequestIDs())
+		for range 20 {
+			host1.call(http.MethodGet, "/read/", "warm", withKey("new"))
+		}
+		return len(left.RequestIDs()) == before
+	})
+	before := len(left.RequestIDs())
+	brokenStore := newStore(t)
+	brokenStore.SetBroken(true)
+	host2, _ := startHost(t, brokenStore, "e2", peer)
+	host2.wait(func() bool { status, _, _ := host2.call(http.MethodGet, "/read/", "r", nil); return status != 0 })
+	host2.wait(func() bool {
+		status, _, _ := host2.call(http.MethodGet, "/read/", "r", withKey("new"))
+		is.True(status == http.StatusOK || status == http.StatusServiceUnavailable)
+		withdrawn, _, _ := host2.call(http.MethodGet, "/read/", "r", nil)
+		is.True(withdrawn == http.StatusUnauthorized || withdrawn == http.StatusServiceUnavailable)
+		return status == http.StatusOK && withdrawn == http.StatusUnauthorized
+	})
+	for range 20 {
+		_, body, _ := host2.call(http.MethodGet, "/read/", "r", withKey("new"))
+		is.Equal(body, "stays")
+	}
+	is.Equal(len(left.RequestIDs()), before)
+}
+
 // TestConfigurations guards against a configuration that does not reach all hosts, including one
 // that can't read the store, or that is replaced by an older one.
 func TestConfigurations(t *testing.T) {
