Clear evidence against calls that complete repeatedly on another host

It now has the targets within 0.2 s, as others send them, sends requests, and four connections break before one completes. All hosts then refuse the request as suspect; e0 gets no completed run any more, and the others, where it completed all the time, clear the evidence only at their next completed run, which may not come while only e0 is asked. Before, e0 had no targets and refused everything. Ruled out: a weaker weight of broken connections; two crashes must be enough. Change: a host on which such calls complete repeatedly clears the evidence as soon as it hears of it.

--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -188,7 +188,9 @@
 }
 
 // Merge merges a record from another host. A record without new counts does not extend the time
-// for which the fingerprint is kept.
+// for which the fingerprint is kept. Evidence against calls that complete repeatedly on this host is
+// cleared for all hosts: the other one may have started a moment ago, and may get no completed run
+// any more once it refuses them.
 func (t *Table) Merge(now time.Duration, r CrashRecord) {
 	if e, ok := t.entries[r.fingerprint]; ok {
 		if c, ok := e.origins[r.origin]; ok && c.evidence >= r.evidence && c.cleared >= r.cleared {
@@ -199,7 +201,14 @@
 	c := e.origins[r.origin]
 	c.evidence = max(c.evidence, r.evidence)
 	c.cleared = min(max(c.cleared, r.cleared), c.evidence)
+	trusted := c.cleared < c.evidence && t.isTrusted(now, r.fingerprint)
+	if trusted {
+		c.cleared = c.evidence
+	}
 	e.origins[r.origin] = c
+	if trusted {
+		t.publish(r.fingerprint, r.origin, c)
+	}
 }
 
 // Len returns the number of fingerprints with an entry.
