--- a/io/loopback/loopback_test.go
+++ b/io/loopback/loopback_test.go
@@ -31,3 +31,16 @@
 		}
 	}
 }
+
+// TestNoAddressTwice guards against two servers of one test run that get the same address, because
+// neither listens yet when it is chosen.
+func TestNoAddressTwice(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 1000 {
+		address := loopback.FreeAddress()
+		if seen[address] {
+			t.Fatalf("%s was returned twice", address)
+		}
+		seen[address] = true
+	}
+}
