--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -67,6 +68,9 @@
 	response *transport.Response
 	body     []byte
 	err      error
+	// events is the number of whole events that a stream brought, rest the number of bytes after the
+	// last one.
+	events, rest int
 }
 
 // forward sends the request to a target, and retries it at others as far as it may be retried.
@@ -84,7 +88,7 @@
 		attempts++
 		a := &attempt{target: t, began: x.clock(), last: attempts >= x.route.MaxAttempts}
 		v := x.try(ctx, s, a, inputs)
-		x.recordDecision("target %s in %q, inputs in %q: %s", t.ID, t.Zone, pickRequest.InputZone, v.label())
+		x.recordDecision("target %s in %q, inputs in %q: %s%s", t.ID, t.Zone, pickRequest.InputZone, v.label(), x.describeResponse(a))
 		x.choosers.finish(x.pool, pick.Result{
 			Target: t.ID, Load: pickRequest.Load, Failed: v == broken || v == failed || v == notRun, NoResponse: v == unreached || v == broken && ctx.Err() == nil && noResponse(a.err),
 			Slowdown: s.slowdown(a),
@@ -136,6 +140,18 @@
 	return run.inputs(), true
 }
 
+// describeResponse returns for the log what the target sent and how it marked the end, empty without
+// a response.
+func (x *exchange) describeResponse(a *attempt) string {
+	switch {
+	case a.response == nil:
+		return ""
+	case x.route.Kind == route.Stream:
+		return fmt.Sprintf(", %d events and %d bytes framed by %s", a.events, a.rest, a.response.Framing)
+	}
+	return fmt.Sprintf(", %d bytes framed by %s", len(a.body), a.response.Framing)
+}
+
 // noResponse reports whether an attempt with the error timed out, or failed after the request may
 // have reached the target.
 func noResponse(err error) bool {
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -41,6 +41,9 @@
 	}
 	for {
 		raw, id, err := readEvent(reader)
+		if err != nil {
+			a.rest = len(raw)
+		}
 		if errors.Is(err, io.EOF) {
 			a.response.Close(true)
 			if s.sent == 0 && len(raw) == 0 {
@@ -56,6 +59,7 @@
 			a.err = err
 			return broken
 		}
+		a.events++
 		if !isComment(raw) {
 			timer.Reset(limit)
 		}
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -62,12 +62,29 @@
 	Matches func(status int, h http.Header) bool
 }
 
+//go:generate go tool -modfile=../../tools/go.mod stringer -type=Framing -linecomment -output=framing_string.go
+
+// Framing is how a response marks the end of its body.
+type Framing int
+
+// Framings of a response.
+const (
+	// FramedByLength means that a header states the length, or that there is no body.
+	FramedByLength Framing = iota // length
+	// FramedByChunks means that the last chunk is empty.
+	FramedByChunks // chunks
+	// FramedByClose means that the body ends with the connection, so that a body which the
+	// target broke off in good order can't be told from a complete one.
+	FramedByClose // close
+)
+
 // Response holds the status and headers of a response and a reader of its body. It must be
 // closed.
 type Response struct {
-	Status int
-	Header http.Header
-	// Body ends with io.EOF only if the response is complete.
+	Status  int
+	Header  http.Header
+	Framing Framing
+	// Body ends with io.EOF only if the response is complete as far as its framing tells.
 	Body io.Reader
 
 	conn *conn
@@ -178,9 +195,10 @@
 			continue
 		}
 		if r.Matches == nil || r.Matches(received.StatusCode, received.Header) {
+			framing := framing(received)
 			return &Response{
-				Status: received.StatusCode, Header: received.Header, Body: received.Body, conn: c, pool: p, stop: stop, written: written,
-				mustClose: received.Close || received.ContentLength < 0 && len(received.TransferEncoding) == 0,
+				Status: received.StatusCode, Header: received.Header, Framing: framing, Body: received.Body, conn: c, pool: p, stop: stop, written: written,
+				mustClose: received.Close || framing == FramedByClose,
 			}, nil
 		}
 		c.sawStray = true
@@ -191,6 +209,17 @@
 	return nil, errors.New("received no response to this request on the connection")
 }
 
+// framing returns how the response marks the end of its body.
+func framing(r *http.Response) Framing {
+	switch {
+	case len(r.TransferEncoding) > 0:
+		return FramedByChunks
+	case r.ContentLength < 0:
+		return FramedByClose
+	}
+	return FramedByLength
+}
+
 // readHead reads the head of a response, which has at most maxHeadBytes.
 func (c *conn) readHead(method string) (response *http.Response, err error) {
 	c.headLeft = maxHeadBytes
