--- a/io/edge/framing_test.go
+++ b/io/edge/framing_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync"
@@ -10,6 +11,7 @@
 
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
+	"github.com/matryer/is"
 
 	"sassafrasward/platform/standin"
 )
@@ -105,3 +107,82 @@
 		})
 	}
 }
+
+// writeChunks writes a signed stream in chunks with a proper last one.
+func writeChunks(w http.ResponseWriter, body string) {
+	standin.Sign(w)
+	w.Header().Set("Content-Type", "text/event-stream")
+	_, _ = io.WriteString(w, body)
+	_ = http.NewResponseController(w).Flush()
+}
+
+// TestStreamEndsInsideEvent guards against a stream that its target broke off inside an event and
+// that reaches the caller as complete, because its connection or its chunks ended in good order.
+func TestStreamEndsInsideEvent(t *testing.T) {
+	t.Parallel()
+	for framing, write := range map[string]func(http.ResponseWriter, string){"close": writeUntilClose, "chunks": writeChunks} {
+		for name, rest := range map[string]string{
+			"in a name":             "i",
+			"in the data":           "id: 4\ndata: tok",
+			"before the empty line": "id: 4\ndata: token4\n",
+		} {
+			t.Run(framing+" "+name+", cut", func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				host, _, model := startStaged(t, func(w http.ResponseWriter, _ *http.Request) { write(w, eventText(1, 3)+rest) })
+				n := 0
+				host.wait(func() bool {
+					n++
+					status, body, h := host.call(http.MethodPost, "/talk/", fmt.Sprintf("s%d", n), standin.SetPieces)
+					is.True(status != http.StatusOK) // the connection to the caller is cut
+					return h != nil && body == eventText(1, 3)
+				})
+				is.Equal(len(model.RequestIDs()), 1) // a stream that can't be resumed runs once
+			})
+			t.Run(framing+" "+name+", resumed", func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				s := newStore(t)
+				s.PublishConfig(1)
+				for _, id := range []string{"i-1", "i-2"} {
+					s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+						if r.Header.Get("Last-Event-Id") == "3" {
+							write(w, eventText(4, 6))
+							return
+						}
+						write(w, eventText(1, 3)+rest)
+					}), "model", "ready")
+				}
+				host, _ := startHost(t, s, "e1")
+				host.waitReady()
+				var status int
+				var body string
+				host.wait(func() bool {
+					status, body, _ = host.call(http.MethodPost, "/chat/", "s1", nil)
+					return status == http.StatusOK
+				})
+				is.Equal(body, eventText(1, 6))
+			})
+		}
+	}
+}
+
+// TestStreamEndsAfterEvent guards against a whole stream that is cut because it has neither a length
+// nor chunks, or ends with a comment.
+func TestStreamEndsAfterEvent(t *testing.T) {
+	t.Parallel()
+	for name, end := range map[string]string{"event": "", "comment": ": end\n", "empty line": "\n"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			host, _, _ := startStaged(t, func(w http.ResponseWriter, _ *http.Request) { writeUntilClose(w, eventText(1, 3)+end) })
+			var body string
+			host.wait(func() bool {
+				status := 0
+				status, body, _ = host.call(http.MethodPost, "/talk/", "s1", standin.SetPieces)
+				return status == http.StatusOK
+			})
+			is.Equal(body, eventText(1, 3)+end)
+		})
+	}
+}
