--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -12,6 +12,12 @@
 	"sassafrasward/platform"
 )
 
+// Errors of a stream that its target ended in good order.
+var (
+	errEmptyStream = errors.New("stream ended without an event")
+	errInsideEvent = errors.New("stream ended inside an event")
+)
+
 // maxEventBytes is the maximum size of one event of a stream.
 const maxEventBytes = 1 << 20
 
@@ -45,14 +51,7 @@
 			a.rest = len(raw)
 		}
 		if errors.Is(err, io.EOF) {
-			a.response.Close(true)
-			if s.sent == 0 && len(raw) == 0 {
-				a.err = errors.New("stream ended without an event")
-				return broken
-			}
-			s.writeEvent(a, controller, raw)
-			s.status = http.StatusOK
-			return answered
+			return s.finish(a, controller, raw)
 		}
 		if err != nil {
 			a.response.Close(false)
@@ -83,6 +82,25 @@
 	}
 }
 
+// finish ends a stream whose target ended its response in good order; rest is what came after the
+// last whole event. Neither a closed connection nor a last chunk proves that the target sent all: a
+// stream that ends inside an event has broken off.
+func (s *stream) finish(a *attempt, controller *http.ResponseController, rest []byte) verdict {
+	switch {
+	case s.sent == 0 && len(rest) == 0:
+		a.err = errEmptyStream
+	case !isComment(rest):
+		a.err = errInsideEvent
+	}
+	a.response.Close(a.err == nil)
+	if a.err != nil {
+		return broken
+	}
+	s.writeEvent(a, controller, rest)
+	s.status = http.StatusOK
+	return answered
+}
+
 // isComment reports whether all lines of an event are comments, as targets send them to keep a
 // connection open while they produce nothing.
 func isComment(raw []byte) bool {
