--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -69,8 +69,9 @@
 	body     []byte
 	err      error
 	// events is the number of whole events that a stream brought, rest the number of bytes after the
-	// last one.
+	// last one. progressed is set once one of the events was not sent to the caller before.
 	events, rest int
+	progressed   bool
 }
 
 // forward sends the request to a target, and retries it at others as far as it may be retried.
--- a/io/edge/framing_test.go
+++ b/io/edge/framing_test.go
@@ -186,3 +186,51 @@
 		})
 	}
 }
+
+// TestResumedStreamWithoutEvents guards against a broken stream that reaches the caller as complete,
+// because the target that was to resume it ended its response before the first event. Only if the
+// stream broke after a whole event, and the response states that it has no more, is it complete.
+func TestResumedStreamWithoutEvents(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		inside bool
+		resume func(w http.ResponseWriter)
+		status int
+	}{
+		"nothing until close":    {false, func(w http.ResponseWriter) { writeUntilClose(w, "") }, 0},
+		"comment until close":    {false, func(w http.ResponseWriter) { writeUntilClose(w, ": wait\n\n") }, 0},
+		"no chunk for the rest":  {true, func(w http.ResponseWriter) { writeChunks(w, "") }, 0},
+		"no chunk after the end": {false, func(w http.ResponseWriter) { writeChunks(w, "") }, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore(t)
+			s.PublishConfig(1)
+			for _, id := range []string{"i-1", "i-2"} {
+				s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+					switch {
+					case r.Header.Get("Last-Event-Id") != "":
+						test.resume(w)
+					case test.inside:
+						events(w, 1, 3, false)
+					default:
+						events(w, 1, 3, true)
+						_ = http.NewResponseController(w).Flush()
+						panic(http.ErrAbortHandler)
+					}
+				}), "model", "ready")
+			}
+			host, _ := startHost(t, s, "e1")
+			host.waitReady()
+			host.wait(func() bool {
+				status, body, h := host.call(http.MethodPost, "/chat/", "s1", nil)
+				if h == nil || !strings.HasPrefix(body, eventText(1, 3)) {
+					return false // the targets are not known yet
+				}
+				is.Equal(status, test.status)
+				return true
+			})
+		})
+	}
+}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -9,12 +9,13 @@
 	"strconv"
 	"time"
 
+	"sassafrasward/io/transport"
 	"sassafrasward/platform"
 )
 
 // Errors of a stream that its target ended in good order.
 var (
-	errEmptyStream = errors.New("stream ended without an event")
+	errEmptyStream = errors.New("stream ended without a new event")
 	errInsideEvent = errors.New("stream ended inside an event")
 )
 
@@ -31,6 +32,9 @@
 	lastNumber int64
 	// sent is the number of events that were sent.
 	sent int
+	// unfinished is set while the stream is known to have an event after the last one that was sent,
+	// because a target broke off inside it.
+	unfinished bool
 	// lastTime is when the last event was sent.
 	lastTime time.Duration
 }
@@ -49,6 +53,7 @@
 		raw, id, err := readEvent(reader)
 		if err != nil {
 			a.rest = len(raw)
+			s.unfinished = s.unfinished || !isComment(raw)
 		}
 		if errors.Is(err, io.EOF) {
 			return s.finish(a, controller, raw)
@@ -71,6 +76,9 @@
 		if id != "" {
 			s.lastID = id
 		}
+		if !isComment(raw) {
+			a.progressed, s.unfinished = true, false
+		}
 		if !s.writeEvent(a, controller, raw) {
 			a.response.Close(false)
 			a.err = errors.New("failed to write an event to the caller")
@@ -87,7 +95,7 @@
 // stream that ends inside an event has broken off.
 func (s *stream) finish(a *attempt, controller *http.ResponseController, rest []byte) verdict {
 	switch {
-	case s.sent == 0 && len(rest) == 0:
+	case !a.progressed && (s.sent == 0 || s.unfinished || a.response.Framing == transport.FramedByClose):
 		a.err = errEmptyStream
 	case !isComment(rest):
 		a.err = errInsideEvent
