--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -184,6 +184,12 @@
 	return a.err != nil && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded)
 }
 
+// targetCrashed reports whether the target of a response that ended with its connection is gone: then
+// the end shows nothing, because the connections of a process are closed when it crashes.
+func (x *exchange) targetCrashed(a *attempt) bool {
+	return a.response.Framing == transport.FramedByClose && refusesConnections(x.r.Context(), a.target.Address)
+}
+
 // pickRequest returns the parameters for choosing a target, including the zone that holds most of
 // the inputs.
 func (x *exchange) pickRequest(inputs []string) pick.Request {
@@ -323,6 +329,9 @@
 	if a.err == nil && len(a.body) == maxBuffered {
 		a.err = errors.New("response exceeds the maximum size")
 	}
+	if a.err == nil && x.targetCrashed(a) {
+		a.err = errCrashed
+	}
 	a.response.Close(a.err == nil)
 	switch {
 	case a.err != nil:
--- a/io/edge/framing_test.go
+++ b/io/edge/framing_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/go-logr/logr"
@@ -234,3 +235,51 @@
 		})
 	}
 }
+
+// TestUnframedAnswerOfCrashedTarget guards against an answer without length or chunks that reaches
+// the caller as complete, although its target crashed after a part that looks whole.
+func TestUnframedAnswerOfCrashedTarget(t *testing.T) {
+	t.Parallel()
+	for _, test := range []struct {
+		method, path, pool, part, whole string
+		status                          int
+	}{
+		{http.MethodPost, "/chat/", "model", eventText(1, 3), eventText(1, 6), http.StatusOK},
+		{http.MethodPost, "/once/", "model", eventText(1, 3), "", 0},
+		{http.MethodGet, "/read/", "plain", "half", "half and half", http.StatusOK},
+		{http.MethodPost, "/write/", "plain", "half", "", http.StatusBadGateway},
+	} {
+		t.Run(test.path, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore(t)
+			s.PublishConfig(1, `{"name":"once","host":"h.example","prefix":"/once/","kind":"streaming","timeoutMs":3000,"sloMs":900,"service":"model","maxAttempts":2,"gapAimMs":400}`)
+			var crashed atomic.Bool
+			for _, id := range []string{"i-1", "i-2"} {
+				var e *standin.Target
+				e = newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
+					if !crashed.Swap(true) {
+						_ = e.Listener.Close()
+						writeUntilClose(w, test.part)
+						return
+					}
+					writeUntilClose(w, strings.TrimPrefix(test.whole, eventText(1, 3)))
+				})
+				s.Register(e, test.pool, "ready")
+			}
+			host, _ := startHost(t, s, "e1")
+			host.waitReady()
+			host.wait(func() bool {
+				status, body, _ := host.call(test.method, test.path, "s1", nil)
+				if !crashed.Load() {
+					return false // the targets are not known yet
+				}
+				is.Equal(status, test.status)
+				if status == http.StatusOK {
+					is.Equal(body, test.whole)
+				}
+				return true
+			})
+		})
+	}
+}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -13,10 +13,11 @@
 	"sassafrasward/platform"
 )
 
-// Errors of a stream that its target ended in good order.
+// Errors of a response that its target ended in good order.
 var (
 	errEmptyStream = errors.New("stream ended without a new event")
 	errInsideEvent = errors.New("stream ended inside an event")
+	errCrashed     = errors.New("response ended with its connection, and the target accepts no other one")
 )
 
 // maxEventBytes is the maximum size of one event of a stream.
@@ -92,13 +93,15 @@
 
 // finish ends a stream whose target ended its response in good order; rest is what came after the
 // last whole event. Neither a closed connection nor a last chunk proves that the target sent all: a
-// stream that ends inside an event has broken off.
+// stream that ends inside an event has broken off, and so has an unframed one whose target is gone.
 func (s *stream) finish(a *attempt, controller *http.ResponseController, rest []byte) verdict {
 	switch {
 	case !a.progressed && (s.sent == 0 || s.unfinished || a.response.Framing == transport.FramedByClose):
 		a.err = errEmptyStream
 	case !isComment(rest):
 		a.err = errInsideEvent
+	case s.targetCrashed(a):
+		a.err = errCrashed
 	}
 	a.response.Close(a.err == nil)
 	if a.err != nil {
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -61,12 +63,7 @@
 // recordDisconnect records that a target closed the connection while it ran the request: as a
 // crash if the target no longer accepts connections, otherwise as a disconnect.
 func (s *suspects) recordDisconnect(ctx context.Context, fingerprint uint64, address string) {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	conn, err := transport.Dial(ctx, "tcp", address)
-	if err == nil {
-		_ = conn.Close() // nothing was sent
-	}
+	err := probe(ctx, address)
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err != nil {
@@ -76,6 +73,23 @@
 	}
 }
 
+// probe opens and closes a connection to a target.
+func probe(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := transport.Dial(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return conn.Close() // nothing was sent
+}
+
+// refusesConnections reports whether the machine of a target refuses connections to it, so that the
+// target has ended. An attempt without an answer doesn't show that.
+func refusesConnections(ctx context.Context, address string) bool {
+	return errors.Is(probe(ctx, address), syscall.ECONNREFUSED)
+}
+
 // merge adds the observations of all hosts.
 func (s *suspects) merge(crashes []member.Crash) {
 	s.mutex.Lock()
