--- a/io/cli/fetch.go
+++ b/io/cli/fetch.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"time"
 
@@ -33,7 +32,7 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err = io.ReadAll(io.LimitReader(response.Body, limit))
+	body, err = wire.ReadWhole(response, limit)
 	if err != nil {
 		return nil, err
 	}
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -116,7 +115,7 @@
 	if response.StatusCode != http.StatusOK {
 		return nil, nil, false, fmt.Errorf("status %d", response.StatusCode)
 	}
-	body, err = io.ReadAll(io.LimitReader(response.Body, limit+1))
+	body, err = wire.ReadWhole(response, limit+1)
 	if err != nil {
 		return nil, nil, false, err
 	}
