--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -99,7 +99,11 @@
 			return
 		}
 		if v == broken && ctx.Err() == nil && x.targetDisconnected(a) {
-			x.background.Go(func() { x.suspects.recordDisconnect(x.ctx, x.fingerprint, t.Address) })
+			d := disconnect{
+				request: x.request.ID, fingerprint: x.fingerprint, parts: x.request.SharedParts(), target: t,
+				began: a.response != nil, events: a.events,
+			}
+			x.background.Go(func() { x.suspects.recordDisconnect(x.ctx, d) })
 		}
 		x.targets = append(x.targets, t.ID)
 		if v == unreached {
@@ -215,9 +219,9 @@
 // promptPickRequest returns the parameters for choosing a target that don't depend on the inputs.
 func (x *exchange) promptPickRequest() pick.Request {
 	h := pick.Request{Exclude: x.targets, TieBreak: rand.Float64(), Load: 1, PromptTokens: x.request.PromptTokens}
-	if n := len(x.request.Prefix) - 1; n > 0 {
-		h.FirstPrefix, h.LastPrefix = x.request.Prefix[0].ID, x.request.Prefix[n-1].ID
-		for _, p := range x.request.Prefix[:n] {
+	if shared := x.request.SharedParts(); len(shared) > 0 {
+		h.FirstPrefix, h.LastPrefix = shared[0].ID, shared[len(shared)-1].ID
+		for _, p := range shared {
 			h.SharedTokens += p.Tokens
 		}
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -141,7 +141,7 @@
 	}
 	event.Log(x.log, event.RequestEnded, "request", x.request.ID, "route", x.route.Name, "workspace", x.workspace, "status", x.status,
 		"reason", x.why.String(), "detail", x.detail, "targets", strings.Join(x.targets, ","), "rank", x.priority,
-		"pieces", x.request.Pieces, "prompt", x.request.PromptTokens, "staged", (max(x.stagesDone, x.arrived) - x.arrived).Milliseconds(),
+		"pieces", x.request.Pieces, "prompt", x.request.PromptTokens, "parts", partNames(x.request.SharedParts()), "staged", (max(x.stagesDone, x.arrived) - x.arrived).Milliseconds(),
 		"first", (max(x.firstEvent, x.arrived) - x.arrived).Milliseconds(), "pause", x.maxGap.Milliseconds(), "elapsed", (x.clock() - x.arrived).Milliseconds(), "version", x.version, "trail", strings.Join(x.trail, "; "))
 }
 
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -4,17 +4,21 @@
 	"context"
 	"errors"
 	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-logr/logr"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasward/core/discovery"
 	"sassafrasward/core/member"
 	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/transport"
+	"sassafrasward/platform"
 )
 
 // probeTimeout is the timeout of the connection attempt that checks whether a target which
@@ -25,6 +29,7 @@
 // hosts. It is safe for concurrent use.
 type suspects struct {
 	clock func() time.Duration
+	log   logr.Logger
 
 	mutex sync.Mutex
 	table *suspect.Table
@@ -34,8 +39,8 @@
 	dropped metrics.Counter
 }
 
-func newSuspects(clock func() time.Duration, incarnation uint64, dropped metrics.Counter) *suspects {
-	s := &suspects{clock: clock, records: make(chan suspect.CrashRecord, queueLen), dropped: dropped}
+func newSuspects(clock func() time.Duration, log logr.Logger, incarnation uint64, dropped metrics.Counter) *suspects {
+	s := &suspects{clock: clock, log: log, records: make(chan suspect.CrashRecord, queueLen), dropped: dropped}
 	s.table = suspect.New(strconv.FormatUint(incarnation, 16), func(record suspect.CrashRecord) {
 		select {
 		case s.records <- record:
@@ -60,17 +65,44 @@
 	s.table.RecordCompletion(s.clock(), fingerprint)
 }
 
+// disconnect describes an attempt whose target closed the connection.
+type disconnect struct {
+	request     string
+	fingerprint uint64
+	// parts are the parts of the prompt that other requests may have as well.
+	parts  []platform.PromptPart
+	target discovery.Target
+	// began is set if the headers of the answer had arrived, events is the number of events after
+	// them.
+	began  bool
+	events int
+}
+
 // recordDisconnect records that a target closed the connection while it ran the request: as a
 // crash if the target no longer accepts connections, otherwise as a disconnect.
-func (s *suspects) recordDisconnect(ctx context.Context, fingerprint uint64, address string) {
-	err := probe(ctx, address)
+func (s *suspects) recordDisconnect(ctx context.Context, d disconnect) {
+	err := probe(ctx, d.target.Address)
+	event.Log(s.log, event.CrashObserved, "request", d.request, "target", d.target.ID, "parts", partNames(d.parts),
+		"began", d.began, "events", d.events, "accepts", err == nil, "error", errorText(err))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if err != nil {
-		s.table.RecordCrash(s.clock(), fingerprint)
+		s.table.RecordCrash(s.clock(), d.fingerprint)
 	} else {
-		s.table.RecordDisconnect(s.clock(), fingerprint)
+		s.table.RecordDisconnect(s.clock(), d.fingerprint)
+	}
+}
+
+// maxLoggedParts is the maximum number of parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// partNames returns the names of the first parts for the log.
+func partNames(parts []platform.PromptPart) string {
+	var names []string
+	for _, p := range parts[:min(len(parts), maxLoggedParts)] {
+		names = append(names, p.Name)
 	}
+	return strings.Join(names, ",")
 }
 
 // probe opens and closes a connection to a target.
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -50,6 +50,7 @@
 	HandoverReceived   = register(1403, 0, "command records taken", "This host answers resends of the commands of a stopped host.")
 	CommandsRefused    = register(1404, 0, "commands refused", "A planned stop reached the point from which this host begins no commands; running ones end.")
 	SuspectRefused     = register(1701, 0, "request crashes targets", "The request with this fingerprint crashed several targets that ran it; all hosts refuse it as suspect. Find it by its pipeline and workspace in the callers' logs.")
+	CrashObserved      = register(1702, 0, "target lost under a request", "A target closed the connection while it had a request; the line has the shared parts of the prompt, whether the answer had begun, its events, and whether the target still accepts connections.")
 	OrderGiven         = register(1501, 0, "order given", "An engine took a model order.")
 	StaleOrderFound    = register(1502, 0, "late order found", "An engine holds an order with an older fencing token than it held before; it is given the newer order again.")
 	OrderFenced        = register(1503, 0, "order refused", "An engine refused an order for its older fencing token; this host has yet to learn of a newer configuration.")
