--- a/io/edge/crash_test.go
+++ b/io/edge/crash_test.go
@@ -2,8 +2,15 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
 	"net/http"
+	"strings"
+	"sync"
 	"testing"
+	"time"
+
+	"github.com/matryer/is"
 
 	"sassafrasward/platform/standin"
 )
@@ -37,3 +44,135 @@
 	go e.CloseClientConnections()
 	panic(http.ErrAbortHandler)
 }
+
+// contactTime is how long a host is connected to the others before the bounds on crashes hold for it.
+const contactTime = 3 * time.Second
+
+// crashingPool is a pool of targets that crash when they begin to answer a request whose prompt has a
+// certain part, and that start again under another identity and address.
+type crashingPool struct {
+	t     *testing.T
+	store *standin.Store
+	part  string
+
+	mutex sync.Mutex
+	// started is the number of targets that were started, reached the number of requests with the
+	// part that reached one, crashed that of the targets that ended.
+	started, reached, crashed int
+}
+
+func newCrashingPool(t *testing.T, s *standin.Store, part string, targets int) *crashingPool {
+	p := &crashingPool{t: t, store: s, part: part}
+	for range targets {
+		p.start()
+	}
+	return p
+}
+
+// start starts and registers another target.
+func (p *crashingPool) start() {
+	p.mutex.Lock()
+	p.started++
+	id := fmt.Sprintf("i-%d", p.started)
+	p.mutex.Unlock()
+	var e *standin.Target
+	var once sync.Once
+	e = standin.NewTarget(id, func(w http.ResponseWriter, r *http.Request) {
+		if !standin.HasPart(r, p.part) {
+			events(w, 1, 3, true)
+			return
+		}
+		p.mutex.Lock()
+		p.reached++
+		p.mutex.Unlock()
+		once.Do(func() { p.restart(e, id) })
+		crash(e, w)
+	})
+	p.t.Cleanup(e.Stop)
+	p.store.Register(e, "model", "ready")
+}
+
+// restart counts a crash and starts another target after a while.
+func (p *crashingPool) restart(e *standin.Target, id string) {
+	p.mutex.Lock()
+	p.crashed++
+	p.mutex.Unlock()
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		p.store.Put("servers/"+id, "")
+		p.start()
+	}()
+}
+
+// counts returns how many requests with the part reached targets, and how many targets crashed.
+func (p *crashingPool) counts() (reached, crashed int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.reached, p.crashed
+}
+
+// sendPrompt sends a request that differs from all others of the test, and returns its status.
+func (host *testHost) sendPrompt(id string, parts ...string) (status int) {
+	status, _, _ = host.call(http.MethodPost, "/chat/", id, func(r *http.Request) {
+		r.Body, r.ContentLength = io.NopCloser(strings.NewReader(id)), int64(len(id))
+		standin.SetPrompt(r, parts...)
+	})
+	return status
+}
+
+// TestPartThatCrashesTargets guards against requests, no two alike, that crash target after target,
+// because one part of their prompts does so at whatever host they arrive; and against sound requests
+// that are refused with them, because they have the same key and other parts in common.
+func TestPartThatCrashesTargets(t *testing.T) {
+	t.Parallel()
+	const (
+		crashLimit   = 5
+		laterAllowed = 3
+		tries        = 20
+	)
+	for name, prompt := range map[string]func(n int) []string{
+		"in the middle": func(n int) []string { return []string{"first", "bad", fmt.Sprintf("own%d", n)} },
+		"at the start":  func(n int) []string { return []string{"bad", fmt.Sprintf("mid%d", n), fmt.Sprintf("own%d", n)} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore(t)
+			s.PublishConfig(1)
+			pool := newCrashingPool(t, s, "bad", 6)
+			host, peer := startHost(t, s, "e1")
+			hosts := []*testHost{host}
+			for _, name := range []string{"e2", "e3"} {
+				host, _ := startHost(t, s, name, peer)
+				hosts = append(hosts, host)
+			}
+			sound := func(n int) int {
+				return hosts[n%len(hosts)].sendPrompt(fmt.Sprintf("sound%d", n), "first", fmt.Sprintf("mid%d", n%4), fmt.Sprintf("own%d", n))
+			}
+			bad := func(n int) { hosts[n%len(hosts)].sendPrompt(fmt.Sprintf("bad%d", n), prompt(n)...) }
+			for n, host := range hosts {
+				host.waitReady()
+				host.wait(func() bool { return sound(n) == http.StatusOK })
+			}
+			sent := 0
+			for _, crashed := pool.counts(); crashed < crashLimit && sent < 2*tries; _, crashed = pool.counts() {
+				bad(sent)
+				sent++
+				time.Sleep(50 * time.Millisecond)
+			}
+			time.Sleep(contactTime)
+			before, _ := pool.counts()
+			served := 0
+			for n := range tries {
+				bad(sent + n)
+				if sound(100+n) == http.StatusOK {
+					served++
+				}
+			}
+			reached, crashed := pool.counts()
+			t.Logf("%d targets crashed, %d requests reached targets later, %d of %d sound ones were served", crashed, reached-before, served, tries)
+			is.True(reached-before <= laterAllowed)
+			is.True(served >= tries/2)
+		})
+	}
+}
