--- a/core/suspect/suspect.go
+++ b/core/suspect/suspect.go
@@ -1,7 +1,8 @@
 package suspect
 
 import (
-	"math"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -31,8 +32,8 @@
 	// it: a request that many callers send would otherwise never be tried again after two
 	// targets went down for another reason.
 	entryTTL = 10 * time.Minute
-	// maxFingerprints limits the number of entries; the least recently updated one is evicted.
-	maxFingerprints = 4_096
+	// maxEntries limits the number of fingerprints or parts of prompts.
+	maxEntries = 4_096
 	// A fingerprint with at least minTrustedRuns completed runs, each within trustDuration of
 	// the next one or of now, is not taken for the cause of crashes: a call that crashes its
 	// targets does not complete repeatedly.
@@ -70,23 +71,14 @@
 type Table struct {
 	host string
 	// notify is called with each record that this host changes; it may be nil.
-	notify  func(CrashRecord)
-	entries map[uint64]*entry
-	// recentRuns and olderRuns hold the completed runs by fingerprint. Once recentRuns has
-	// maxFingerprints entries, it replaces olderRuns.
-	recentRuns, olderRuns map[uint64]completedRuns
+	notify func(CrashRecord)
+	// entries has the evidence of each origin by fingerprint.
+	entries expiring[originSet]
+	runs    *runLog
 }
 
-// completedRuns counts the completed runs of a fingerprint; last is the time of the last one.
-type completedRuns struct {
-	count int
-	last  time.Duration
-}
-
-type entry struct {
-	origins    map[string]originEvidence
-	lastUpdate time.Duration
-}
+// originSet has the evidence by origin host.
+type originSet map[string]originEvidence
 
 // originEvidence holds the counts of one origin; cleared is at most evidence.
 type originEvidence struct{ evidence, cleared int }
@@ -94,45 +86,18 @@
 // New returns an empty table for a host. The function notify is called with each record that
 // has to be sent to other hosts; it may be nil and must not block.
 func New(host string, notify func(CrashRecord)) *Table {
-	return &Table{host: host, notify: notify, entries: make(map[uint64]*entry), recentRuns: make(map[uint64]completedRuns)}
+	return &Table{host: host, notify: notify, entries: newExpiring[originSet](), runs: newRunLog()}
 }
 
 // isTrusted reports whether calls with the fingerprint complete repeatedly on this host.
 func (t *Table) isTrusted(now time.Duration, fingerprint uint64) bool {
-	return t.validRuns(now, fingerprint).count >= minTrustedRuns
-}
-
-// validRuns returns the completed runs, or none if the last one is older than trustDuration.
-func (t *Table) validRuns(now time.Duration, fingerprint uint64) completedRuns {
-	c, ok := t.recentRuns[fingerprint]
-	if !ok {
-		c = t.olderRuns[fingerprint]
-	}
-	if now-c.last > trustDuration {
-		return completedRuns{}
-	}
-	return c
-}
-
-func (t *Table) recordRun(now time.Duration, fingerprint uint64) {
-	c := t.validRuns(now, fingerprint)
-	if len(t.recentRuns) >= maxFingerprints {
-		t.olderRuns, t.recentRuns = t.recentRuns, make(map[uint64]completedRuns)
-	}
-	t.recentRuns[fingerprint] = completedRuns{count: c.count + 1, last: now}
+	return t.runs.get(now, fingerprint).count >= minTrustedRuns
 }
 
 // Level returns how calls with the fingerprint are treated now.
 func (t *Table) Level(now time.Duration, fingerprint uint64) Level {
-	e, ok := t.entries[fingerprint]
-	if !ok {
-		return Clear
-	}
-	if now-e.lastUpdate > entryTTL {
-		delete(t.entries, fingerprint)
-		return Clear
-	}
-	switch n := e.evidence(); {
+	origins, _ := t.entries.get(now, fingerprint)
+	switch n := origins.evidence(); {
 	case n >= RefuseThreshold && !t.isTrusted(now, fingerprint):
 		return Refused
 	case n > 0:
@@ -141,8 +106,8 @@
 	return Clear
 }
 
-func (e *entry) evidence() (n int) {
-	for _, c := range e.origins {
+func (s originSet) evidence() (n int) {
+	for _, c := range s {
 		n += c.evidence - c.cleared
 	}
 	return n
@@ -163,26 +128,24 @@
 	if t.isTrusted(now, fingerprint) {
 		return
 	}
-	e := t.entry(now, fingerprint)
-	c := e.origins[t.host]
+	origins := t.update(now, fingerprint)
+	c := origins[t.host]
 	c.evidence += evidence
-	e.origins[t.host] = c
+	origins[t.host] = c
 	t.publish(fingerprint, t.host, c)
 }
 
 // RecordCompletion records that a call with the fingerprint completed and clears its evidence.
 func (t *Table) RecordCompletion(now time.Duration, fingerprint uint64) {
-	t.recordRun(now, fingerprint)
-	if t.Level(now, fingerprint) == Clear {
-		return
-	}
-	e := t.entries[fingerprint]
-	for origin, c := range e.origins {
+	t.runs.record(now, fingerprint)
+	origins, _ := t.entries.get(now, fingerprint)
+	for _, origin := range slices.Sorted(maps.Keys(origins)) {
+		c := origins[origin]
 		if c.cleared == c.evidence {
 			continue
 		}
 		c.cleared = c.evidence
-		e.origins[origin] = c
+		origins[origin] = c
 		t.publish(fingerprint, origin, c)
 	}
 }
@@ -192,27 +155,27 @@
 // cleared for all hosts: the other one may have started a moment ago, and may get no completed run
 // any more once it refuses them.
 func (t *Table) Merge(now time.Duration, r CrashRecord) {
-	if e, ok := t.entries[r.fingerprint]; ok {
-		if c, ok := e.origins[r.origin]; ok && c.evidence >= r.evidence && c.cleared >= r.cleared {
+	if origins, ok := t.entries.get(now, r.fingerprint); ok {
+		if c, ok := origins[r.origin]; ok && c.evidence >= r.evidence && c.cleared >= r.cleared {
 			return
 		}
 	}
-	e := t.entry(now, r.fingerprint)
-	c := e.origins[r.origin]
+	origins := t.update(now, r.fingerprint)
+	c := origins[r.origin]
 	c.evidence = max(c.evidence, r.evidence)
 	c.cleared = min(max(c.cleared, r.cleared), c.evidence)
 	trusted := c.cleared < c.evidence && t.isTrusted(now, r.fingerprint)
 	if trusted {
 		c.cleared = c.evidence
 	}
-	e.origins[r.origin] = c
+	origins[r.origin] = c
 	if trusted {
 		t.publish(r.fingerprint, r.origin, c)
 	}
 }
 
 // Len returns the number of fingerprints with an entry.
-func (t *Table) Len() int { return len(t.entries) }
+func (t *Table) Len() int { return t.entries.len() }
 
 func (t *Table) publish(fingerprint uint64, origin string, c originEvidence) {
 	if t.notify != nil {
@@ -220,28 +183,12 @@
 	}
 }
 
-func (t *Table) entry(now time.Duration, fingerprint uint64) *entry {
-	e, ok := t.entries[fingerprint]
+// update returns the evidence of a fingerprint, which is about to change.
+func (t *Table) update(now time.Duration, fingerprint uint64) originSet {
+	origins, ok := t.entries.get(now, fingerprint)
 	if !ok {
-		t.evict()
-		e = &entry{origins: make(map[string]originEvidence)}
-		t.entries[fingerprint] = e
-	}
-	e.lastUpdate = now
-	return e
-}
-
-// evict removes the least recently updated entry if the table is full. Ties are broken by the
-// fingerprint.
-func (t *Table) evict() {
-	if len(t.entries) < maxFingerprints {
-		return
-	}
-	oldest, lastUpdate := uint64(0), time.Duration(math.MaxInt64)
-	for fingerprint, e := range t.entries {
-		if e.lastUpdate < lastUpdate || e.lastUpdate == lastUpdate && fingerprint < oldest {
-			oldest, lastUpdate = fingerprint, e.lastUpdate
-		}
+		origins = make(originSet)
 	}
-	delete(t.entries, oldest)
+	t.entries.put(now, fingerprint, origins)
+	return origins
 }
