--- a/core/member/fact.go
+++ b/core/member/fact.go
@@ -123,13 +123,25 @@
 // of it was cleared by later completed runs of the same request. Both numbers are weights of
 // evidence as defined by core/suspect.
 type Crash struct {
+	// Fingerprint identifies the request, or a part of the prompts of several requests.
 	Fingerprint uint64
 	// Observer is the incarnation of the host that saw the crashes. Only this host raises
-	// Crashes; any host may raise Cleared up to Crashes.
+	// Crashes; any host may raise Cleared up to Crashes. For a part of prompts, Observer identifies
+	// the target that crashed, and any host may raise both.
 	Observer uint64
-	Crashes  uint64
-	Cleared  uint64
-	TTL      time.Duration
+	// Part is set for a part of prompts.
+	Part    bool
+	Crashes uint64
+	Cleared uint64
+	TTL     time.Duration
+}
+
+// Age returns how long ago the fact was published.
+func (c Crash) Age() time.Duration {
+	if c.TTL <= 0 {
+		return 0
+	}
+	return max(crashTTL-c.TTL, 0)
 }
 
 // Merge returns the maximum of both numbers, which only grow.
@@ -138,7 +150,14 @@
 	return c
 }
 
-func (c Crash) key() string                     { return fmt.Sprintf("%016x%016x", c.Fingerprint, c.Observer) }
+func (c Crash) key() string {
+	key := fmt.Sprintf("%016x%016x", c.Fingerprint, c.Observer)
+	if c.Part {
+		key += "part"
+	}
+	return key
+}
+
 func (c Crash) initialTTL() time.Duration       { return crashTTL }
 func (c Crash) remainingTTL() time.Duration     { return c.TTL }
 func (c Crash) withTTL(ttl time.Duration) Crash { c.TTL = ttl; return c }
--- a/core/member/rank_test.go
+++ b/core/member/rank_test.go
@@ -50,7 +50,7 @@
 	for _, m := range sim.nodes[0].Members() {
 		fresh.Serve(0, member.Packet{From: m})
 	}
-	for _, c := range sim.nodes[0].Crashes() {
+	for _, c := range sim.nodes[0].Crashes(sim.now) {
 		fresh.ReportCrash(0, c)
 	}
 	got, own := fresh.Ping().Digest, newFleetState(1).Ping().Digest
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -212,8 +212,8 @@
 }
 
 // Crashes returns the crash evidence of all hosts, ordered by fingerprint.
-func (s *State) Crashes() []Crash {
-	return s.crashes.collect(s.now, -1, func(*row[Crash]) bool { return true })
+func (s *State) Crashes(now time.Duration) []Crash {
+	return s.crashes.collect(max(s.now, now), -1, func(*row[Crash]) bool { return true })
 }
 
 // ReportCrash publishes the crash evidence of one host for a request fingerprint.
--- a/core/member/state_test.go
+++ b/core/member/state_test.go
@@ -267,7 +267,7 @@
 
 // netCrashes returns how many crashes of a fingerprint were not cleared by a completed run.
 func netCrashes(n *node, fingerprint uint64) (count uint64) {
-	for _, c := range n.Crashes() {
+	for _, c := range n.Crashes(0) {
 		if c.Fingerprint == fingerprint {
 			count += c.Crashes - c.Cleared
 		}
@@ -292,7 +292,7 @@
 	is.True(sim.run(time.Second, all(0)))
 	sim.nodes[0].ReportCrash(sim.now, member.Crash{Fingerprint: 7, Observer: 1, Crashes: 2})
 	is.True(sim.run(time.Second, all(1)))
-	is.True(sim.run(15*time.Minute, func() bool { return sim.all(func(n *node) bool { return len(n.Crashes()) == 0 }) }))
+	is.True(sim.run(15*time.Minute, func() bool { return sim.all(func(n *node) bool { return len(n.Crashes(sim.now)) == 0 }) }))
 }
 
 // TestHandover guards against hosts that do not learn which host answers for a stopped one.
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -73,8 +73,8 @@
 		select {
 		case task := <-c.tasks:
 			task()
-		case record := <-c.suspects.records:
-			c.gossipCrash(record)
+		case <-c.suspects.changed:
+			c.gossipCrashes()
 		case <-ticker.C:
 			c.tick()
 		case <-ctx.Done():
@@ -171,7 +171,7 @@
 		c.announcements.Add(event.HostServing, "serving", serving)
 	}
 	if c.members.CrashesChanged() {
-		c.suspects.merge(c.members.Crashes())
+		c.suspects.merge(c.members.Crashes(c.clock()))
 	}
 	targetsChanged, membersChanged := c.targetSet.Changed(), false
 	if now := c.clock(); servingChanged || now >= c.nextPublish {
--- a/io/edge/crash_test.go
+++ b/io/edge/crash_test.go
@@ -30,7 +30,7 @@
 	host.waitReady()
 	host.wait(func() bool {
 		host.call(http.MethodPost, "/chat/", "s1", func(r *http.Request) { standin.SetPrompt(r, "aa", "bb", "own") })
-		return log.has(`"event":1702`, `"request":"s1"`, `"target":"i-1"`, `"parts":"aa,bb"`, `"began":true`, `"events":0`, `"accepts":false`)
+		return log.has(`"event":1702`, `"request":"s1"`, `"target":"i-1"`, `"parts":"aa,bb"`, `"progress":"begun"`, `"events":0`, `"accepts":false`)
 	})
 	host.wait(func() bool { return log.has(`"event":1302`, `"parts":"aa,bb"`) })
 }
@@ -54,6 +54,8 @@
 	t     *testing.T
 	store *standin.Store
 	part  string
+	// delay is the time from the headers of an answer to the crash.
+	delay time.Duration
 
 	mutex sync.Mutex
 	// started is the number of targets that were started, reached the number of requests with the
@@ -61,8 +63,8 @@
 	started, reached, crashed int
 }
 
-func newCrashingPool(t *testing.T, s *standin.Store, part string, targets int) *crashingPool {
-	p := &crashingPool{t: t, store: s, part: part}
+func newCrashingPool(t *testing.T, s *standin.Store, part string, delay time.Duration, targets int) *crashingPool {
+	p := &crashingPool{t: t, store: s, part: part, delay: delay}
 	for range targets {
 		p.start()
 	}
@@ -85,7 +87,10 @@
 		p.mutex.Lock()
 		p.reached++
 		p.mutex.Unlock()
-		once.Do(func() { p.restart(e, id) })
+		standin.Sign(w)
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(p.delay)
+		once.Do(func() { p.restart(id) })
 		crash(e, w)
 	})
 	p.t.Cleanup(e.Stop)
@@ -93,7 +98,7 @@
 }
 
 // restart counts a crash and starts another target after a while.
-func (p *crashingPool) restart(e *standin.Target, id string) {
+func (p *crashingPool) restart(id string) {
 	p.mutex.Lock()
 	p.crashed++
 	p.mutex.Unlock()
@@ -130,16 +135,22 @@
 		laterAllowed = 3
 		tries        = 20
 	)
-	for name, prompt := range map[string]func(n int) []string{
-		"in the middle": func(n int) []string { return []string{"first", "bad", fmt.Sprintf("own%d", n)} },
-		"at the start":  func(n int) []string { return []string{"bad", fmt.Sprintf("mid%d", n), fmt.Sprintf("own%d", n)} },
+	middle := func(n int) []string { return []string{"first", "bad", fmt.Sprintf("own%d", n)} }
+	start := func(n int) []string { return []string{"bad", fmt.Sprintf("mid%d", n), fmt.Sprintf("own%d", n)} }
+	for name, test := range map[string]struct {
+		prompt func(n int) []string
+		delay  time.Duration
+	}{
+		"in the middle":        {middle, 0},
+		"at the start":         {start, 0},
+		"in the middle, later": {middle, 60 * time.Millisecond},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			s := newStore(t)
 			s.PublishConfig(1)
-			pool := newCrashingPool(t, s, "bad", 6)
+			pool := newCrashingPool(t, s, "bad", test.delay, 6)
 			host, peer := startHost(t, s, "e1")
 			hosts := []*testHost{host}
 			for _, name := range []string{"e2", "e3"} {
@@ -149,7 +160,7 @@
 			sound := func(n int) int {
 				return hosts[n%len(hosts)].sendPrompt(fmt.Sprintf("sound%d", n), "first", fmt.Sprintf("mid%d", n%4), fmt.Sprintf("own%d", n))
 			}
-			bad := func(n int) { hosts[n%len(hosts)].sendPrompt(fmt.Sprintf("bad%d", n), prompt(n)...) }
+			bad := func(n int) { hosts[n%len(hosts)].sendPrompt(fmt.Sprintf("bad%d", n), test.prompt(n)...) }
 			for n, host := range hosts {
 				host.waitReady()
 				host.wait(func() bool { return sound(n) == http.StatusOK })
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -16,6 +16,7 @@
 	"sassafrasward/core/pick"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/route"
+	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
@@ -60,7 +61,8 @@
 // attempt holds the target, the response and the error of one attempt to run the request.
 type attempt struct {
 	target discovery.Target
-	began  time.Duration
+	// began is when the request was sent, answered when the headers of the response arrived.
+	began, answered time.Duration
 	// last is set if no other attempt may follow. inputsGone is set if the target did not run the
 	// request because some of its inputs no longer exist.
 	last, inputsGone bool
@@ -79,6 +81,10 @@
 	s := &stream{exchange: x}
 	unreachable, attempts := 0, 0
 	for {
+		if x.suspects.refused(x.fingerprint, x.prompt) {
+			x.fail(reason.CrashSuspect, 0) // the evidence came after the request was admitted
+			return
+		}
 		pickRequest := x.pickRequest(inputs)
 		t, ok := x.choosers.choose(x.pool, pickRequest)
 		if !ok {
@@ -95,13 +101,13 @@
 			Slowdown: s.slowdown(a),
 		})
 		if v == answered {
-			x.suspects.recordCompletion(x.fingerprint)
+			x.suspects.recordCompletion(x.fingerprint, x.prompt, a.response.Status/100 == 2)
 			return
 		}
 		if v == broken && ctx.Err() == nil && x.targetDisconnected(a) {
 			d := disconnect{
-				request: x.request.ID, fingerprint: x.fingerprint, parts: x.request.SharedParts(), target: t,
-				began: a.response != nil, events: a.events,
+				request: x.request.ID, fingerprint: x.fingerprint, prompt: x.prompt, target: t,
+				progress: x.progress(a), events: a.events,
 			}
 			x.background.Go(func() { x.suspects.recordDisconnect(x.ctx, d) })
 		}
@@ -188,10 +194,25 @@
 	return a.err != nil && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded)
 }
 
+// justBegun is the time from the headers of an answer within which its target may crash because it
+// began the answer, although events were sent.
+const justBegun = 500 * time.Millisecond
+
+// progress returns how far the answer of a broken attempt had come.
+func (x *exchange) progress(a *attempt) suspect.Progress {
+	switch {
+	case a.response == nil || a.events > 0 && x.clock()-a.answered < justBegun:
+		return suspect.Unclear
+	case a.events == 0:
+		return suspect.Begun
+	}
+	return suspect.Underway
+}
+
 // targetCrashed reports whether the target of a response that ended with its connection is gone: then
 // the end shows nothing, because the connections of a process are closed when it crashes.
 func (x *exchange) targetCrashed(a *attempt) bool {
-	return a.response.Framing == transport.FramedByClose && refusesConnections(x.r.Context(), a.target.Address)
+	return a.response.Framing == transport.FramedByClose && refusesConnection(probe(x.r.Context(), a.target.Address))
 }
 
 // pickRequest returns the parameters for choosing a target, including the zone that holds most of
@@ -293,6 +314,7 @@
 		x.mayHaveRun = true
 		return broken
 	}
+	a.answered = x.clock()
 	answer := platform.ReadResponse(a.response.Status, a.response.Header)
 	if answer.NotRun {
 		a.inputsGone = answer.InputsGone
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -78,8 +78,10 @@
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
 	body     []byte
-	// fingerprint identifies equal requests, see computeFingerprint.
+	// fingerprint identifies equal requests, see computeFingerprint. prompt has the parts of the prompt
+	// that other requests may have as well.
 	fingerprint uint64
+	prompt      []platform.PromptPart
 	// arrived is when the request arrived, softDeadline the end of its objective. The caller
 	// stops waiting for the whole response at deadline, and for its start or the next event of a
 	// stream at startDeadline.
@@ -141,7 +143,7 @@
 	}
 	event.Log(x.log, event.RequestEnded, "request", x.request.ID, "route", x.route.Name, "workspace", x.workspace, "status", x.status,
 		"reason", x.why.String(), "detail", x.detail, "targets", strings.Join(x.targets, ","), "rank", x.priority,
-		"pieces", x.request.Pieces, "prompt", x.request.PromptTokens, "parts", partNames(x.request.SharedParts()), "staged", (max(x.stagesDone, x.arrived) - x.arrived).Milliseconds(),
+		"pieces", x.request.Pieces, "prompt", x.request.PromptTokens, "parts", partNames(x.prompt), "staged", (max(x.stagesDone, x.arrived) - x.arrived).Milliseconds(),
 		"first", (max(x.firstEvent, x.arrived) - x.arrived).Milliseconds(), "pause", x.maxGap.Milliseconds(), "elapsed", (x.clock() - x.arrived).Milliseconds(), "version", x.version, "trail", strings.Join(x.trail, "; "))
 }
 
@@ -228,7 +230,8 @@
 	if !x.readBody(t.Limits().BodyBytes) {
 		return false
 	}
-	if x.fingerprint = x.computeFingerprint(); x.suspects.refused(x.fingerprint) {
+	x.fingerprint, x.prompt = x.computeFingerprint(), x.request.SharedParts()
+	if x.suspects.refused(x.fingerprint, x.prompt) {
 		x.refuse(http.StatusServiceUnavailable, reason.CrashSuspect, 0)
 		return false
 	}
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -25,72 +25,163 @@
 // dropped a connection is still up.
 const probeTimeout = 600 * time.Millisecond
 
-// suspects detects requests that crash the targets that run them, from the observations of all
-// hosts. It is safe for concurrent use.
+// maxOutgoing is the number of observations that may wait for the control goroutine.
+const maxOutgoing = 1024
+
+// suspects detects requests and parts of prompts that crash the targets that run them, from the
+// observations of all hosts. It is safe for concurrent use.
 type suspects struct {
 	clock func() time.Duration
 	log   logr.Logger
+	// changed receives a value when there are observations to send to other hosts.
+	changed chan struct{}
+	dropped metrics.Counter
 
 	mutex sync.Mutex
 	table *suspect.Table
-	// records has observations of this host to send to other hosts. If the channel is full, they
-	// are dropped and counted.
-	records chan suspect.CrashRecord
-	dropped metrics.Counter
+	parts *suspect.Parts
+	// outgoing has the observations of this host to send to other hosts. Those beyond maxOutgoing are
+	// dropped and counted.
+	outgoing []member.Crash
+	// logged has the refused requests and parts that were logged.
+	logged map[uint64]bool
 }
 
 func newSuspects(clock func() time.Duration, log logr.Logger, incarnation uint64, dropped metrics.Counter) *suspects {
-	s := &suspects{clock: clock, log: log, records: make(chan suspect.CrashRecord, queueLen), dropped: dropped}
-	s.table = suspect.New(strconv.FormatUint(incarnation, 16), func(record suspect.CrashRecord) {
-		select {
-		case s.records <- record:
-		default:
+	s := &suspects{clock: clock, log: log, changed: make(chan struct{}, 1), dropped: dropped, logged: make(map[uint64]bool)}
+	s.table = suspect.New(strconv.FormatUint(incarnation, 16), func(r suspect.CrashRecord) {
+		observer, err := strconv.ParseUint(r.Origin(), 16, 64)
+		if err != nil {
 			s.dropped.Inc(1)
+			return
 		}
+		s.send(member.Crash{Fingerprint: r.Fingerprint(), Observer: observer, Crashes: uint64(r.Evidence()), Cleared: uint64(r.Cleared())})
+	})
+	s.parts = suspect.NewParts(func(r suspect.PartRecord) {
+		s.send(member.Crash{Fingerprint: r.Part(), Observer: r.Crash(), Part: true, Crashes: uint64(r.Evidence()), Cleared: uint64(r.Cleared())})
 	})
 	return s
 }
 
-// refused reports whether requests with the fingerprint must not run again.
-func (s *suspects) refused(fingerprint uint64) bool {
+// send queues an observation for other hosts. The mutex is held.
+func (s *suspects) send(c member.Crash) {
+	if len(s.outgoing) >= maxOutgoing {
+		s.dropped.Inc(1)
+		return
+	}
+	s.outgoing = append(s.outgoing, c)
+	select {
+	case s.changed <- struct{}{}:
+	default: // the control goroutine has yet to take the ones before
+	}
+}
+
+// take returns the queued observations and empties the queue.
+func (s *suspects) take() (outgoing []member.Crash) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	return s.table.Level(s.clock(), fingerprint) == suspect.Refused
+	outgoing, s.outgoing = s.outgoing, nil
+	return outgoing
 }
 
-// recordCompletion records that a target completed the request.
-func (s *suspects) recordCompletion(fingerprint uint64) {
+// refused reports whether a request must not run again: because of its fingerprint, or of a part of
+// its prompt. The first refusal of each is logged.
+func (s *suspects) refused(fingerprint uint64, prompt []platform.PromptPart) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.table.RecordCompletion(s.clock(), fingerprint)
+	now := s.clock()
+	if s.table.Level(now, fingerprint) == suspect.Refused {
+		s.logOnce(fingerprint, "fingerprint", strconv.FormatUint(fingerprint, 16))
+		return true
+	}
+	part, refused := s.parts.Refused(now, partIDs(prompt))
+	if refused {
+		s.logOnce(part, "part", partName(prompt, part))
+	}
+	return refused
+}
+
+// maxLogged is the number of refused requests and parts that are remembered as logged.
+const maxLogged = 1024
+
+// logOnce logs that a request or part is refused, unless it was logged before.
+func (s *suspects) logOnce(id uint64, pairs ...any) {
+	if s.logged[id] {
+		return
+	}
+	if len(s.logged) >= maxLogged {
+		clear(s.logged)
+	}
+	s.logged[id] = true
+	event.Log(s.log, event.SuspectRefused, pairs...)
+}
+
+// recordCompletion records that a target completed the request. A response to a prompt (prompted)
+// clears the parts of the prompt as well.
+func (s *suspects) recordCompletion(fingerprint uint64, prompt []platform.PromptPart, prompted bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	now := s.clock()
+	s.table.RecordCompletion(now, fingerprint)
+	if prompted {
+		s.parts.RecordCompletion(now, partIDs(prompt))
+	}
 }
 
 // disconnect describes an attempt whose target closed the connection.
 type disconnect struct {
 	request     string
 	fingerprint uint64
-	// parts are the parts of the prompt that other requests may have as well.
-	parts  []platform.PromptPart
-	target discovery.Target
-	// began is set if the headers of the answer had arrived, events is the number of events after
-	// them.
-	began  bool
-	events int
+	// prompt has the parts of the prompt that other requests may have as well.
+	prompt   []platform.PromptPart
+	target   discovery.Target
+	progress suspect.Progress
+	events   int
 }
 
 // recordDisconnect records that a target closed the connection while it ran the request: as a
-// crash if the target no longer accepts connections, otherwise as a disconnect.
+// crash if the target no longer accepts connections, otherwise as a disconnect. Parts of prompts are
+// suspected only if the target has certainly ended: many requests share them, and what breaks
+// connections may break many.
 func (s *suspects) recordDisconnect(ctx context.Context, d disconnect) {
 	err := probe(ctx, d.target.Address)
-	event.Log(s.log, event.CrashObserved, "request", d.request, "target", d.target.ID, "parts", partNames(d.parts),
-		"began", d.began, "events", d.events, "accepts", err == nil, "error", errorText(err))
+	event.Log(s.log, event.CrashObserved, "request", d.request, "target", d.target.ID, "parts", partNames(d.prompt),
+		"progress", d.progress.String(), "events", d.events, "accepts", err == nil, "error", errorText(err))
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	now := s.clock()
 	if err != nil {
-		s.table.RecordCrash(s.clock(), d.fingerprint)
+		s.table.RecordCrash(now, d.fingerprint)
 	} else {
-		s.table.RecordDisconnect(s.clock(), d.fingerprint)
+		s.table.RecordDisconnect(now, d.fingerprint)
+	}
+	if refusesConnection(err) {
+		s.parts.RecordCrash(now, crashID(d.target), d.progress, partIDs(d.prompt))
+	}
+}
+
+// crashID identifies the end of one process of a target. It is equal on all hosts.
+func crashID(t discovery.Target) uint64 {
+	return xxhash.Sum64String(t.ID + "\x00" + strconv.FormatInt(t.StartID, 16))
+}
+
+// partIDs returns the IDs of parts of a prompt.
+func partIDs(parts []platform.PromptPart) []uint64 {
+	ids := make([]uint64, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
 	}
+	return ids
+}
+
+// partName returns the name of the part with the ID.
+func partName(parts []platform.PromptPart, id uint64) string {
+	for _, p := range parts {
+		if p.ID == id {
+			return p.Name
+		}
+	}
+	return ""
 }
 
 // maxLoggedParts is the maximum number of parts of a prompt in a log line.
@@ -116,31 +207,29 @@
 	return conn.Close() // nothing was sent
 }
 
-// refusesConnections reports whether the machine of a target refuses connections to it, so that the
-// target has ended. An attempt without an answer doesn't show that.
-func refusesConnections(ctx context.Context, address string) bool {
-	return errors.Is(probe(ctx, address), syscall.ECONNREFUSED)
-}
+// refusesConnection reports whether a probe with the error shows that the target has ended: its
+// machine refuses the connection. A probe without an answer doesn't show that.
+func refusesConnection(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // merge adds the observations of all hosts.
 func (s *suspects) merge(crashes []member.Crash) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	now := s.clock()
 	for _, c := range crashes {
-		s.table.Merge(s.clock(), suspect.NewCrashRecord(c.Fingerprint, strconv.FormatUint(c.Observer, 16), int(c.Crashes), int(c.Cleared)))
+		if c.Part {
+			s.parts.Merge(now, c.Age(), suspect.NewPartRecord(c.Fingerprint, c.Observer, int(c.Crashes), int(c.Cleared)))
+			continue
+		}
+		s.table.Merge(now, suspect.NewCrashRecord(c.Fingerprint, strconv.FormatUint(c.Observer, 16), int(c.Crashes), int(c.Cleared)))
 	}
 }
 
-// gossipCrash sends an observation of this host to all other hosts.
-func (c *control) gossipCrash(record suspect.CrashRecord) {
-	observer, err := strconv.ParseUint(record.Origin(), 16, 64)
-	if err != nil {
-		event.LogError(c.log, event.SuspectRefused, err, "origin", record.Origin())
-		return
+// gossipCrashes sends the observations of this host to all other hosts.
+func (c *control) gossipCrashes() {
+	for _, crash := range c.suspects.take() {
+		c.members.ReportCrash(c.clock(), crash)
 	}
-	c.members.ReportCrash(c.clock(), member.Crash{
-		Fingerprint: record.Fingerprint(), Observer: observer, Crashes: uint64(record.Evidence()), Cleared: uint64(record.Cleared()),
-	})
 	c.node.Tick()
 }
 
--- a/io/gossip/codec.go
+++ b/io/gossip/codec.go
@@ -28,7 +28,7 @@
 		m.Leavings = append(m.Leavings, &message.Leaving{Address: f.Address, Version: f.Version, Leaves: f.Leaves, Life: encodeTTL(f.TTL)})
 	}
 	for _, f := range p.Crashes {
-		m.Crashes = append(m.Crashes, &message.Crash{Fingerprint: f.Fingerprint, Observer: f.Observer, Crashes: f.Crashes, Cleared: f.Cleared, Life: encodeTTL(f.TTL)})
+		m.Crashes = append(m.Crashes, &message.Crash{Fingerprint: f.Fingerprint, Observer: f.Observer, Part: f.Part, Crashes: f.Crashes, Cleared: f.Cleared, Life: encodeTTL(f.TTL)})
 	}
 	for _, f := range p.Handovers {
 		m.Handovers = append(m.Handovers, &message.Handover{Owner: f.Owner, Successor: f.Successor, Host: f.Host, Life: encodeTTL(f.TTL)})
@@ -67,7 +67,7 @@
 		p.Leavings = append(p.Leavings, member.Leaving{Address: f.GetAddress(), Version: f.GetVersion(), Leaves: f.GetLeaves(), TTL: decodeTTL(f.GetLife())})
 	}
 	for _, f := range m.GetCrashes() {
-		p.Crashes = append(p.Crashes, member.Crash{Fingerprint: f.GetFingerprint(), Observer: f.GetObserver(), Crashes: f.GetCrashes(), Cleared: f.GetCleared(), TTL: decodeTTL(f.GetLife())})
+		p.Crashes = append(p.Crashes, member.Crash{Fingerprint: f.GetFingerprint(), Observer: f.GetObserver(), Part: f.GetPart(), Crashes: f.GetCrashes(), Cleared: f.GetCleared(), TTL: decodeTTL(f.GetLife())})
 	}
 	for _, f := range m.GetHandovers() {
 		p.Handovers = append(p.Handovers, member.Handover{Owner: f.GetOwner(), Successor: f.GetSuccessor(), Host: f.GetHost(), TTL: decodeTTL(f.GetLife())})
--- a/io/gossip/snapshot.go
+++ b/io/gossip/snapshot.go
@@ -40,7 +40,7 @@
 	if !n.state.Changed() {
 		return false
 	}
-	s := &Snapshot{leavings: n.state.LeavingAddresses(), peers: n.state.Peers(), handovers: make(map[uint64]member.Handover), crashes: n.state.Crashes()}
+	s := &Snapshot{leavings: n.state.LeavingAddresses(), peers: n.state.Peers(), handovers: make(map[uint64]member.Handover), crashes: n.state.Crashes(n.loop.Clock())}
 	for _, m := range n.state.Members() {
 		s.members = append(s.members, Member{Member: m, LoadLevel: n.state.LoadLevel(m.Incarnation)})
 	}
