--- a/core/schedule/queue.go
+++ b/core/schedule/queue.go
@@ -260,6 +260,9 @@
 			return
 		}
 		e, _ := queue.Pop()
+		if s.dropSuspect(now, e, actions) {
+			continue
+		}
 		if s.willMissDeadline(now, e) {
 			actions.refusals = append(actions.refusals, Refusal{id: e.call.id, reason: s.dropReason(now, e)})
 			continue
@@ -270,10 +273,23 @@
 	}
 }
 
+// dropSuspect refuses a waiting call if the evidence that it crashes targets has come meanwhile, and
+// reports whether it did.
+func (s *Scheduler) dropSuspect(now time.Duration, e *entry, actions *Actions) bool {
+	if !s.crashesTargets(now, e.call) {
+		return false
+	}
+	actions.refusals = append(actions.refusals, Refusal{id: e.call.id, reason: reason.CrashSuspect})
+	return true
+}
+
 // startDeferred tries again to start the deferred calls.
 func (s *Scheduler) startDeferred(now time.Duration, actions *Actions) {
 	kept := s.deferred[:0]
 	for _, e := range s.deferred {
+		if s.dropSuspect(now, e, actions) {
+			continue
+		}
 		_, free := s.capacity()
 		blocked := free == 0 || e.longClass && s.longInflight >= s.longLimit()
 		if blocked || !s.tryStart(now, e, actions) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -226,12 +226,17 @@
 		return reason.DeadlineExceeded
 	case len(s.subset) == 0:
 		return reason.NoTargets
-	case s.suspects.Level(now, c.fingerprint) == suspect.Refused && c.fingerprint != 0:
+	case s.crashesTargets(now, c):
 		return reason.CrashSuspect
 	}
 	return reason.None
 }
 
+// crashesTargets reports whether the call must not run because it crashes targets.
+func (s *Scheduler) crashesTargets(now time.Duration, c Call) bool {
+	return c.fingerprint != 0 && s.suspects.Level(now, c.fingerprint) == suspect.Refused
+}
+
 // Finish reports the end of a call and returns the actions that follow from it, such as the
 // queued calls that start in its place.
 func (s *Scheduler) Finish(now time.Duration, r Result) (actions Actions) {
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -10,6 +10,7 @@
 
 	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
+	"sassafrasward/core/suspect"
 )
 
 func newScheduler(targets, slots int, p schedule.Policy) *schedule.Scheduler {
@@ -133,6 +134,41 @@
 	is.Equal(s.Offer(4, newCall(15, time.Hour, schedule.WithFingerprint(2))).Verdict(), schedule.Started)
 }
 
+// TestQueuedCrashSuspects guards against a call that crashes another target because the evidence
+// against it came while it was queued or deferred.
+func TestQueuedCrashSuspects(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(2, 1, schedule.NewPolicy(schedule.WithSlowDetection(false)))
+	for i := range schedule.ID(2) {
+		is.Equal(s.Offer(0, newCall(i, time.Hour)).Verdict(), schedule.Started)
+	}
+	is.Equal(s.Offer(0, newCall(2, time.Hour, schedule.WithFingerprint(1))).Verdict(), schedule.Queued)
+	is.Equal(s.Offer(0, newCall(3, time.Hour)).Verdict(), schedule.Queued)
+	s.Suspects().Merge(1, suspect.NewCrashRecord(1, "other", suspect.RefuseThreshold, 0))
+	actions := s.Finish(2, schedule.NewResult(0, schedule.Completed))
+	is.Equal(len(actions.Refusals()), 1)
+	is.Equal(actions.Refusals()[0].ID(), schedule.ID(2))
+	is.Equal(actions.Refusals()[0].Reason(), reason.CrashSuspect)
+	is.Equal(len(actions.Starts()), 1)
+	is.Equal(actions.Starts()[0].ID(), schedule.ID(3))
+}
+
+// TestDeferredCrashSuspects guards against the same for a call that no free slot accepted.
+func TestDeferredCrashSuspects(t *testing.T) {
+	is := is.New(t)
+	s := newScheduler(1, 2, schedule.NewPolicy(schedule.WithSlowDetection(false)))
+	for i := range uint64(2) {
+		s.Suspects().Merge(0, suspect.NewCrashRecord(1+i, "other", 1, 0)) // both are isolated
+	}
+	is.Equal(s.Offer(0, newCall(1, time.Hour, schedule.WithFingerprint(1))).Verdict(), schedule.Started)
+	is.Equal(s.Offer(0, newCall(2, time.Hour, schedule.WithFingerprint(2))).Verdict(), schedule.Queued)
+	s.Suspects().Merge(1, suspect.NewCrashRecord(2, "other", suspect.RefuseThreshold, 0))
+	actions := s.Finish(2, schedule.NewResult(1, schedule.Completed))
+	is.Equal(len(actions.Starts()), 0)
+	is.Equal(len(actions.Refusals()), 1)
+	is.Equal(actions.Refusals()[0].Reason(), reason.CrashSuspect)
+}
+
 // TestRetryBudget guards against retries beyond their budget.
 func TestRetryBudget(t *testing.T) {
 	is := is.New(t)
