--- a/core/schedule/call.go
+++ b/core/schedule/call.go
@@ -71,6 +71,14 @@
 // WithAvoid lists targets that the call must not run on if another one is available.
 func WithAvoid(targets ...string) CallOption { return func(c *Call) { c.avoid = targets } }
 
+// promptParts returns the parts of the call's prompt that other calls may have as well.
+func (c Call) promptParts() []uint64 {
+	if c.prefix == 0 {
+		return nil
+	}
+	return []uint64{c.prefix}
+}
+
 // ID returns the identity of the attempt.
 func (c Call) ID() ID { return c.id }
 
--- a/core/schedule/result.go
+++ b/core/schedule/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"sassafrasward/core/reason"
+	"sassafrasward/core/suspect"
 )
 
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=CallStatus,Verdict -linecomment -output=result_string.go
@@ -124,6 +125,8 @@
 	load   Load
 	// size is the actual size; zero if not known.
 	size float64
+	// progress is how far the answer had come when the call ended.
+	progress suspect.Progress
 }
 
 // ID returns the identity of the call that ended.
@@ -132,9 +135,9 @@
 // ResultOption sets a property of a Result.
 type ResultOption func(*Result)
 
-// NewResult returns the result of a call.
+// NewResult returns the result of a call. Without WithProgress, its answer had just begun.
 func NewResult(id ID, status CallStatus, options ...ResultOption) Result {
-	r := Result{id: id, status: status}
+	r := Result{id: id, status: status, progress: suspect.Begun}
 	for _, o := range options {
 		o(&r)
 	}
@@ -144,6 +147,9 @@
 // WithLoad sets the load that the target reported with the answer.
 func WithLoad(l Load) ResultOption { return func(r *Result) { r.load = l } }
 
+// WithProgress sets how far the answer had come when the call ended.
+func WithProgress(p suspect.Progress) ResultOption { return func(r *Result) { r.progress = p } }
+
 // WithActualSize sets the actual size of the call, in the unit of WithSize.
 func WithActualSize(size float64) ResultOption { return func(r *Result) { r.size = size } }
 
--- a/core/schedule/run.go
+++ b/core/schedule/run.go
@@ -1,8 +1,11 @@
 package schedule
 
 import (
+	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafrasward/core/budget"
 )
 
@@ -125,11 +128,14 @@
 		if fingerprint != 0 {
 			s.suspects.RecordCompletion(now, fingerprint)
 		}
+		s.parts.RecordCompletion(now, r.entry.call.promptParts())
 	case Crashed:
 		r.state.detector.Fail(now, r.probe)
 		if fingerprint != 0 {
 			s.suspects.RecordCrash(now, fingerprint)
 		}
+		s.crashes++
+		s.parts.RecordCrash(now, s.crashID(r.state.target.name), result.progress, r.entry.call.promptParts())
 	case ConnReset:
 		r.state.detector.Fail(now, r.probe)
 		if fingerprint != 0 {
@@ -152,6 +158,12 @@
 	}
 }
 
+// crashID identifies a crash that this host observed. A target keeps its name when it starts again, so
+// that the name alone would join all its crashes.
+func (s *Scheduler) crashID(target string) uint64 {
+	return xxhash.Sum64String(target + "\x00" + s.host + "\x00" + strconv.FormatUint(s.crashes, 16))
+}
+
 func (s *Scheduler) recordTime(now time.Duration, r *run, took time.Duration, size float64) {
 	slow := r.state.detector.Slow()
 	if r.entry.median > 0 && (!r.countedSlow || r.probe) {
--- a/core/schedule/schedule.go
+++ b/core/schedule/schedule.go
@@ -79,6 +79,11 @@
 	poolSlowdown float64
 	prefixes     *balance.PrefixIndex
 	suspects     *suspect.Table
+	// parts has the prompt prefixes that crash targets. host and crashes, the number of crashes that
+	// this host observed in the pool, identify a crash.
+	parts   *suspect.Parts
+	host    string
+	crashes uint64
 }
 
 // targetState is a target with this host's measurements of it.
@@ -109,6 +114,12 @@
 // hosts.
 func WithSuspects(t *suspect.Table) Option { return func(s *Scheduler) { s.suspects = t } }
 
+// WithParts sets the table of prompt prefixes that crash targets, and the host that observes crashes.
+// The default table is not shared with other hosts.
+func WithParts(host string, p *suspect.Parts) Option {
+	return func(s *Scheduler) { s.host, s.parts = host, p }
+}
+
 // New returns a scheduler without targets.
 func New(random *rand.Rand, options ...Option) *Scheduler {
 	s := &Scheduler{
@@ -116,7 +127,7 @@
 		targets: sortedmap.New[string, *targetState](), running: make(map[ID]*run),
 		short: fairqueue.New[string, *entry](), long: fairqueue.New[string, *entry](),
 		poolSlowdown: 1, serviceTimes: estimate.New[estimateKey](), callSizes: estimate.New[estimateKey](),
-		prefixes: balance.NewPrefixIndex(), suspects: suspect.New("", nil),
+		prefixes: balance.NewPrefixIndex(), suspects: suspect.New("", nil), parts: suspect.NewParts(nil),
 	}
 	for _, o := range options {
 		o(s)
@@ -234,7 +245,11 @@
 
 // crashesTargets reports whether the call must not run because it crashes targets.
 func (s *Scheduler) crashesTargets(now time.Duration, c Call) bool {
-	return c.fingerprint != 0 && s.suspects.Level(now, c.fingerprint) == suspect.Refused
+	if c.fingerprint != 0 && s.suspects.Level(now, c.fingerprint) == suspect.Refused {
+		return true
+	}
+	_, refused := s.parts.Refused(now, c.promptParts())
+	return refused
 }
 
 // Finish reports the end of a call and returns the actions that follow from it, such as the
@@ -321,6 +336,10 @@
 	return s.retryBudget.AddedPercent(), s.hedgeBudget.AddedPercent() + s.probeBudget.AddedPercent()
 }
 
+// Parts returns the table of prompt prefixes that crash targets, into which the records of other hosts
+// are merged.
+func (s *Scheduler) Parts() *suspect.Parts { return s.parts }
+
 // Suspects returns the table of crash suspects, into which the records of other hosts are
 // merged.
 func (s *Scheduler) Suspects() *suspect.Table { return s.suspects }
--- a/core/schedule/schedule_test.go
+++ b/core/schedule/schedule_test.go
@@ -153,6 +153,34 @@
 	is.Equal(actions.Starts()[0].ID(), schedule.ID(3))
 }
 
+// TestPrefixThatCrashesTargets guards against calls that crash target after target, because all have a
+// prompt prefix that does so and differ in their input, and against refusing other calls with them.
+func TestPrefixThatCrashesTargets(t *testing.T) {
+	is := is.New(t)
+	var records []suspect.PartRecord
+	parts := suspect.NewParts(func(r suspect.PartRecord) { records = append(records, r) })
+	s := schedule.New(rand.New(rand.NewPCG(1, 2)), schedule.WithPolicy(schedule.NewPolicy(schedule.WithSlowDetection(false))), schedule.WithParts("a", parts))
+	s.SetTargets(0, pool(2, 8))
+	call := func(id schedule.ID, prefix uint64) schedule.Call {
+		return newCall(id, time.Hour, schedule.WithPrefix(prefix), schedule.WithFingerprint(uint64(100+id)))
+	}
+	now := time.Duration(0)
+	for i := range schedule.ID(3) {
+		now += time.Second
+		is.Equal(s.Offer(now, call(i, 7)).Verdict(), schedule.Started)
+		s.Offer(now, call(10+i, 8))
+		s.Finish(now, schedule.NewResult(i, schedule.Crashed))
+		s.Finish(now, schedule.NewResult(10+i, schedule.Crashed, schedule.WithProgress(suspect.Underway))) // was there as well
+	}
+	is.Equal(s.Offer(now, call(20, 7)).Reason(), reason.CrashSuspect)
+	is.Equal(s.Offer(now, call(21, 8)).Verdict(), schedule.Started)
+	other := newScheduler(2, 8, schedule.NewPolicy())
+	for i, r := range records {
+		other.Parts().Merge(now, time.Duration(len(records)-i)*time.Second, r)
+	}
+	is.Equal(other.Offer(now, call(22, 7)).Reason(), reason.CrashSuspect)
+}
+
 // TestDeferredCrashSuspects guards against the same for a call that no free slot accepted.
 func TestDeferredCrashSuspects(t *testing.T) {
 	is := is.New(t)
--- a/core/suspect/part.go
+++ b/core/suspect/part.go
@@ -33,6 +33,22 @@
 	maxObservations = 64
 )
 
+// justBegun is the time from the beginning of an answer within which its target may crash because of
+// it, although some of the answer was written.
+const justBegun = 500 * time.Millisecond
+
+// NewProgress returns the progress of an answer that began (begun) some time (age) ago and has pieces,
+// such as events or tokens.
+func NewProgress(begun bool, pieces int, age time.Duration) Progress {
+	switch {
+	case !begun || pieces > 0 && age < justBegun:
+		return Unclear
+	case pieces == 0:
+		return Begun
+	}
+	return Underway
+}
+
 // PartRecord holds the evidence that one crash of a target gives against a part of prompts, and how
 // much of it is cleared. Both only grow.
 type PartRecord struct {
--- a/io/daemon/pools.go
+++ b/io/daemon/pools.go
@@ -61,7 +61,8 @@
 		scheduler, ok := old.schedulers[p.Name()]
 		if !ok {
 			scheduler = poolsched.New(s.clock, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-				schedule.WithPolicy(newPolicy(d.ActivePreset())), schedule.WithZone(s.zone), schedule.WithSuspects(s.suspects.table()))
+				schedule.WithPolicy(newPolicy(d.ActivePreset())), schedule.WithZone(s.zone),
+				schedule.WithSuspects(s.suspects.table()), schedule.WithParts(s.suspects.origin, s.suspects.parts()))
 		}
 		scheduler.SetShares(shares)
 		scheduler.SetPolicy(newPolicy(d.ActivePreset()))
@@ -79,6 +80,13 @@
 	}
 }
 
+// mergePart passes a record of a crash by a part of prompts to all pools.
+func (s *poolSet) mergePart(age time.Duration, record suspect.PartRecord) {
+	for _, scheduler := range s.current.Load().schedulers {
+		scheduler.MergePart(age, record)
+	}
+}
+
 // tick runs the periodic decisions of all pools.
 func (s *poolSet) tick() {
 	for _, scheduler := range s.current.Load().schedulers {
--- a/io/daemon/suspect.go
+++ b/io/daemon/suspect.go
@@ -9,6 +9,7 @@
 	"sassafrasward/core/member"
 	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
+	"sassafrasward/io/gossip"
 )
 
 // maxOutgoing is the number of crash records that may wait for the control goroutine. Further
@@ -21,7 +22,7 @@
 	// process counts under its own origin, so the counts of the previous process stay valid.
 	origin string
 	// outgoing holds the crash records of this host for other hosts.
-	outgoing chan suspect.CrashRecord
+	outgoing chan member.Crash
 	dropped  metrics.Counter
 	// lastCrashes holds the crash records of all hosts as last passed to the pools.
 	lastCrashes []member.Crash
@@ -31,50 +32,62 @@
 
 func newSuspectSync(incarnation uint64, dropped metrics.Counter) *suspectSync {
 	return &suspectSync{
-		origin: strconv.FormatUint(incarnation, 16), outgoing: make(chan suspect.CrashRecord, maxOutgoing),
+		origin: strconv.FormatUint(incarnation, 16), outgoing: make(chan member.Crash, maxOutgoing),
 		dropped: dropped, refused: make(map[uint64]bool),
 	}
 }
 
 // table returns a new table of crash suspects for one pool.
-func (s *suspectSync) table() *suspect.Table { return suspect.New(s.origin, s.enqueue) }
+func (s *suspectSync) table() *suspect.Table {
+	return suspect.New(s.origin, func(r suspect.CrashRecord) {
+		crash, err := gossip.CrashFact(r)
+		if err != nil {
+			s.dropped.Inc(1)
+			return
+		}
+		s.enqueue(crash)
+	})
+}
+
+// parts returns a new table of the parts of prompts that crash targets, for one pool.
+func (s *suspectSync) parts() *suspect.Parts {
+	return suspect.NewParts(func(r suspect.PartRecord) { s.enqueue(gossip.PartFact(r)) })
+}
 
 // enqueue queues a crash record for other hosts. It is called with the mutex of a pool's scheduler
 // held and must not block.
-func (s *suspectSync) enqueue(record suspect.CrashRecord) {
+func (s *suspectSync) enqueue(crash member.Crash) {
 	select {
-	case s.outgoing <- record:
+	case s.outgoing <- crash:
 	default:
 		s.dropped.Inc(1)
 	}
 }
 
 // reportCrash shares a crash record of this host with all other hosts.
-func (c *control) reportCrash(record suspect.CrashRecord) {
-	observer, err := strconv.ParseUint(record.Origin(), 16, 64)
-	if err != nil {
-		return
-	}
-	c.members.ReportCrash(c.clock(), member.Crash{
-		Fingerprint: record.Fingerprint(), Observer: observer,
-		Crashes: uint64(record.Evidence()), Cleared: uint64(record.Cleared()),
-	})
+func (c *control) reportCrash(crash member.Crash) {
+	c.members.ReportCrash(c.clock(), crash)
 	c.node.Tick()
 }
 
 // mergeCrashes passes the crash records of all hosts to the pools if they have changed.
 func (c *control) mergeCrashes() {
-	crashes := slices.Clone(c.node.Snapshot().Crashes())
-	for i := range crashes {
-		crashes[i].TTL = 0
+	crashes := c.node.Snapshot().Crashes()
+	plain := slices.Clone(crashes)
+	for i := range plain {
+		plain[i].TTL = 0
 	}
-	if slices.Equal(crashes, c.suspects.lastCrashes) {
+	if slices.Equal(plain, c.suspects.lastCrashes) {
 		return
 	}
-	c.suspects.lastCrashes = crashes
+	c.suspects.lastCrashes = plain
 	netCrashes := make(map[uint64]uint64)
 	for _, crash := range crashes {
-		c.pools.mergeCrash(suspect.NewCrashRecord(crash.Fingerprint, strconv.FormatUint(crash.Observer, 16), int(crash.Crashes), int(crash.Cleared)))
+		if crash.Part {
+			c.pools.mergePart(crash.Age(), gossip.PartRecord(crash))
+			continue
+		}
+		c.pools.mergeCrash(gossip.CrashRecord(crash))
 		netCrashes[crash.Fingerprint] += crash.Crashes - min(crash.Cleared, crash.Crashes)
 	}
 	c.logRefused(netCrashes)
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -107,7 +107,7 @@
 		if v == broken && ctx.Err() == nil && x.targetDisconnected(a) {
 			d := disconnect{
 				request: x.request.ID, fingerprint: x.fingerprint, prompt: x.prompt, target: t,
-				progress: x.progress(a), events: a.events,
+				progress: suspect.NewProgress(a.response != nil, a.events, x.clock()-a.answered), events: a.events,
 			}
 			x.background.Go(func() { x.suspects.recordDisconnect(x.ctx, d) })
 		}
@@ -194,21 +194,6 @@
 	return a.err != nil && !errors.Is(a.err, context.Canceled) && !errors.Is(a.err, context.DeadlineExceeded)
 }
 
-// justBegun is the time from the headers of an answer within which its target may crash because it
-// began the answer, although events were sent.
-const justBegun = 500 * time.Millisecond
-
-// progress returns how far the answer of a broken attempt had come.
-func (x *exchange) progress(a *attempt) suspect.Progress {
-	switch {
-	case a.response == nil || a.events > 0 && x.clock()-a.answered < justBegun:
-		return suspect.Unclear
-	case a.events == 0:
-		return suspect.Begun
-	}
-	return suspect.Underway
-}
-
 // targetCrashed reports whether the target of a response that ended with its connection is gone: then
 // the end shows nothing, because the connections of a process are closed when it crashes.
 func (x *exchange) targetCrashed(a *attempt) bool {
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -17,6 +17,7 @@
 	"sassafrasward/core/member"
 	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
+	"sassafrasward/io/gossip"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
 )
@@ -50,16 +51,14 @@
 func newSuspects(clock func() time.Duration, log logr.Logger, incarnation uint64, dropped metrics.Counter) *suspects {
 	s := &suspects{clock: clock, log: log, changed: make(chan struct{}, 1), dropped: dropped, logged: make(map[uint64]bool)}
 	s.table = suspect.New(strconv.FormatUint(incarnation, 16), func(r suspect.CrashRecord) {
-		observer, err := strconv.ParseUint(r.Origin(), 16, 64)
+		crash, err := gossip.CrashFact(r)
 		if err != nil {
 			s.dropped.Inc(1)
 			return
 		}
-		s.send(member.Crash{Fingerprint: r.Fingerprint(), Observer: observer, Crashes: uint64(r.Evidence()), Cleared: uint64(r.Cleared())})
-	})
-	s.parts = suspect.NewParts(func(r suspect.PartRecord) {
-		s.send(member.Crash{Fingerprint: r.Part(), Observer: r.Crash(), Part: true, Crashes: uint64(r.Evidence()), Cleared: uint64(r.Cleared())})
+		s.send(crash)
 	})
+	s.parts = suspect.NewParts(func(r suspect.PartRecord) { s.send(gossip.PartFact(r)) })
 	return s
 }
 
@@ -218,10 +217,10 @@
 	now := s.clock()
 	for _, c := range crashes {
 		if c.Part {
-			s.parts.Merge(now, c.Age(), suspect.NewPartRecord(c.Fingerprint, c.Observer, int(c.Crashes), int(c.Cleared)))
+			s.parts.Merge(now, c.Age(), gossip.PartRecord(c))
 			continue
 		}
-		s.table.Merge(now, suspect.NewCrashRecord(c.Fingerprint, strconv.FormatUint(c.Observer, 16), int(c.Crashes), int(c.Cleared)))
+		s.table.Merge(now, gossip.CrashRecord(c))
 	}
 }
 
--- a/io/integration/suspect_test.go
+++ b/io/integration/suspect_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"strconv"
 	"testing"
 	"time"
 
@@ -45,6 +46,39 @@
 	}
 }
 
+// TestCrashPrefix guards against requests, no two alike, that crash target after target through one
+// host after the other, because they share a prompt prefix that does so. The bound is that of the
+// users: three more runs after the fifth crash.
+func TestCrashPrefix(t *testing.T) {
+	const maxRuns = 5 + 3
+	is := is.New(t)
+	f := newFleet(t, 3)
+	c := f.newRawCaller(time.Minute)
+	send := func(n int, input, prefix string) wire.Answer {
+		request := wire.Request{Workspace: "thun", Input: json.RawMessage(strconv.Quote(input + strconv.Itoa(n))), Prefix: prefix}
+		answer, err := c.send(context.Background(), c.hosts[n%len(c.hosts)], "summary", request)
+		is.NoErr(err)
+		return answer
+	}
+	is.Equal(send(0, "good", "sound").Outcome, outcome.Done.String())
+	n, refused := 0, 0
+	for ; n < 60 && refused < len(c.hosts); n++ {
+		refused++
+		if answer := send(n, crashInput, "bad"); answer.Reason != reason.CrashSuspect.String() || answer.Outcome != outcome.NotRun.String() {
+			refused = 0 // it ran
+		}
+		f.restoreTargets()
+		time.Sleep(300 * time.Millisecond) // other hosts learn of the crash
+	}
+	is.Equal(refused, len(c.hosts)) // by all hosts, one after the other
+	runs := len(f.runRecords())
+	t.Logf("%d requests, %d runs", n, runs)
+	is.True(runs-1 <= maxRuns) // one sound
+	for i := range c.hosts {
+		is.Equal(send(i, "good", "sound").Outcome, outcome.Done.String())
+	}
+}
+
 // TestBrokenConnections guards against a harmless request that all hosts refuse as a crash
 // suspect because connections broke while it ran. The targets accept new connections, so the
 // request is retried, and its completion clears the suspicion.
--- a/io/poolsched/scheduler.go
+++ b/io/poolsched/scheduler.go
@@ -145,6 +145,15 @@
 	})
 }
 
+// MergePart merges the record that another host made some time (age) ago of a crash by a part of
+// prompts.
+func (s *Scheduler) MergePart(age time.Duration, record suspect.PartRecord) {
+	s.Do(func(now time.Duration, core *schedule.Scheduler) schedule.Actions {
+		core.Parts().Merge(now, age, record)
+		return schedule.Actions{}
+	})
+}
+
 // SetShares replaces the weights of the workspaces.
 func (s *Scheduler) SetShares(shares map[string]int) {
 	s.Do(func(_ time.Duration, core *schedule.Scheduler) schedule.Actions {
--- a/io/runner/attempt.go
+++ b/io/runner/attempt.go
@@ -9,6 +9,7 @@
 	"sassafrasward/core/config"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
+	"sassafrasward/core/suspect"
 	"sassafrasward/io/poolsched"
 	"sassafrasward/io/target"
 	"sassafrasward/io/wire"
@@ -39,6 +40,8 @@
 	status schedule.CallStatus
 	target string
 	detail string
+	// progress is how far the answer had come when the call ended.
+	progress suspect.Progress
 }
 
 // hedgeStart is the scheduler's decision to hedge a call on another target.
@@ -104,10 +107,14 @@
 		result.status = schedule.Cancelled
 		return result
 	}
+	tokens, firstToken := 0, time.Duration(0)
 	var onToken func(wire.Token) error
 	if run.Stream {
 		onToken = func(t wire.Token) error {
 			timer.Reset(timeout)
+			if tokens++; tokens == 1 {
+				firstToken = r.clock()
+			}
 			return state.forwardToken(t)
 		}
 	}
@@ -120,6 +127,7 @@
 	if errors.Is(context.Cause(ctx), errUnresponsive) && result.status == schedule.Cancelled {
 		result.status = schedule.TimedOut
 	}
+	result.progress = suspect.NewProgress(true, tokens, r.clock()-firstToken)
 	result.status = r.checkCrash(ctx, name, result.status)
 	result.detail = detail(reply, err)
 	r.reportResult(a, id, result)
@@ -146,6 +154,7 @@
 	load := result.reply.Load()
 	a.scheduler.Finish(schedule.NewResult(id, result.status,
 		schedule.WithLoad(schedule.NewLoad(load.Running, load.Queued, load.Slots)),
+		schedule.WithProgress(result.progress),
 		schedule.WithActualSize(float64(result.reply.Tokens()))))
 }
 
@@ -164,7 +173,7 @@
 	run := r.newRun(state, a, 1)
 	run.Key = state.request.body.Key
 	reply, err := r.client.Command(ctx, r.pools.Address(name), run, state.deadline)
-	result = callResult{reply: reply, status: r.checkCrash(ctx, name, reply.Status()), target: name, detail: detail(reply, err)}
+	result = callResult{reply: reply, status: r.checkCrash(ctx, name, reply.Status()), target: name, detail: detail(reply, err), progress: suspect.Begun}
 	r.reportResult(a, a.call.ID(), result)
 	return result
 }
