--- a/io/integration/edge_soak_test.go
+++ b/io/integration/edge_soak_test.go
@@ -15,6 +15,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafrasward/io/loopback"
 	"sassafrasward/platform/standin"
 )
@@ -129,7 +131,8 @@
 }
 
 // serveEngine runs a request and counts the run. The response contains the request id, so that
-// a response to the wrong request is detected.
+// a response to the wrong request is detected. Of the streams an eighth has neither a length nor
+// chunks, and another one breaks off inside an event.
 func (s *soak) serveEngine(w http.ResponseWriter, r *http.Request) {
 	id := standin.ReceivedRequest{Request: r}.ID()
 	s.mutex.Lock()
@@ -142,12 +145,39 @@
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	switch sum := xxhash.Sum64String(id) % 8; {
+	case sum == 0:
+		s.serveUntilClose(w, id, from, 5, "")
+		return
+	case sum == 1 && from == 0:
+		s.serveUntilClose(w, id, from, 2, "id: 3\ndata: "+id[:1])
+		return
+	}
 	for i := from + 1; i <= 5; i++ {
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, id)
 		_ = http.NewResponseController(w).Flush()
 	}
 }
 
+// serveUntilClose writes a stream that has neither a length nor chunks, with a rest after the last
+// event.
+func (s *soak) serveUntilClose(w http.ResponseWriter, id string, from, last int, rest string) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		s.t.Error(err)
+		return
+	}
+	_, _ = buffered.WriteString("HTTP/1.1 200 OK\r\n")
+	_ = w.Header().Write(buffered)
+	_, _ = buffered.WriteString("\r\n")
+	for i := from + 1; i <= last; i++ {
+		_, _ = fmt.Fprintf(buffered, "id: %d\ndata: %s\n\n", i, id)
+	}
+	_, _ = buffered.WriteString(rest)
+	_ = buffered.Flush() // fails if the host has closed the connection
+	_ = conn.Close()
+}
+
 // run sends requests while it injects faults, then checks that the hosts serve again.
 func (s *soak) run() {
 	s.awaitServing("before the faults")
