--- a/io/edge/framing_test.go
+++ b/io/edge/framing_test.go
@@ -33,6 +33,19 @@
 	_ = conn.Close()
 }
 
+// startModels starts a host with two targets for the model.
+func startModels(t *testing.T, handle func(w http.ResponseWriter, r *http.Request)) (host *testHost) {
+	t.Helper()
+	s := newStore(t)
+	s.PublishConfig(1)
+	for _, id := range []string{"i-1", "i-2"} {
+		s.Register(newEngine(t, id, handle), "model", "ready")
+	}
+	host, _ = startHost(t, s, "e1")
+	host.waitReady()
+	return host
+}
+
 // eventText returns the events with the numbers from first to last as they are sent.
 func eventText(first, last int) string {
 	var b strings.Builder
@@ -143,19 +156,13 @@
 			t.Run(framing+" "+name+", resumed", func(t *testing.T) {
 				t.Parallel()
 				is := is.New(t)
-				s := newStore(t)
-				s.PublishConfig(1)
-				for _, id := range []string{"i-1", "i-2"} {
-					s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
-						if r.Header.Get("Last-Event-Id") == "3" {
-							write(w, eventText(4, 6))
-							return
-						}
-						write(w, eventText(1, 3)+rest)
-					}), "model", "ready")
-				}
-				host, _ := startHost(t, s, "e1")
-				host.waitReady()
+				host := startModels(t, func(w http.ResponseWriter, r *http.Request) {
+					if r.Header.Get("Last-Event-Id") == "3" {
+						write(w, eventText(4, 6))
+						return
+					}
+					write(w, eventText(1, 3)+rest)
+				})
 				var status int
 				var body string
 				host.wait(func() bool {
@@ -206,24 +213,18 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
-			s := newStore(t)
-			s.PublishConfig(1)
-			for _, id := range []string{"i-1", "i-2"} {
-				s.Register(newEngine(t, id, func(w http.ResponseWriter, r *http.Request) {
-					switch {
-					case r.Header.Get("Last-Event-Id") != "":
-						test.resume(w)
-					case test.inside:
-						events(w, 1, 3, false)
-					default:
-						events(w, 1, 3, true)
-						_ = http.NewResponseController(w).Flush()
-						panic(http.ErrAbortHandler)
-					}
-				}), "model", "ready")
-			}
-			host, _ := startHost(t, s, "e1")
-			host.waitReady()
+			host := startModels(t, func(w http.ResponseWriter, r *http.Request) {
+				switch {
+				case r.Header.Get("Last-Event-Id") != "":
+					test.resume(w)
+				case test.inside:
+					events(w, 1, 3, false)
+				default:
+					events(w, 1, 3, true)
+					_ = http.NewResponseController(w).Flush()
+					panic(http.ErrAbortHandler)
+				}
+			})
 			host.wait(func() bool {
 				status, body, h := host.call(http.MethodPost, "/chat/", "s1", nil)
 				if h == nil || !strings.HasPrefix(body, eventText(1, 3)) {
