--- a/io/edge/framing_test.go
+++ b/io/edge/framing_test.go
@@ -195,6 +195,24 @@
 	}
 }
 
+// TestStreamOfComments guards against a stream without an event that reaches the caller as complete,
+// because its target sent comments.
+func TestStreamOfComments(t *testing.T) {
+	t.Parallel()
+	for framing, write := range map[string]func(http.ResponseWriter, string){"close": writeUntilClose, "chunks": writeChunks} {
+		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			host, _, _ := startStaged(t, func(w http.ResponseWriter, _ *http.Request) { write(w, ": wait\n\n") })
+			host.wait(func() bool {
+				status, body, h := host.call(http.MethodPost, "/talk/", "s1", standin.SetPieces)
+				is.True(status != http.StatusOK) // the connection to the caller is cut
+				return h != nil && body == ": wait\n\n"
+			})
+		})
+	}
+}
+
 // TestResumedStreamWithoutEvents guards against a broken stream that reaches the caller as complete,
 // because the target that was to resume it ended its response before the first event. Only if the
 // stream broke after a whole event, and the response states that it has no more, is it complete.
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -33,6 +33,8 @@
 	lastNumber int64
 	// sent is the number of events that were sent.
 	sent int
+	// progressed is set once an event other than a comment was sent.
+	progressed bool
 	// unfinished is set while the stream is known to have an event after the last one that was sent,
 	// because a target broke off inside it.
 	unfinished bool
@@ -78,7 +80,7 @@
 			s.lastID = id
 		}
 		if !isComment(raw) {
-			a.progressed, s.unfinished = true, false
+			a.progressed, s.progressed, s.unfinished = true, true, false
 		}
 		if !s.writeEvent(a, controller, raw) {
 			a.response.Close(false)
@@ -96,7 +98,7 @@
 // stream that ends inside an event has broken off, and so has an unframed one whose target is gone.
 func (s *stream) finish(a *attempt, controller *http.ResponseController, rest []byte) verdict {
 	switch {
-	case !a.progressed && (s.sent == 0 || s.unfinished || a.response.Framing == transport.FramedByClose):
+	case !a.progressed && (!s.progressed || s.unfinished || a.response.Framing == transport.FramedByClose):
 		a.err = errEmptyStream
 	case !isComment(rest):
 		a.err = errInsideEvent
