--- a/io/edge/crash_test.go
+++ b/io/edge/crash_test.go
@@ -10,8 +10,10 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/matryer/is"
 
+	"sassafrasward/io/loopback"
 	"sassafrasward/platform/standin"
 )
 
@@ -45,6 +47,42 @@
 	panic(http.ErrAbortHandler)
 }
 
+// TestPromptOfManyParts guards against a request that fills the evidence of all hosts, because its
+// prompt has thousands of parts.
+func TestPromptOfManyParts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.PublishConfig(1)
+	pool := newCrashingPool(t, s, "part999", 0, 2)
+	host := prepareHost(t, s, "e1")
+	metrics := loopback.FreeAddress()
+	host.settings = strings.Replace(host.settings, "[edge]\n", "[edge]\nmetrics = "+metrics+"\n", 1)
+	host.run(context.Background(), logr.Discard())
+	host.waitReady()
+	host.wait(func() bool { return host.sendPrompt("sound", "first", "own") == http.StatusOK })
+	var parts []string
+	for n := range 1000 {
+		parts = append(parts, fmt.Sprintf("part%d", n))
+	}
+	host.sendPrompt("bad", append(parts, "own")...)
+	reached, _ := pool.counts()
+	is.True(reached > 0) // the whole prompt is forwarded
+	suspected := func() string {
+		r, err := http.Get("http://" + metrics)
+		if err != nil {
+			return ""
+		}
+		defer func() { _ = r.Body.Close() }()
+		body, _ := io.ReadAll(r.Body)
+		_, value, _ := strings.Cut(string(body), "suspect.parts ")
+		value, _, _ = strings.Cut(value, "\n")
+		return value
+	}
+	host.wait(func() bool { return suspected() != "" && suspected() != "0" })
+	is.Equal(suspected(), "64")
+}
+
 // contactTime is how long a host is connected to the others before the bounds on crashes hold for it.
 const contactTime = 3 * time.Second
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -114,7 +114,7 @@
 	e.control = c
 	s := e.settings
 	incarnation := rand.Uint64()
-	e.suspects = newSuspects(e.clock, e.log, incarnation, e.metrics.Counter("suspect.dropped"))
+	e.suspects = newSuspects(e.clock, e.log, incarnation, e.metrics)
 	c.members = member.New(e.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
 		Incarnation: incarnation, Name: s.Host(), Zone: s.Zone(), Address: s.CallerAddress(), Peer: s.PeerAddress(),
 	}, member.WithSeeds(s.Seeds()...), member.WithStandalone(true), member.WithPeriod(gossipInterval))
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -78,8 +78,8 @@
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
 	body     []byte
-	// fingerprint identifies equal requests, see computeFingerprint. prompt has the parts of the prompt
-	// that other requests may have as well.
+	// fingerprint identifies equal requests, see computeFingerprint. prompt has the first parts of the
+	// prompt, at most maxSuspectParts, that other requests may have as well.
 	fingerprint uint64
 	prompt      []platform.PromptPart
 	// arrived is when the request arrived, softDeadline the end of its objective. The caller
@@ -230,7 +230,8 @@
 	if !x.readBody(t.Limits().BodyBytes) {
 		return false
 	}
-	x.fingerprint, x.prompt = x.computeFingerprint(), x.request.SharedParts()
+	shared := x.request.SharedParts()
+	x.fingerprint, x.prompt = x.computeFingerprint(), shared[:min(len(shared), maxSuspectParts)]
 	if x.suspects.refused(x.fingerprint, x.prompt) {
 		x.refuse(http.StatusServiceUnavailable, reason.CrashSuspect, 0)
 		return false
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -18,6 +18,7 @@
 	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/gossip"
+	"sassafrasward/io/metric"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
 )
@@ -26,6 +27,10 @@
 // dropped a connection is still up.
 const probeTimeout = 600 * time.Millisecond
 
+// maxSuspectParts is the number of parts of a prompt that are taken for a possible cause of a crash. It
+// bounds what one request can add to the evidence that hosts keep and exchange.
+const maxSuspectParts = 64
+
 // maxOutgoing is the number of observations that may wait for the control goroutine.
 const maxOutgoing = 1024
 
@@ -37,6 +42,8 @@
 	// changed receives a value when there are observations to send to other hosts.
 	changed chan struct{}
 	dropped metrics.Counter
+	// suspected is the number of parts of prompts with evidence.
+	suspected metrics.Gauge
 
 	mutex sync.Mutex
 	table *suspect.Table
@@ -48,8 +55,11 @@
 	logged map[uint64]bool
 }
 
-func newSuspects(clock func() time.Duration, log logr.Logger, incarnation uint64, dropped metrics.Counter) *suspects {
-	s := &suspects{clock: clock, log: log, changed: make(chan struct{}, 1), dropped: dropped, logged: make(map[uint64]bool)}
+func newSuspects(clock func() time.Duration, log logr.Logger, incarnation uint64, m *metric.Metrics) *suspects {
+	s := &suspects{
+		clock: clock, log: log, changed: make(chan struct{}, 1), logged: make(map[uint64]bool),
+		dropped: m.Counter("suspect.dropped"), suspected: m.Gauge("suspect.parts"),
+	}
 	s.table = suspect.New(strconv.FormatUint(incarnation, 16), func(r suspect.CrashRecord) {
 		crash, err := gossip.CrashFact(r)
 		if err != nil {
@@ -222,6 +232,7 @@
 		}
 		s.table.Merge(now, gossip.CrashRecord(c))
 	}
+	s.suspected.Update(int64(s.parts.Len()))
 }
 
 // gossipCrashes sends the observations of this host to all other hosts.
