--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -42,7 +42,7 @@
 	// changed receives a value when there are observations to send to other hosts.
 	changed chan struct{}
 	dropped metrics.Counter
-	// suspected is the number of parts of prompts with evidence.
+	// suspected is the number of parts of prompts that are or were suspected.
 	suspected metrics.Gauge
 
 	mutex sync.Mutex
@@ -213,7 +213,8 @@
 	if err != nil {
 		return err
 	}
-	return conn.Close() // nothing was sent
+	_ = conn.Close() // nothing was sent
+	return nil
 }
 
 // refusesConnection reports whether a probe with the error shows that the target has ended: its
