--- a/core/member/state_test.go
+++ b/core/member/state_test.go
@@ -295,6 +295,25 @@
 	is.True(sim.run(15*time.Minute, func() bool { return sim.all(func(n *node) bool { return len(n.Crashes(sim.now)) == 0 }) }))
 }
 
+// TestPartCrashes guards against evidence against a part of prompts that is joined with that against a
+// request, and against a host that takes old evidence for new because it heard of it late.
+func TestPartCrashes(t *testing.T) {
+	is := is.New(t)
+	sim := newSimulation(13, 3)
+	is.True(sim.run(time.Minute, sim.converged))
+	sim.nodes[0].ReportCrash(sim.now, member.Crash{Fingerprint: 7, Observer: 1, Crashes: 1})
+	sim.nodes[0].ReportCrash(sim.now, member.Crash{Fingerprint: 7, Observer: 1, Part: true, Crashes: 2})
+	reported := sim.now
+	is.True(sim.run(time.Second, func() bool { return sim.all(func(n *node) bool { return len(n.Crashes(sim.now)) == 2 }) }))
+	later := reported + 30*time.Second
+	for _, n := range sim.nodes {
+		for _, c := range n.Crashes(later) {
+			is.Equal(c.Part, c.Crashes == 2)
+			is.True(c.Age() > 29*time.Second && c.Age() <= 30*time.Second)
+		}
+	}
+}
+
 // TestHandover guards against hosts that do not learn which host answers for a stopped one.
 func TestHandover(t *testing.T) {
 	is := is.New(t)
