Log what targets state about themselves

The adapter now decodes Server-Limit, Server-Leaving and the Retry-After of a refusal into a statement, core/selfreport keeps it by incarnation, and event 1304 has each change with its target, value, age and source; target.stated.* counts them. Values that can't be read state nothing and are counted. Nothing decides by them yet. An answer of another target (421) states nothing about the expected one.

Tests: TestStatements (26 values), TestChanges.

--- a/io/dispatch/call.go
+++ b/io/dispatch/call.go
@@ -170,6 +170,9 @@
 		return nil, batch.Failed, err
 	}
 	status, answer, raw, err := d.send(ctx, t.ID, t.Address, platform.PathRun, body)
+	if status != 0 {
+		d.reports.Observe(t, answer.Statement)
+	}
 	switch {
 	case err != nil:
 		return nil, batch.Failed, err
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -16,6 +16,7 @@
 	"sassafrasward/core/quota"
 	"sassafrasward/core/route"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/selfreport"
 	"sassafrasward/io/transport"
 )
 
@@ -66,6 +67,7 @@
 type Dispatcher struct {
 	clock   func() time.Duration
 	conns   *transport.Pool
+	reports *selfreport.Registry
 	log     logr.Logger
 	metrics *metric.Metrics
 	// newQuota returns the retry quota of a new group.
@@ -86,8 +88,8 @@
 }
 
 // NewDispatcher returns a dispatcher without pools; its calls end with the context.
-func NewDispatcher(ctx context.Context, clock func() time.Duration, conns *transport.Pool, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatcher {
-	return &Dispatcher{ctx: ctx, clock: clock, conns: conns, log: log, metrics: metrics, newQuota: newQuota, groupsByKey: make(map[string]*group), groups: make(map[string][]string), submitted: make(chan struct{}, 1)}
+func NewDispatcher(ctx context.Context, clock func() time.Duration, conns *transport.Pool, reports *selfreport.Registry, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatcher {
+	return &Dispatcher{ctx: ctx, clock: clock, conns: conns, reports: reports, log: log, metrics: metrics, newQuota: newQuota, groupsByKey: make(map[string]*group), groups: make(map[string][]string), submitted: make(chan struct{}, 1)}
 }
 
 // Configure sets the specifications and targets of the pools that run pieces in batches.
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -237,6 +237,7 @@
 		}
 	}
 	c.choosers.configure(c.targets)
+	c.reports.Retain(c.targets)
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,7 @@
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/peer"
+	ioselfreport "sassafrasward/io/selfreport"
 	"sassafrasward/io/setting"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
@@ -56,6 +57,7 @@
 	state    atomic.Pointer[state]
 	choosers *choosers
 	conns    *transport.Pool
+	reports  *ioselfreport.Registry
 	// peers has the connections for jobs, gossipPeers those for gossip, and feedPeers those to the
 	// hosts that this one follows. They are separate because gossip and the follower close a
 	// connection when a call fails, which would cut off the other calls on it.
@@ -93,6 +95,7 @@
 	e.state.Store(&state{})
 	b := settings.Limits()
 	newQuota := func() *quota.Quota { return quota.New(b.RetryWindow, b.RetryRatio, b.RetryAllowance/minHosts) }
+	e.reports = ioselfreport.New(e.clock, log, e.metrics)
 	e.choosers = newChoosers(e.clock, newQuota)
 	e.conns = transport.New(func() { e.metrics.Counter("target.connections").Inc(1) })
 	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
@@ -100,7 +103,7 @@
 	})
 	e.peers, e.gossipPeers, e.feedPeers = peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial)
 	e.server = peer.NewServer()
-	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, log, e.metrics, newQuota)
+	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
 	e.newControl()
 	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher)
 	e.dispatchClient.Register(e.server.Registrar())
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -301,6 +301,7 @@
 	}
 	a.answered = x.clock()
 	answer := platform.ReadResponse(a.response.Status, a.response.Header)
+	x.reports.Observe(a.target, answer.Statement)
 	if answer.NotRun {
 		a.inputsGone = answer.InputsGone
 		a.response.Close(false)
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -66,6 +66,7 @@
 	EntryIgnored       = register(1206, 1, "entry ignored", "An entry of the store is not used as a target, because a field is missing or wrong.")
 	RequestEnded       = register(1302, 0, "request ended", "A request ended; the line has its route, target, attempts, times and the reason of a refusal or failure.")
 	RequestRepeated    = register(1303, 0, "request repeated", "A request is sent to another target after the previous one failed.")
+	TargetStated       = register(1304, 0, "target stated", "What a target states about itself changed (fact): that it leaves (leaving), the requests a second that it takes from all hosts together (limit, negative once it has none) or the seconds for which it wants no requests from this host (wait). The line has the new value, for how many milliseconds the one before held (age, negative if there was none), and whether an answer or another host told it (source).")
 	CallStarted        = register(1801, 0, "stage call started", "Pieces of one or more requests were sent to a target.")
 	CallFailed         = register(1802, 0, "stage call failed", "A target did not run its pieces; they are sent to another one within the limit of retries.")
 	PiecesFailed       = register(1804, 0, "pieces without result", "A call ended without results for some of its pieces: their deadline had passed, an input no longer existed, the target had no memory for the result or the work failed. Late pieces fail. After a missing input, the stages before run again once. The others are sent again within the limit of retries.")
