--- a/core/selfreport/table.go
+++ b/core/selfreport/table.go
@@ -11,6 +11,9 @@
 // limits all the time.
 const changeRatio = 0.1
 
+// notStated is the age of a fact that was not stated before.
+const notStated = -time.Millisecond
+
 // incarnation identifies one process of a target.
 type incarnation struct {
 	id      string
@@ -73,7 +76,7 @@
 	}
 	if s.Leaving && r.leavingSince < 0 {
 		r.leavingSince = now
-		changes = append(changes, Change{target: target, fact: Leaving, value: 1, age: -1})
+		changes = append(changes, Change{target: target, fact: Leaving, value: 1, age: notStated})
 	}
 	if !s.LimitUnreadable {
 		limit := -1.0
@@ -83,7 +86,11 @@
 		changes = append(changes, r.setLimit(now, limit)...)
 	}
 	if s.Wait > 0 {
-		changes = append(changes, Change{target: target, fact: Wait, value: s.Wait.Seconds(), age: max(now-r.waitUntil, -1)})
+		age := notStated
+		if r.waitUntil > 0 {
+			age = max(now-r.waitUntil, 0)
+		}
+		changes = append(changes, Change{target: target, fact: Wait, value: s.Wait.Seconds(), age: age})
 		r.waitUntil = max(r.waitUntil, now+s.Wait)
 	}
 	return changes
@@ -95,7 +102,7 @@
 		return nil
 	}
 	if limit < 0 || r.limit < 0 || math.Abs(limit-r.limit) > changeRatio*r.limit {
-		age := time.Duration(-1)
+		age := notStated
 		if r.limitSince >= 0 {
 			age = now - r.limitSince
 		}
