Keep to the limits that targets state

Callers: nothing was seen; targets in need got up to 1.7 times what they had stated to take, which on the users' fleets makes them slower for all. Cause: what a target states in its answers played no part in where requests go. Ruled out: hosts that had not been told, and repeats alone (the first attempts exceed the limit by themselves).

The limit is for all hosts together. Hosts agree on a few of them that share it, by rendezvous hashing over the live hosts, each with a token bucket that starts empty, so that no message is needed for a send and a partition at most adds the hosts of the other side. The host that dispatches a pool uses the whole limit. Limits are gossiped by incarnation and version; an answer without a limit ends it. The gate is asked by the choice of each target, for first attempts, repeats and resumed streams, and before each stage call, hedges included. A request waits for a target only while it can meet its objective, or has results of stages; otherwise it is refused at once (limited), with the wait as Retry-After, spread.

--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -106,8 +106,9 @@
 func (d *Dispatcher) throughput(now time.Duration) (rate float64) {
 	full := d.nominalDuration(d.spec.MaxPieces)
 	for _, ts := range d.targets.All() {
-		if !ts.target.Leaving && now >= ts.backoffUntil {
-			rate += float64(d.spec.MaxPieces) / (full.Seconds() * d.expectedSlowdown(now, ts))
+		if d.usable(now, ts) {
+			calls := min(1/(full.Seconds()*d.expectedSlowdown(now, ts)), d.gate.Rate(now, ts.target))
+			rate += float64(d.spec.MaxPieces) * calls
 		}
 	}
 	if measured := d.measuredThroughput(now); measured > 0 {
@@ -120,7 +121,7 @@
 func (d *Dispatcher) expectedEnd(now time.Duration, j Job) time.Duration {
 	firstIdle := time.Duration(1<<62 - 1)
 	for _, ts := range d.targets.All() {
-		if !ts.target.Leaving && now >= ts.backoffUntil {
+		if d.usable(now, ts) {
 			firstIdle = min(firstIdle, d.idleAt(now, ts))
 		}
 	}
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -5,6 +5,7 @@
 
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/route"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/core/sortedmap"
 )
 
@@ -138,7 +139,9 @@
 type Dispatcher struct {
 	spec    route.Batch
 	targets *sortedmap.Map[string, *targetState]
-	jobs    map[uint64]*queuedJob
+	// gate knows which targets take calls.
+	gate selfreport.Gate
+	jobs map[uint64]*queuedJob
 	// queue lists the jobs with pending pieces, ordered by compareJobs.
 	queue      []*queuedJob
 	lastCallID uint64
@@ -159,9 +162,19 @@
 	recentDuration time.Duration
 }
 
-// New returns a dispatcher without targets.
-func New(spec route.Batch) *Dispatcher {
-	return &Dispatcher{spec: spec, targets: sortedmap.New[string, *targetState](), jobs: make(map[uint64]*queuedJob), busySince: -1}
+// Option configures a Dispatcher.
+type Option func(*Dispatcher)
+
+// WithGate makes the dispatcher ask the gate before it starts a call.
+func WithGate(gate selfreport.Gate) Option { return func(d *Dispatcher) { d.gate = gate } }
+
+// New returns a dispatcher without targets. Without WithGate, all targets take all calls.
+func New(spec route.Batch, options ...Option) *Dispatcher {
+	d := &Dispatcher{spec: spec, targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, jobs: make(map[uint64]*queuedJob), busySince: -1}
+	for _, o := range options {
+		o(d)
+	}
+	return d
 }
 
 // SetSpec replaces the batching parameters of the pool.
--- a/core/batch/choose.go
+++ b/core/batch/choose.go
@@ -23,16 +23,16 @@
 // hasIdleTarget reports whether a target can take a call.
 func (d *Dispatcher) hasIdleTarget(now time.Duration) bool {
 	for _, ts := range d.targets.All() {
-		if !ts.target.Leaving && now >= ts.backoffUntil && d.hasFreeSlot(now, ts) {
+		if d.usable(now, ts) && d.hasFreeSlot(now, ts) {
 			return true
 		}
 	}
 	return false
 }
 
-// hasFreeSlot reports whether a target has a free slot as far as this host knows.
+// hasFreeSlot reports whether a target takes a call now as far as this host knows.
 func (d *Dispatcher) hasFreeSlot(now time.Duration, ts *targetState) bool {
-	return now >= ts.fullUntil && ts.runningCalls() < max(d.spec.Slots, 1)
+	return now >= ts.fullUntil && d.gate.Wait(now, ts.target) == 0 && ts.runningCalls() < max(d.spec.Slots, 1)
 }
 
 // jobsByUrgency returns the jobs with pending pieces, on-time jobs before late ones.
@@ -76,8 +76,11 @@
 func (d *Dispatcher) zonesIdleAt(now time.Duration) (zones map[string]time.Duration) {
 	zones = make(map[string]time.Duration)
 	for _, ts := range d.targets.All() {
+		if !d.usable(now, ts) {
+			continue
+		}
 		at := d.idleAt(now, ts)
-		if ts.target.Leaving || now < ts.backoffUntil || at > now+maxZoneWait || d.expectedSlowdown(now, ts) > slowThreshold {
+		if at > now+maxZoneWait || d.expectedSlowdown(now, ts) > slowThreshold {
 			continue
 		}
 		if first, ok := zones[ts.target.Zone]; !ok || at < first {
@@ -115,7 +118,7 @@
 	full := float64(d.nominalDuration(d.spec.MaxPieces))
 	soonest, fast := time.Duration(1<<62-1), 0
 	for _, ts := range d.targets.All() {
-		if ts.target.Leaving || now < ts.backoffUntil {
+		if !d.usable(now, ts) {
 			continue
 		}
 		slowdown := d.expectedSlowdown(now, ts)
@@ -204,6 +207,7 @@
 		ID: d.lastCallID, Target: ts.target, Items: items, Nominal: nominal,
 		Expected: time.Duration(float64(nominal) * d.expectedSlowdown(now, ts)),
 	}
+	d.gate.Take(now, ts.target)
 	ts.calls[c.ID] = &activeCall{call: c, started: now, bytes: bytes}
 	return c
 }
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/selfreport"
 )
 
 // targetState is a target with its calls, measurements and result memory.
@@ -50,10 +51,15 @@
 	expires time.Duration
 }
 
-// idleAt returns when a target is expected to take a call: when its calls in progress have ended and
-// it is no longer full.
+// usable reports whether a target may get calls, now or once it is idle.
+func (d *Dispatcher) usable(now time.Duration, ts *targetState) bool {
+	return !ts.target.Leaving && now >= ts.backoffUntil && d.gate.Wait(now, ts.target) != selfreport.Never
+}
+
+// idleAt returns when a usable target is expected to take a call: when its calls in progress have ended,
+// it is no longer full and it wants requests.
 func (d *Dispatcher) idleAt(now time.Duration, ts *targetState) time.Duration {
-	at := max(now, ts.fullUntil)
+	at := max(now+d.gate.Wait(now, ts.target), ts.fullUntil)
 	for _, c := range ts.calls {
 		if !c.late {
 			at = max(at, c.started+c.call.Expected)
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -24,6 +24,7 @@
 	p.Loads = s.loads.takePending(now, maxPacketLoads)
 	p.Leavings = s.leavings.takePending(now, maxPacketFacts)
 	p.Crashes = s.crashes.takePending(now, maxPacketFacts)
+	p.Reports = s.reports.takePending(now, maxPacketFacts)
 	p.Handovers = s.handovers.takePending(now, maxPacketFacts)
 	if m, ok := s.members.get(to); ok && m.Liveness != Alive {
 		p.Members = append(p.Members, m)
@@ -37,7 +38,7 @@
 
 // flood returns calls that send the urgent facts and the configuration version to all neighbours.
 func (s *State) flood(now time.Duration) (calls []Call) {
-	urgent := s.watch.floodDue || s.members.hasUrgent() || s.leavings.hasUrgent() || s.crashes.hasUrgent() || s.handovers.hasUrgent()
+	urgent := s.watch.floodDue || s.members.hasUrgent() || s.leavings.hasUrgent() || s.crashes.hasUrgent() || s.reports.hasUrgent() || s.handovers.hasUrgent()
 	if !urgent || now-s.lastFlood < minFloodInterval {
 		return nil
 	}
@@ -47,6 +48,7 @@
 	p.Members = s.members.takeUrgent(now)
 	p.Leavings = s.leavings.takeUrgent(now)
 	p.Crashes = s.crashes.takeUrgent(now)
+	p.Reports = s.reports.takeUrgent(now)
 	p.Handovers = s.handovers.takeUrgent(now)
 	for _, m := range s.neighbours() {
 		calls = append(calls, s.newExchange(now, m, p))
@@ -77,6 +79,7 @@
 	p.Loads = append(p.Loads, s.loads.inBuckets(now, mask)...)
 	p.Leavings = append(p.Leavings, s.leavings.inBuckets(now, mask)...)
 	p.Crashes = append(p.Crashes, s.crashes.inBuckets(now, mask)...)
+	p.Reports = append(p.Reports, s.reports.inBuckets(now, mask)...)
 	p.Handovers = append(p.Handovers, s.handovers.inBuckets(now, mask)...)
 }
 
@@ -101,7 +104,7 @@
 	if p.From.Incarnation == s.self.Incarnation {
 		return nil
 	}
-	bulk := len(p.Members)+len(p.Leavings)+len(p.Crashes)+len(p.Handovers) > 2*maxPacketFacts
+	bulk := len(p.Members)+len(p.Leavings)+len(p.Crashes)+len(p.Reports)+len(p.Handovers) > 2*maxPacketFacts
 	s.mergeMember(now, p.From, false)
 	for _, m := range p.Members {
 		s.mergeMember(now, m, bulk)
@@ -118,6 +121,9 @@
 	for _, c := range p.Crashes {
 		s.mergeCrash(now, c, bulk)
 	}
+	for _, r := range p.Reports {
+		s.mergeReport(now, r, bulk)
+	}
 	for _, h := range p.Handovers {
 		mergeFact(s, now, s.handovers, h, bulk)
 	}
--- a/core/member/packet.go
+++ b/core/member/packet.go
@@ -25,6 +25,7 @@
 	Loads     []Load
 	Leavings  []Leaving
 	Crashes   []Crash
+	Reports   []Report
 	Handovers []Handover
 }
 
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -65,6 +65,7 @@
 	loads     *store[uint64, Load]
 	leavings  *store[string, Leaving]
 	crashes   *store[string, Crash]
+	reports   *store[string, Report]
 	handovers *store[uint64, Handover]
 	hostList  HostList
 	// hostEntries indexes the entries of hostList by host name.
@@ -74,6 +75,8 @@
 	changed bool
 	// crashesChanged is set by each change of the crash evidence.
 	crashesChanged bool
+	// reportsChanged is set by each change of the reports about targets.
+	reportsChanged bool
 
 	now, lastTick, nextPeriod, lastFlood, lastRepair time.Duration
 	periods                                          int
@@ -120,6 +123,7 @@
 		loads:       newStore[uint64, Load](loadRetransmits),
 		leavings:    newStore[string, Leaving](factRetransmits),
 		crashes:     newStore[string, Crash](factRetransmits),
+		reports:     newStore[string, Report](factRetransmits),
 		handovers:   newStore[uint64, Handover](factRetransmits),
 		suspectedAt: make(map[uint64]time.Duration), pendingProbes: make(map[uint64]int),
 		now: now, lastTick: now, changed: true,
@@ -230,6 +234,26 @@
 	return changed
 }
 
+// Reports returns what targets have stated to any host.
+func (s *State) Reports(now time.Duration) []Report {
+	return s.reports.collect(max(s.now, now), -1, func(*row[Report]) bool { return true })
+}
+
+// PublishReport publishes what a target has stated to this host.
+func (s *State) PublishReport(now time.Duration, r Report) { s.mergeReport(now, r, false) }
+
+func (s *State) mergeReport(now time.Duration, r Report, bulk bool) {
+	// Readers get reports by Reports only, so that these don't publish a new state.
+	s.reportsChanged = s.reports.put(now, r, bulk) || s.reportsChanged
+}
+
+// ReportsChanged reports whether the reports about targets have changed since the last call.
+func (s *State) ReportsChanged() bool {
+	changed := s.reportsChanged
+	s.reportsChanged = false
+	return changed
+}
+
 // AnnounceHandover publishes which host answers from the records of this host.
 func (s *State) AnnounceHandover(now time.Duration, successor uint64, host string) {
 	mergeFact(s, now, s.handovers, Handover{Owner: s.self.Incarnation, Successor: successor, Host: host}, false)
@@ -339,6 +363,7 @@
 	d.add(s.members.digest)
 	d.add(s.leavings.digest)
 	d.add(s.crashes.digest)
+	d.add(s.reports.digest)
 	d.add(s.handovers.digest)
 	return d
 }
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/core/sortedmap"
 )
 
@@ -50,6 +51,9 @@
 	// minSlowdownP75 and maxSlowdownP75 bound slowdownP75.
 	minSlowdownP75 = 0.5
 	maxSlowdownP75 = 4.0
+	// costPerWaitSecond is the cost of waiting for a target, in units of load: about the number of
+	// typical prompts that a target reads in a second.
+	costPerWaitSecond = 10.0
 	// backoffCost ranks targets in backoff behind all others.
 	backoffCost = 1e6
 )
@@ -72,6 +76,8 @@
 	Exclude []string
 	// TieBreak is uniform in [0, 1) and breaks ties between targets of similar cost.
 	TieBreak float64
+	// MaxWait is how long the request may wait for a target that takes no requests now.
+	MaxWait time.Duration
 }
 
 // targetState is a target with this host's load and measurements.
@@ -96,12 +102,26 @@
 // Chooser chooses among the targets of one pool. It is not safe for concurrent use.
 type Chooser struct {
 	targets *sortedmap.Map[string, *targetState]
+	// gate knows which targets take requests.
+	gate selfreport.Gate
 	// slowdownP75 is the estimated 75th percentile of the slowdown of the requests to the pool.
 	slowdownP75 float64
 }
 
-// New returns a chooser without targets.
-func New() *Chooser { return &Chooser{targets: sortedmap.New[string, *targetState](), slowdownP75: 1} }
+// Option configures a Chooser.
+type Option func(*Chooser)
+
+// WithGate makes the chooser ask the gate before it chooses a target.
+func WithGate(gate selfreport.Gate) Option { return func(c *Chooser) { c.gate = gate } }
+
+// New returns a chooser without targets. Without WithGate, all targets take all requests.
+func New(options ...Option) *Chooser {
+	c := &Chooser{targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, slowdownP75: 1}
+	for _, o := range options {
+		o(c)
+	}
+	return c
+}
 
 // SetTargets replaces the targets of the pool.
 func (c *Chooser) SetTargets(targets []discovery.Target) {
@@ -117,9 +137,10 @@
 	c.targets = next
 }
 
-// Choose returns the target with the lowest cost and counts the request as in flight there. It
-// reports false if every target is leaving or excluded.
-func (c *Chooser) Choose(now time.Duration, r Request) (t discovery.Target, ok bool) {
+// Choose returns the target with the lowest cost, and how long the request has to wait before it is
+// sent there. It counts the request as in flight. It reports false if every target is leaving, excluded
+// or takes no request within r.MaxWait.
+func (c *Chooser) Choose(now time.Duration, r Request) (t discovery.Target, wait time.Duration, ok bool) {
 	longTargets := c.longPromptTargets(r)
 	affinity := c.affinityTarget(now, r, longTargets)
 	var best *targetState
@@ -128,7 +149,11 @@
 		if st.target.Leaving || slices.Contains(r.Exclude, st.target.ID) {
 			continue
 		}
-		cost := c.cost(now, st, r)
+		targetWait := c.gate.Wait(now, st.target)
+		if targetWait > r.MaxWait {
+			continue
+		}
+		cost := c.cost(now, st, r) + targetWait.Seconds()*costPerWaitSecond
 		if r.PromptTokens > 0 && longTargets != nil && longTargets[st.target.ID] != (r.PromptTokens >= minLongPromptTokens) {
 			cost += promptClassCost
 		}
@@ -136,14 +161,39 @@
 			cost += float64(r.SharedTokens) * costPerToken
 		}
 		if cost < lowest {
-			best, lowest = st, cost
+			best, lowest, wait = st, cost, targetWait
 		}
 	}
 	if best == nil {
-		return discovery.Target{}, false
+		return discovery.Target{}, 0, false
 	}
 	best.load += max(r.Load, minRequestLoad)
-	return best.target, true
+	c.gate.Take(now, best.target)
+	return best.target, wait, true
+}
+
+// SoonestWait returns how long every target that is neither leaving nor excluded takes no request, if
+// some requests (ahead) are sent first; Never if it is not known when one of them does. It reports false
+// if there are no such targets.
+func (c *Chooser) SoonestWait(now time.Duration, exclude []string, ahead int) (wait time.Duration, ok bool) {
+	wait = selfreport.Never
+	rate := 0.0
+	for _, st := range c.targets.All() {
+		if !st.target.Leaving && !slices.Contains(exclude, st.target.ID) {
+			wait, ok = min(wait, c.gate.Wait(now, st.target)), true
+			rate += c.gate.Rate(now, st.target)
+		}
+	}
+	if wait == selfreport.Never || rate == 0 {
+		return selfreport.Never, ok
+	}
+	return wait + time.Duration(float64(ahead)/rate*float64(time.Second)), ok
+}
+
+// Usable reports whether a target that was chosen before is still one of the pool and not leaving.
+func (c *Chooser) Usable(t discovery.Target) bool {
+	st, ok := c.targets.Get(t.ID)
+	return ok && !st.target.Leaving && st.target.StartID == t.StartID
 }
 
 // AffinityTarget returns the target whose cache should hold the shared parts of the prompt. It
@@ -209,7 +259,7 @@
 	}
 	var available []string
 	for id, st := range c.targets.All() {
-		if !st.target.Leaving && now >= st.backoffUntil && (longTargets == nil || longTargets[id] == (r.PromptTokens >= minLongPromptTokens)) {
+		if !st.target.Leaving && now >= st.backoffUntil && c.gate.Wait(now, st.target) == 0 && (longTargets == nil || longTargets[id] == (r.PromptTokens >= minLongPromptTokens)) {
 			available = append(available, id)
 		}
 	}
--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -45,6 +45,7 @@
 	HostPaused                     // paused
 	BadResponse                    // crossed
 	PresetClosed                   // closed
+	TargetsLimited                 // limited
 )
 
 // Entry is the registry entry of one reason.
@@ -100,6 +101,7 @@
 	{HostPaused, outcome.NotRun, http.StatusServiceUnavailable, "The host was paused before the write of a command, so the deadline of the command may have passed."},
 	{BadResponse, outcome.Failed, http.StatusBadGateway, "Answers of other calls arrived instead of the answer of this call."},
 	{PresetClosed, outcome.NotRun, http.StatusServiceUnavailable, "The active preset accepts no new requests."},
+	{TargetsLimited, outcome.NotRun, http.StatusServiceUnavailable, "The targets of the pool have stated that they take no more requests in time."},
 }
 
 // Entries returns the registry in the order of the reasons.
--- a/core/selfreport/table.go
+++ b/core/selfreport/table.go
@@ -2,17 +2,20 @@
 
 import (
 	"math"
+	"slices"
+	"strconv"
 	"time"
 
 	"sassafrasward/core/discovery"
 )
 
-// changeRatio is the relative change from which on another limit counts as a change. Targets adapt their
-// limits all the time.
-const changeRatio = 0.1
-
-// notStated is the age of a fact that was not stated before.
-const notStated = -time.Millisecond
+const (
+	// changeRatio is the relative change from which on another limit counts as a change. Targets adapt
+	// their limits all the time.
+	changeRatio = 0.1
+	// notStated is the age of a fact that was not stated before.
+	notStated = -time.Millisecond
+)
 
 // incarnation identifies one process of a target.
 type incarnation struct {
@@ -22,31 +25,63 @@
 
 func incarnationOf(t discovery.Target) incarnation { return incarnation{id: t.ID, startID: t.StartID} }
 
+// key returns the incarnation as a text for hashing.
+func (i incarnation) key() string { return i.id + "\x00" + strconv.FormatInt(i.startID, 16) }
+
 // report is what is known from the statements of one target.
 type report struct {
 	target discovery.Target
 	// leavingSince is when the target first stated that it leaves; negative if it did not.
 	leavingSince time.Duration
-	// limit is in requests per second; negative for none. limitSince is when it last changed.
-	limit      float64
-	limitSince time.Duration
+	// limit is in requests per second; negative for none. limitSince is when it last changed, heard
+	// when it was last stated to any host.
+	limit             float64
+	limitSince, heard time.Duration
+	// version is that of the newest record about the target that this host has or has sent, at the
+	// time published.
+	version   uint64
+	published time.Duration
 	// waitUntil is the end of the longest wait that the target asked for.
 	waitUntil time.Duration
+
+	bucket bucket
+	// hostsVersion and shareLimit are those for which the share of the bucket was computed.
+	hostsVersion uint64
+	shareLimit   float64
 }
 
 // Table has the statements of all targets. It is not safe for concurrent use.
 type Table struct {
+	// self is the name of this host.
+	self string
+	// hosts has the sorted names of the hosts that send requests. hostsVersion counts its changes.
+	hosts        []string
+	hostsVersion uint64
 	// reports has the targets that have stated anything, and those only.
 	reports map[incarnation]*report
+	// records has the records to send to other hosts.
+	records []Record
 }
 
-// New returns an empty table.
-func New() *Table { return &Table{reports: make(map[incarnation]*report)} }
+// New returns the empty table of the host with the name.
+func New(self string) *Table {
+	return &Table{self: self, hosts: []string{self}, hostsVersion: 1, reports: make(map[incarnation]*report)}
+}
 
 // Len returns the number of targets that have stated anything.
 func (t *Table) Len() int { return len(t.reports) }
 
-// Retain removes the statements of all targets that are not in the list.
+// SetHosts sets the names of the hosts that send requests. This host counts as one of them.
+func (t *Table) SetHosts(names []string) {
+	hosts := append([]string{t.self}, names...)
+	slices.Sort(hosts)
+	if hosts = slices.Compact(hosts); !slices.Equal(hosts, t.hosts) {
+		t.hosts = hosts
+		t.hostsVersion++
+	}
+}
+
+// Retain removes the statements of all targets that are not in the lists.
 func (t *Table) Retain(targets map[string][]discovery.Target) {
 	if len(t.reports) == 0 {
 		return
@@ -71,19 +106,14 @@
 		if !s.Leaving && !s.Limited && s.Wait <= 0 {
 			return nil
 		}
-		r = &report{target: target, leavingSince: -1, limit: -1, limitSince: -1}
-		t.reports[incarnationOf(target)] = r
+		r = t.add(target)
 	}
 	if s.Leaving && r.leavingSince < 0 {
 		r.leavingSince = now
 		changes = append(changes, Change{target: target, fact: Leaving, value: 1, age: notStated})
 	}
 	if !s.LimitUnreadable {
-		limit := -1.0
-		if s.Limited {
-			limit = s.Limit
-		}
-		changes = append(changes, r.setLimit(now, limit)...)
+		changes = append(changes, t.observeLimit(now, r, s)...)
 	}
 	if s.Wait > 0 {
 		age := notStated
@@ -96,6 +126,30 @@
 	return changes
 }
 
+// add adds a report about a target that has stated nothing so far.
+func (t *Table) add(target discovery.Target) *report {
+	r := &report{target: target, leavingSince: -1, limit: -1, limitSince: -1}
+	t.reports[incarnationOf(target)] = r
+	return r
+}
+
+// observeLimit records the limit of an answer, and queues a record for the other hosts if they have to
+// be told.
+func (t *Table) observeLimit(now time.Duration, r *report, s Statement) (changes []Change) {
+	limit := -1.0
+	if s.Limited {
+		limit = s.Limit
+	}
+	r.heard = now
+	changes = r.setLimit(now, limit)
+	if len(changes) > 0 || limit >= 0 && now-r.published >= refreshInterval {
+		r.version++
+		r.published = now
+		t.records = append(t.records, NewRecord(r.target.ID, r.target.StartID, r.version, limit, 0))
+	}
+	return changes
+}
+
 // setLimit sets the limit and returns the change if it is a notable one.
 func (r *report) setLimit(now time.Duration, limit float64) (changes []Change) {
 	if limit == r.limit {
@@ -112,3 +166,70 @@
 	r.limit = limit
 	return changes
 }
+
+// HasRecords reports whether there are records to send to other hosts.
+func (t *Table) HasRecords() bool { return len(t.records) > 0 }
+
+// TakeRecords returns the records to send to other hosts, and forgets them.
+func (t *Table) TakeRecords() (records []Record) {
+	records, t.records = t.records, nil
+	return records
+}
+
+// Merge records what another host was told by a target, and returns what changed by it.
+func (t *Table) Merge(now time.Duration, target discovery.Target, record Record) (changes []Change) {
+	r, known := t.reports[incarnationOf(target)]
+	if !known {
+		if record.limit < 0 {
+			return nil
+		}
+		r = t.add(target)
+	}
+	if record.version <= r.version {
+		return nil
+	}
+	r.version, r.published, r.heard = record.version, now-record.age, max(r.heard, now-record.age)
+	return r.setLimit(now, record.limit)
+}
+
+// Wait returns how long this host may send no request to a target; zero if it may send one now.
+func (t *Table) Wait(now time.Duration, target discovery.Target, senders Senders) time.Duration {
+	r, ok := t.reports[incarnationOf(target)]
+	if !ok || !t.limited(now, r, senders) {
+		return 0
+	}
+	return r.bucket.wait(now)
+}
+
+// Take counts a request that this host sends to a target once the current Wait has passed.
+func (t *Table) Take(now time.Duration, target discovery.Target, senders Senders) {
+	if r, ok := t.reports[incarnationOf(target)]; ok && t.limited(now, r, senders) {
+		r.bucket.take(now)
+	}
+}
+
+// Rate returns how many requests a second this host may send to a target; infinite without a limit.
+func (t *Table) Rate(now time.Duration, target discovery.Target, senders Senders) float64 {
+	r, ok := t.reports[incarnationOf(target)]
+	if !ok || !t.limited(now, r, senders) {
+		return math.Inf(1)
+	}
+	return r.bucket.share.rate()
+}
+
+// limited reports whether a target has a limit that holds, and brings its bucket up to date.
+func (t *Table) limited(now time.Duration, r *report, senders Senders) bool {
+	if r.limit >= 0 && now-r.heard > limitTTL {
+		r.setLimit(now, -1)
+	}
+	if r.limit < 0 {
+		r.bucket, r.hostsVersion = bucket{}, 0
+		return false
+	}
+	if r.hostsVersion != t.hostsVersion || r.shareLimit != r.limit {
+		key := incarnationOf(r.target).key()
+		r.bucket.setShare(now, newShare(senders, r.limit, key, t.self, t.hosts), phase(key, t.self))
+		r.hostsVersion, r.shareLimit = t.hostsVersion, r.limit
+	}
+	return true
+}
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -15,8 +15,9 @@
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/quota"
 	"sassafrasward/core/route"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/io/metric"
-	"sassafrasward/io/selfreport"
+	ioselfreport "sassafrasward/io/selfreport"
 	"sassafrasward/io/transport"
 )
 
@@ -67,7 +68,9 @@
 type Dispatcher struct {
 	clock   func() time.Duration
 	conns   *transport.Pool
-	reports *selfreport.Registry
+	reports *ioselfreport.Registry
+	// gate is asked before each call.
+	gate    selfreport.Gate
 	log     logr.Logger
 	metrics *metric.Metrics
 	// newQuota returns the retry quota of a new group.
@@ -88,8 +91,8 @@
 }
 
 // NewDispatcher returns a dispatcher without pools; its calls end with the context.
-func NewDispatcher(ctx context.Context, clock func() time.Duration, conns *transport.Pool, reports *selfreport.Registry, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatcher {
-	return &Dispatcher{ctx: ctx, clock: clock, conns: conns, reports: reports, log: log, metrics: metrics, newQuota: newQuota, groupsByKey: make(map[string]*group), groups: make(map[string][]string), submitted: make(chan struct{}, 1)}
+func NewDispatcher(ctx context.Context, clock func() time.Duration, conns *transport.Pool, reports *ioselfreport.Registry, log logr.Logger, metrics *metric.Metrics, newQuota func() *quota.Quota) *Dispatcher {
+	return &Dispatcher{ctx: ctx, clock: clock, conns: conns, reports: reports, gate: reports.Gate(selfreport.OneHost), log: log, metrics: metrics, newQuota: newQuota, groupsByKey: make(map[string]*group), groups: make(map[string][]string), submitted: make(chan struct{}, 1)}
 }
 
 // Configure sets the specifications and targets of the pools that run pieces in batches.
@@ -134,7 +137,7 @@
 	g, ok := d.groupsByKey[key]
 	if !ok {
 		g = &group{
-			key: key, batcher: batch.New(*spec.Batch), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
+			key: key, batcher: batch.New(*spec.Batch, batch.WithGate(d.gate)), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
 			results: make(map[string]storedResult), calls: make(map[uint64]pendingCall), toFree: make(map[string][]string), freeing: make(map[string]bool),
 		}
 		d.groupsByKey[key] = g
--- a/io/edge/admission.go
+++ b/io/edge/admission.go
@@ -18,9 +18,11 @@
 
 // admitStages decides whether to start the request, from the expected time of all its stages and
 // the backlogs of their pools. If not, it returns how long the caller should wait before it
-// retries.
-func (x *exchange) admitStages() (retry time.Duration, ok bool) {
-	onTime, late := x.expectedPath().Estimate()
+// retries. The request has to wait for its target (targetWait) unless its stages take longer.
+func (x *exchange) admitStages(targetWait time.Duration) (retry time.Duration, ok bool) {
+	path := x.expectedPath()
+	path.AnswerTime += targetWait
+	onTime, late := path.Estimate()
 	elapsed := x.clock() - x.arrived
 	x.decision, retry = admit.Admit(onTime, late, admit.TimeLimits{
 		Objective: x.route.Objective, ObjectiveLeft: x.route.Objective - elapsed, Timeout: x.startDeadline - x.arrived, TimeoutLeft: x.startDeadline - x.arrived - elapsed,
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -75,6 +75,8 @@
 			task()
 		case <-c.suspects.changed:
 			c.gossipCrashes()
+		case <-c.reports.Changed():
+			c.gossipReports()
 		case <-ticker.C:
 			c.tick()
 		case <-ctx.Done():
@@ -173,6 +175,9 @@
 	if c.members.CrashesChanged() {
 		c.suspects.merge(c.members.Crashes(c.clock()))
 	}
+	if c.members.ReportsChanged() {
+		c.mergeReports()
+	}
 	targetsChanged, membersChanged := c.targetSet.Changed(), false
 	if now := c.clock(); servingChanged || now >= c.nextPublish {
 		membersChanged = c.node.Publish()
@@ -238,6 +243,7 @@
 	}
 	c.choosers.configure(c.targets)
 	c.reports.Retain(c.targets)
+	c.mergeReports()
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
@@ -250,8 +256,13 @@
 // publishState publishes a new state with the targets of the last publishTargets.
 func (c *control) publishState() {
 	s := &state{table: c.table, targets: c.targets, zones: c.zones, targetsKnown: c.storeRevision > 0, draining: c.draining}
+	var senders []string
 	for _, m := range c.node.Snapshot().Members() {
-		if m.Liveness == member.Dead || m.Lifecycle != member.Serving {
+		if m.Liveness == member.Dead || m.Lifecycle == member.Joining {
+			continue
+		}
+		senders = append(senders, m.Name)
+		if m.Lifecycle != member.Serving {
 			continue
 		}
 		s.hosts = append(s.hosts, hostselect.Candidate{
@@ -261,6 +272,7 @@
 			s.eligible = append(s.eligible, dispatch.Host{Name: m.Name, Zone: m.Zone})
 		}
 	}
+	c.reports.SetHosts(senders)
 	if old := c.state.Load(); slices.Equal(old.eligible, s.eligible) {
 		s.eligible = old.eligible // keeps what is cached for this list
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -18,6 +18,7 @@
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/member"
 	"sassafrasward/core/quota"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/io/dispatch"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
@@ -95,8 +96,8 @@
 	e.state.Store(&state{})
 	b := settings.Limits()
 	newQuota := func() *quota.Quota { return quota.New(b.RetryWindow, b.RetryRatio, b.RetryAllowance/minHosts) }
-	e.reports = ioselfreport.New(e.clock, log, e.metrics)
-	e.choosers = newChoosers(e.clock, newQuota)
+	e.reports = ioselfreport.New(settings.Host(), e.clock, log, e.metrics)
+	e.choosers = newChoosers(e.clock, e.reports.Gate(selfreport.AllHosts), newQuota)
 	e.conns = transport.New(func() { e.metrics.Counter("target.connections").Inc(1) })
 	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		return transport.Dial(ctx, "tcp", address)
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -86,12 +86,20 @@
 			return
 		}
 		pickRequest := x.pickRequest(inputs)
-		t, ok := x.choosers.choose(x.pool, pickRequest)
+		pickRequest.MaxWait = x.maxTargetWait(s)
+		t, wait, ok := x.choosers.choose(x.pool, pickRequest)
 		if !ok {
-			x.detail = "no target"
-			x.fail(reason.NoTargets, targetRetryAfter)
+			x.failWithoutTarget()
 			return
 		}
+		if wait > 0 && !x.awaitTarget(ctx, t, wait) {
+			x.choosers.finish(x.pool, pick.Result{Target: t.ID, Load: pickRequest.Load})
+			if ctx.Err() != nil {
+				x.fail(reason.DeadlineExceeded, 0)
+				return
+			}
+			continue
+		}
 		attempts++
 		a := &attempt{target: t, began: x.clock(), last: attempts >= x.route.MaxAttempts}
 		v := x.try(ctx, s, a, inputs)
--- /dev/null
+++ b/io/edge/limit.go
@@ -0,0 +1,72 @@
+package edge
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"sassafrasward/core/discovery"
+	"sassafrasward/core/reason"
+	"sassafrasward/core/selfreport"
+)
+
+const (
+	// minLimitRetryAfter and maxLimitRetryAfter bound the retry delay for callers whose request found
+	// only targets that take no more requests. Other hosts may have a part in their limits.
+	minLimitRetryAfter = 200 * time.Millisecond
+	maxLimitRetryAfter = 3 * time.Second
+	// retrySpread is the fraction by which retry delays differ, so that callers don't return together.
+	retrySpread = 0.5
+)
+
+// maxTargetWait returns how long the request may wait for a target that has stated to take no more
+// requests now: until the request would miss its objective, or, once it has results of stages or has
+// sent events, until its caller would stop waiting.
+func (x *exchange) maxTargetWait(s *stream) time.Duration {
+	end := x.softDeadline
+	if len(x.held) > 0 || s.sent > 0 {
+		end = x.startDeadline
+	}
+	return max(end-x.clock()-x.firstEventTime(), 0)
+}
+
+// awaitTarget waits until the request may be sent to the target. It reports false if the target can no
+// longer be used, or if the context has ended.
+func (x *exchange) awaitTarget(ctx context.Context, t discovery.Target, wait time.Duration) bool {
+	x.recordDecision("waits %dms for target %s", wait.Milliseconds(), t.ID)
+	sleep(ctx, wait)
+	return ctx.Err() == nil && x.choosers.usable(x.pool, t)
+}
+
+// failWithoutTarget refuses a request for which there is no target.
+func (x *exchange) failWithoutTarget() {
+	wait, ok := x.choosers.soonestWait(x.pool, x.targets)
+	switch {
+	case !ok:
+		x.detail = "no target"
+		x.fail(reason.NoTargets, targetRetryAfter)
+	case wait == selfreport.Never:
+		x.detail = "targets take requests of other hosts only"
+		x.fail(reason.TargetsLimited, limitRetryAfter(targetRetryAfter))
+	default:
+		x.detail = "targets take no requests for " + wait.Round(time.Millisecond).String()
+		x.fail(reason.TargetsLimited, limitRetryAfter(wait))
+	}
+}
+
+// targetWait returns how long no target will take the request, zero if one does now. It reports false if
+// that is longer than the caller waits.
+func (x *exchange) targetWait() (wait time.Duration, ok bool) {
+	wait, ok = x.choosers.soonestWait(x.pool, nil)
+	if !ok {
+		return 0, true // the pool may have targets once they are needed
+	}
+	return wait, wait <= x.startDeadline-x.clock()-x.firstEventTime()
+}
+
+// limitRetryAfter returns the retry delay for a caller whose request found no target for the time of
+// the wait.
+func limitRetryAfter(wait time.Duration) time.Duration {
+	wait = min(max(wait, minLimitRetryAfter), maxLimitRetryAfter)
+	return wait + time.Duration(retrySpread*rand.Float64()*float64(wait))
+}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -41,13 +41,21 @@
 		x.refuse(http.StatusBadRequest, reason.InvalidField, 0)
 		return nil, false
 	}
-	if retry, ok := x.admitStages(); !ok {
+	wait, ok := x.targetWait()
+	if !ok {
+		x.failWithoutTarget()
+		return nil, false
+	}
+	if retry, ok := x.admitStages(wait); !ok {
 		x.detail = "backlog"
 		x.fail(reason.PredictedLate, retry)
 		return nil, false
 	}
+	x.choosers.addStaged(x.pool, 1)
 	run := newStageRun(x)
-	if failure := run.execute(ctx); failure != nil {
+	failure := run.execute(ctx)
+	x.choosers.addStaged(x.pool, -1)
+	if failure != nil {
 		x.failStage(*failure)
 		return nil, false
 	}
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -9,6 +9,7 @@
 	"sassafrasward/core/pick"
 	"sassafrasward/core/quota"
 	"sassafrasward/core/route"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/io/dispatch"
 )
 
@@ -40,6 +41,7 @@
 // choosers has a target chooser and a retry quota for each pool. It is safe for concurrent use.
 type choosers struct {
 	clock func() time.Duration
+	gate  selfreport.Gate
 
 	mutex    sync.Mutex
 	pools    map[string]*pool
@@ -50,10 +52,12 @@
 type pool struct {
 	chooser *pick.Chooser
 	quota   *quota.Quota
+	// staged is the number of requests that run their stages and need a target then.
+	staged int
 }
 
-func newChoosers(clock func() time.Duration, newQuota func() *quota.Quota) *choosers {
-	return &choosers{clock: clock, pools: make(map[string]*pool), newQuota: newQuota}
+func newChoosers(clock func() time.Duration, gate selfreport.Gate, newQuota func() *quota.Quota) *choosers {
+	return &choosers{clock: clock, gate: gate, pools: make(map[string]*pool), newQuota: newQuota}
 }
 
 // configure sets the targets of all pools.
@@ -74,7 +78,7 @@
 func (c *choosers) pool(name string) *pool {
 	p, ok := c.pools[name]
 	if !ok {
-		p = &pool{chooser: pick.New(), quota: c.newQuota()}
+		p = &pool{chooser: pick.New(pick.WithGate(c.gate)), quota: c.newQuota()}
 		c.pools[name] = p
 	}
 	return p
@@ -89,13 +93,37 @@
 	}
 }
 
-// choose chooses the target of a request to the pool and counts the request as in flight there.
-func (c *choosers) choose(name string, h pick.Request) (t discovery.Target, ok bool) {
+// choose chooses the target of a request to the pool and counts the request as in flight there. The
+// request is sent after the wait.
+func (c *choosers) choose(name string, h pick.Request) (t discovery.Target, wait time.Duration, ok bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	return c.pool(name).chooser.Choose(c.clock(), h)
 }
 
+// soonestWait returns how long no target of the pool takes a request, after those that run their stages
+// now; see pick.Chooser.SoonestWait.
+func (c *choosers) soonestWait(name string, exclude []string) (wait time.Duration, ok bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	p := c.pool(name)
+	return p.chooser.SoonestWait(c.clock(), exclude, p.staged)
+}
+
+// addStaged adds to the number of requests to the pool that run their stages.
+func (c *choosers) addStaged(name string, n int) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.pool(name).staged += n
+}
+
+// usable reports whether a chosen target of the pool is still known and not leaving.
+func (c *choosers) usable(name string, t discovery.Target) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pool(name).chooser.Usable(t)
+}
+
 // affinityTarget returns the target of the pool that a request prefers by its prompt prefix.
 func (c *choosers) affinityTarget(name string, h pick.Request) (t discovery.Target, ok bool) {
 	c.mutex.Lock()
