Send each stage call on a new connection

Callers: could get an answer that was made from the results of another request's pieces, or be refused as not run while the pieces ran. Cause: a stage call has no identity that its answer could name, so that what a target writes once more on a kept connection, late, was taken for the answer to the next call. Ruled out: bytes that arrive before the next call, which close the connection already. Why it works: nothing of an earlier call can be on a new connection. Calls to release results stay on kept connections; their answers decide nothing. Each call opens a connection, about as many as model requests do already.

--- a/io/dispatch/call.go
+++ b/io/dispatch/call.go
@@ -169,7 +169,9 @@
 	if err != nil {
 		return nil, batch.Failed, err
 	}
-	status, answer, raw, err := d.send(ctx, t.ID, t.Address, platform.PathRun, body)
+	// Calls have no identity that an answer could name. On a kept connection, a target may write the
+	// answer to an earlier call once more.
+	status, answer, raw, err := d.send(ctx, t.ID, t.Address, platform.PathRun, body, true)
 	if status != 0 {
 		d.reports.Observe(t, answer.Statement)
 	}
@@ -190,10 +192,10 @@
 
 // send posts a body to an address and reads the whole response. Only the target with the given ID
 // may handle it; an empty ID allows any target at the address.
-func (d *Dispatcher) send(ctx context.Context, target, address, path string, body []byte) (status int, answer platform.Response, raw []byte, err error) {
+func (d *Dispatcher) send(ctx context.Context, target, address, path string, body []byte, newConnection bool) (status int, answer platform.Response, raw []byte, err error) {
 	h := platform.RunHeader(target)
 	response, err := d.conns.Do(ctx, address, transport.Request{
-		Method: http.MethodPost, URI: path, Host: address, Header: h, Body: body,
+		Method: http.MethodPost, URI: path, Host: address, Header: h, Body: body, NewConnection: newConnection,
 	})
 	if err != nil {
 		return 0, platform.Response{}, nil, err
--- a/io/dispatch/free.go
+++ b/io/dispatch/free.go
@@ -72,6 +72,6 @@
 	if err != nil {
 		return err
 	}
-	_, _, _, err = d.send(ctx, "", address, platform.PathFree, body)
+	_, _, _, err = d.send(ctx, "", address, platform.PathFree, body, false)
 	return err
 }
