Accept answers without an identity on new connections only

Callers: could be told 'not run, try again' for an idempotent request that a target was running. Cause: an answer without a request ID matched every request, because answers that are made without reading the request have none. On a kept connection it may as well be a refusal that a faulty target writes once more. Evidence: TestRefusalOnceMore on the code before, refusals without an ID that come after the next request was sent: 6 of 24 cases, one for each of the six statuses, told not run. Ruled out by the same test: refusals that name another request, and those that arrive before the next request. Commands and streams use new connections and were right (TestRefusalOnceMoreForCommands, 18 cases). Such an answer now counts as broken: the request is repeated within its limits, and never said not to have run.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -298,7 +298,7 @@
 	a.response, a.err = x.conns.Do(ctx, a.target.Address, transport.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: forwarded.Header(x.r.Header), Body: x.body,
 		NewConnection: x.route.Kind != route.Idempotent,
-		Matches:       func(status int, h http.Header) bool { return platform.ReadResponse(status, h).BelongsTo(x.request.ID) },
+		Match:         x.match,
 	})
 	if a.err != nil {
 		if !transport.MaybeSent(a.err) {
@@ -327,6 +327,18 @@
 	return x.forwardWhole(a, answer)
 }
 
+// match tells whether a response belongs to the request. One that was made without reading the request
+// has no ID.
+func (x *exchange) match(status int, h http.Header) transport.Match {
+	switch platform.ReadResponse(status, h).ID {
+	case x.request.ID:
+		return transport.Belongs
+	case "":
+		return transport.Unidentified
+	}
+	return transport.Stray
+}
+
 // attemptTimer returns a timer that cancels an attempt which takes too long while another target
 // could be tried. Otherwise the timer is set to an hour, and the deadline of the request ends the
 // attempt.
--- a/io/transport/endless_test.go
+++ b/io/transport/endless_test.go
@@ -76,7 +76,7 @@
 			runtime.ReadMemStats(&before)
 			_, err := pool.Do(ctx, address, transport.Request{
 				Method: http.MethodGet, URI: "/", Host: "h",
-				Matches: func(_ int, h http.Header) bool { return h.Get("X-Request-Id") == "own" },
+				Match: matchHeader("X-Request-Id", "own"),
 			})
 			runtime.ReadMemStats(&after)
 			is.True(err != nil)
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -45,6 +45,9 @@
 // the response to another request should end.
 var ErrTooLong = errors.New("the target sends bytes without end")
 
+// errUnidentified is returned for a response on a kept connection that names no request.
+var errUnidentified = errors.New("a response on a kept connection does not name its request")
+
 // Request is one request to a target.
 type Request struct {
 	// Method and URI are sent in the request line exactly as the caller sent them.
@@ -57,11 +60,25 @@
 	Body []byte
 	// NewConnection requests a new connection instead of an idle one.
 	NewConnection bool
-	// Matches reports whether a response with the given status and headers belongs to this
-	// request; nil accepts every response.
-	Matches func(status int, h http.Header) bool
+	// Match tells whether a response with the given status and headers belongs to this request; nil
+	// accepts every response.
+	Match func(status int, h http.Header) Match
 }
 
+// Match tells whether a response belongs to a request.
+type Match int
+
+// The matches.
+const (
+	// Belongs means that the response is that of the request.
+	Belongs Match = iota
+	// Stray means that the response is that of another request.
+	Stray
+	// Unidentified means that the response names no request. It is accepted on a new connection only:
+	// on a kept one it may be a copy of an earlier response.
+	Unidentified
+)
+
 //go:generate go tool -modfile=../../tools/go.mod stringer -type=Framing -linecomment -output=framing_string.go
 
 // Framing is how a response marks the end of its body.
@@ -130,8 +147,9 @@
 	idleSince time.Time
 	// keepAlive is the timeout in the target's last Keep-Alive header; zero if none.
 	keepAlive time.Duration
-	// sawStray is set once a response to another request arrived.
-	sawStray bool
+	// sawStray is set once a response to another request arrived, kept if the connection has served
+	// other requests before.
+	sawStray, kept bool
 }
 
 // Pool keeps idle connections to targets for reuse. It is safe for concurrent use.
@@ -194,7 +212,14 @@
 		if received.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(received.StatusCode, received.Header) {
+		match := Belongs
+		if r.Match != nil {
+			match = r.Match(received.StatusCode, received.Header)
+		}
+		if match == Unidentified && c.kept {
+			return nil, errUnidentified
+		}
+		if match != Stray {
 			framing := framing(received)
 			return &Response{
 				Status: received.StatusCode, Header: received.Header, Framing: framing, Body: received.Body, conn: c, pool: p, stop: stop, written: written,
@@ -301,6 +326,7 @@
 			limit = min(limit, c.keepAlive/2)
 		}
 		if time.Since(c.idleSince) < limit && c.openAndSilent() {
+			c.kept = true
 			return c, nil
 		}
 		_ = c.Close() // unused since it became idle
--- a/io/transport/transport_test.go
+++ b/io/transport/transport_test.go
@@ -62,7 +62,17 @@
 func request(id string) transport.Request {
 	return transport.Request{
 		Method: http.MethodGet, URI: "/a%2fb/../c?x=%20", Host: "h.example", Header: http.Header{"Id": {id}},
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Match: matchHeader("Id", id),
+	}
+}
+
+// matchHeader accepts only responses whose header has the value.
+func matchHeader(name, value string) func(int, http.Header) transport.Match {
+	return func(_ int, h http.Header) transport.Match {
+		if h.Get(name) == value {
+			return transport.Belongs
+		}
+		return transport.Stray
 	}
 }
 
