Cut a stream whose resumption is answered with an error

Callers: found the text of an error in the middle of their stream, and the stream ended as if it were complete. Cause: an answer other than a stream is read whole and sent to the caller; nothing looked at whether events had been sent before, by an earlier attempt. Ruled out: refusals that say not run, and unsigned successes, were right. Such an answer does not count as a crash of its target.

--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -270,7 +270,7 @@
 	case v == callerGone:
 		x.why = reason.CallerGone
 		panic(http.ErrAbortHandler) // the response must not look complete
-	case v == failed:
+	case v == failed && !x.committed:
 		x.writeResponse(a)
 	case ctx.Err() != nil:
 		x.fail(reason.DeadlineExceeded, 0)
@@ -321,6 +321,11 @@
 		a.err = errors.New("response is not signed or its body is encoded")
 		return broken
 	}
+	if x.committed && !s.continuedBy(a.response) {
+		a.response.Close(false)
+		a.err = fmt.Errorf("status %d, %q instead of the rest of the stream", a.response.Status, a.response.Header.Get("Content-Type"))
+		return failed
+	}
 	if x.route.Kind == route.Stream && a.response.Status == http.StatusOK {
 		return s.forwardEvents(a, attemptTimer)
 	}
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -40,6 +40,15 @@
 	unfinished bool
 	// lastTime is when the last event was sent.
 	lastTime time.Duration
+	// contentType is that of the response whose headers were sent.
+	contentType string
+}
+
+// continuedBy reports whether the body of a response can follow the events that were sent: anything but
+// a stream, such as the text of an error, can't.
+func (s *stream) continuedBy(r *transport.Response) bool {
+	contentType := r.Header.Get("Content-Type")
+	return r.Status == http.StatusOK && (contentType == "" || s.contentType == "" || contentType == s.contentType)
 }
 
 // forwardEvents sends the events of one target to the caller as they arrive. Only complete events
@@ -147,7 +156,7 @@
 			h.Set("Connection", closing)
 		}
 		s.w.WriteHeader(a.response.Status)
-		s.committed = true
+		s.committed, s.contentType = true, h.Get("Content-Type")
 	}
 	now := s.clock()
 	if s.sent == 0 {
