--- a/io/edge/limit_test.go
+++ b/io/edge/limit_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -171,3 +172,165 @@
 		})
 	}
 }
+
+// drainTime is how long after a target has stated that it leaves it may get requests of callers.
+const drainTime = 2 * time.Second
+
+// sentAt returns when a caller sent a request of a load, from its ID.
+func sentAt(r standin.ReceivedRequest) (at time.Time, ok bool) {
+	_, micros, found := strings.Cut(r.ID(), ".")
+	n, err := strconv.ParseInt(micros, 10, 64)
+	return time.UnixMicro(n), found && err == nil
+}
+
+// TestTargetsThatLeave guards against requests to targets that have stated in their answers that they
+// leave, while the store says nothing of it: one target after the other leaves, the last one too.
+func TestTargetsThatLeave(t *testing.T) {
+	t.Parallel()
+	const perSecond = 60
+	for name, test := range map[string]struct {
+		method, path, pool string
+		hosts, targets     int
+		change             func(r *http.Request)
+	}{
+		"idempotent, one host, one target": {http.MethodGet, "/read/", "plain", 1, 1, nil},
+		"commands, three hosts":            {http.MethodPost, "/write/", "plain", 3, 3, nil},
+		"streams, three hosts":             {http.MethodPost, "/chat/", "model", 3, 3, nil},
+		"stage calls, three hosts":         {http.MethodPost, "/plan/", "pieces", 3, 3, standin.SetPieces},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore(t)
+			s.PublishConfig(1)
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if test.pool == "plain" {
+					signed("ok")(w, r)
+					return
+				}
+				events(w, 1, 2, true)
+			}
+			if test.pool == "pieces" {
+				s.Register(newEngine(t, "m-1", answer), "model", "ready")
+			}
+			var engines []*standin.Target
+			for i := range test.targets {
+				engines = append(engines, newEngine(t, fmt.Sprintf("i-%d", i), answer))
+				s.Register(engines[i], test.pool, "ready")
+			}
+			hosts := startFleet(t, s, test.hosts)
+			l := startLoad(hosts, perSecond, test.method, test.path, test.change)
+			defer l.end()
+			hosts[0].wait(func() bool { return l.served.Load() > perSecond/4 })
+			s.SetBroken(true)
+			var left []time.Time
+			for _, e := range engines {
+				e.StateLeaving(true)
+				left = append(left, time.Now())
+				time.Sleep(drainTime + 500*time.Millisecond)
+			}
+			served := l.served.Load()
+			time.Sleep(drainTime)
+			late := 0
+			for i, e := range engines {
+				for _, r := range e.Received() {
+					if at, ok := sentAt(r); ok && at.After(left[i].Add(drainTime)) || !ok && r.At.After(left[i].Add(drainTime+time.Second)) {
+						late++
+					}
+				}
+			}
+			t.Logf("%d late requests, longest refusal %v", late, time.Duration(l.longest.Load()))
+			is.Equal(late, 0)
+			is.Equal(l.served.Load(), served) // no target is left
+			if test.pool != "pieces" {
+				is.True(time.Duration(l.longest.Load()) < 200*time.Millisecond)
+			}
+		})
+	}
+}
+
+// TestTargetsThatWantAPause guards against requests to a target that has refused one and stated for how
+// long it wants none from the host, and against targets that stay unused when that time is over.
+func TestTargetsThatWantAPause(t *testing.T) {
+	t.Parallel()
+	const (
+		perSecond = 60
+		grace     = 500 * time.Millisecond
+		perHost   = 2
+	)
+	for name, test := range map[string]struct {
+		path, pool     string
+		seconds        string
+		hosts, targets int
+		change         func(r *http.Request)
+	}{
+		"one target, 0 s":               {"/read/", "plain", "0", 1, 1, nil},
+		"one target, 0.2 s":             {"/read/", "plain", "0.2", 1, 1, nil},
+		"one target, 3 s":               {"/read/", "plain", "3", 1, 1, nil},
+		"one target, a minute":          {"/read/", "plain", "60", 1, 1, nil},
+		"streams, three targets":        {"/chat/", "model", "2.5", 3, 3, nil},
+		"stage calls, two targets, 3 s": {"/plan/", "pieces", "3", 3, 2, standin.SetPieces},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			s := newStore(t)
+			s.PublishConfig(1)
+			answer := func(w http.ResponseWriter, r *http.Request) {
+				if test.pool == "plain" {
+					signed("ok")(w, r)
+					return
+				}
+				events(w, 1, 2, true)
+			}
+			if test.pool == "pieces" {
+				s.Register(newEngine(t, "m-1", answer), "model", "ready")
+			}
+			var engines []*standin.Target
+			for i := range test.targets {
+				engines = append(engines, newEngine(t, fmt.Sprintf("i-%d", i), answer))
+				s.Register(engines[i], test.pool, "ready")
+			}
+			hosts := startFleet(t, s, test.hosts)
+			method := http.MethodGet
+			if test.pool != "plain" {
+				method = http.MethodPost
+			}
+			l := startLoad(hosts, perSecond, method, test.path, test.change)
+			defer l.end()
+			hosts[0].wait(func() bool { return l.served.Load() > perSecond/4 })
+			seconds, err := strconv.ParseFloat(test.seconds, 64)
+			is.NoErr(err)
+			wait := min(time.Duration(seconds*float64(time.Second)), 5*time.Second)
+			began := time.Now()
+			for _, e := range engines {
+				e.RefuseFor(wait, test.seconds)
+			}
+			// Each host's time starts when it is told; the margin is for hosts that are told later.
+			time.Sleep(wait)
+			for i, e := range engines {
+				during := 0
+				for _, r := range e.Received() {
+					if r.At.After(began.Add(grace)) && r.At.Before(began.Add(wait)) {
+						during++
+					}
+				}
+				t.Logf("target %d: %d requests during its pause", i, during)
+				if seconds >= 1 {
+					is.True(during <= perHost*test.hosts)
+				}
+			}
+			t.Logf("longest refusal %v", time.Duration(l.longest.Load()))
+			if test.pool != "pieces" {
+				is.True(time.Duration(l.longest.Load()) < 400*time.Millisecond)
+			}
+			if seconds > wait.Seconds() {
+				return
+			}
+			served := l.served.Load()
+			hosts[0].wait(func() bool { return l.served.Load() > served+perSecond/2 }) // used again
+			t.Logf("used again %v after the pause", time.Since(began)-wait)
+			is.True(time.Since(began)-wait < 4*time.Second)
+		})
+	}
+}
