Send no requests to targets that state that they leave

Callers: requests ended with their targets, when these stopped while the store did not name them as draining. The statement is kept for the incarnation, gossiped, and asked before each send with the limits. A target that takes it back is used again as a new process, or after two minutes: no request is sent that could tell it earlier, and answers on their way may be older.

--- a/core/member/fact.go
+++ b/core/member/fact.go
@@ -39,7 +39,7 @@
 	clearedTTL  = time.Hour // of an address that is live again
 	leavingTTL  = 24 * time.Hour
 	crashTTL    = 10 * time.Minute
-	reportTTL   = time.Minute
+	reportTTL   = 2 * time.Minute
 	handoverTTL = 24 * time.Hour // the default lifetime of a command key
 )
 
@@ -164,13 +164,15 @@
 func (c Crash) withTTL(ttl time.Duration) Crash { c.TTL = ttl; return c }
 func (c Crash) checksum() uint64                { return hash("", c.Fingerprint, c.Observer, c.Crashes, c.Cleared) }
 
-// Report is the fact that a target has stated how many requests a second it takes.
+// Report is the fact that a target has stated that it leaves, or how many requests a second it takes.
 type Report struct {
 	// Target is the ID of the target, StartID the start of its process.
 	Target  string
 	StartID int64
 	// Version orders the reports about the process. Any host may raise it.
 	Version uint64
+	// Leaving is set once any host was told that the target leaves.
+	Leaving bool
 	// Limited is set if the target has a limit, and Limit is in thousandths of requests per second.
 	Limited bool
 	Limit   uint64
@@ -185,10 +187,13 @@
 	return max(reportTTL-r.TTL, 0)
 }
 
-// Merge returns the fact that takes precedence: the newer one, otherwise the stricter one.
+// Merge returns the fact that takes precedence: the newer one, otherwise the stricter one. A target that
+// leaves stays leaving.
 func (r Report) Merge(o Report) Report {
 	c := cmp.Or(cmp.Compare(r.Version, o.Version), compareBool(r.Limited, o.Limited), cmp.Compare(o.Limit, r.Limit))
-	return later(c, r, o, r.TTL, o.TTL)
+	merged := later(c, r, o, r.TTL, o.TTL)
+	merged.Leaving = r.Leaving || o.Leaving
+	return merged
 }
 
 func (r Report) key() string                      { return fmt.Sprintf("%s %x", r.Target, r.StartID) }
@@ -197,11 +202,14 @@
 func (r Report) withTTL(ttl time.Duration) Report { r.TTL = ttl; return r }
 
 func (r Report) checksum() uint64 {
-	limited := uint64(0)
+	flags := uint64(0)
 	if r.Limited {
-		limited = 1
+		flags |= 1
 	}
-	return hash(r.Target, uint64(r.StartID), r.Version, limited, r.Limit)
+	if r.Leaving {
+		flags |= 2
+	}
+	return hash(r.Target, uint64(r.StartID), r.Version, flags, r.Limit)
 }
 
 // Handover is the fact that a stopping host passed the finished records of an incarnation to
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -190,10 +190,11 @@
 	return wait + time.Duration(float64(ahead)/rate*float64(time.Second)), ok
 }
 
-// Usable reports whether a target that was chosen before is still one of the pool and not leaving.
-func (c *Chooser) Usable(t discovery.Target) bool {
+// Usable reports whether a target that was chosen before is still one of the pool, and neither is
+// leaving nor has stated to take no more requests.
+func (c *Chooser) Usable(now time.Duration, t discovery.Target) bool {
 	st, ok := c.targets.Get(t.ID)
-	return ok && !st.target.Leaving && st.target.StartID == t.StartID
+	return ok && !st.target.Leaving && st.target.StartID == t.StartID && c.gate.Wait(now, t) != selfreport.Never
 }
 
 // AffinityTarget returns the target whose cache should hold the shared parts of the prompt. It
--- a/core/selfreport/record.go
+++ b/core/selfreport/record.go
@@ -7,6 +7,9 @@
 	// when refreshInterval has passed.
 	limitTTL        = time.Minute
 	refreshInterval = 20 * time.Second
+	// leavingTTL is how long a target that has stated that it leaves gets no requests. By then its
+	// process has ended; otherwise it is asked again.
+	leavingTTL = 2 * time.Minute
 )
 
 // Record is what one host tells the others of a target.
@@ -16,6 +19,7 @@
 	startID int64
 	// version orders the records of one target; any host may raise it.
 	version uint64
+	leaving bool
 	// limit is in requests per second; negative for none.
 	limit float64
 	// age is the time since the target stated it, as far as the host that has the record knows.
@@ -24,8 +28,8 @@
 
 // NewRecord returns a record of the target with the ID, whose process has the start ID. The limit is in
 // requests per second, and negative for none.
-func NewRecord(id string, startID int64, version uint64, limit float64, age time.Duration) Record {
-	return Record{id: id, startID: startID, version: version, limit: limit, age: age}
+func NewRecord(id string, startID int64, version uint64, leaving bool, limit float64, age time.Duration) Record {
+	return Record{id: id, startID: startID, version: version, leaving: leaving, limit: limit, age: age}
 }
 
 // ID returns the ID of the target.
@@ -37,5 +41,8 @@
 // Version orders the records of one target.
 func (r Record) Version() uint64 { return r.version }
 
+// Leaving reports whether the target leaves.
+func (r Record) Leaving() bool { return r.leaving }
+
 // Limit returns the limit in requests per second; negative for none.
 func (r Record) Limit() float64 { return r.limit }
--- a/core/selfreport/table.go
+++ b/core/selfreport/table.go
@@ -31,8 +31,8 @@
 // report is what is known from the statements of one target.
 type report struct {
 	target discovery.Target
-	// leavingSince is when the target first stated that it leaves; negative if it did not.
-	leavingSince time.Duration
+	// leavingUntil is until when the target counts as leaving.
+	leavingUntil time.Duration
 	// limit is in requests per second; negative for none. limitSince is when it last changed, heard
 	// when it was last stated to any host.
 	limit             float64
@@ -108,12 +108,20 @@
 		}
 		r = t.add(target)
 	}
-	if s.Leaving && r.leavingSince < 0 {
-		r.leavingSince = now
-		changes = append(changes, Change{target: target, fact: Leaving, value: 1, age: notStated})
+	if s.Leaving {
+		changes = append(changes, r.setLeaving(now, now)...)
 	}
+	limit := r.limit
 	if !s.LimitUnreadable {
-		changes = append(changes, t.observeLimit(now, r, s)...)
+		limit = -1
+		if s.Limited {
+			limit = s.Limit
+		}
+		r.heard = now
+		changes = append(changes, r.setLimit(now, limit)...)
+	}
+	if len(changes) > 0 || limit >= 0 && now-r.published >= refreshInterval {
+		t.publish(now, r)
 	}
 	if s.Wait > 0 {
 		age := notStated
@@ -128,25 +136,27 @@
 
 // add adds a report about a target that has stated nothing so far.
 func (t *Table) add(target discovery.Target) *report {
-	r := &report{target: target, leavingSince: -1, limit: -1, limitSince: -1}
+	r := &report{target: target, limit: -1, limitSince: -1}
 	t.reports[incarnationOf(target)] = r
 	return r
 }
 
-// observeLimit records the limit of an answer, and queues a record for the other hosts if they have to
-// be told.
-func (t *Table) observeLimit(now time.Duration, r *report, s Statement) (changes []Change) {
-	limit := -1.0
-	if s.Limited {
-		limit = s.Limit
-	}
-	r.heard = now
-	changes = r.setLimit(now, limit)
-	if len(changes) > 0 || limit >= 0 && now-r.published >= refreshInterval {
-		r.version++
-		r.published = now
-		t.records = append(t.records, NewRecord(r.target.ID, r.target.StartID, r.version, limit, 0))
+// publish queues a record for the other hosts.
+func (t *Table) publish(now time.Duration, r *report) {
+	r.version++
+	r.published = now
+	t.records = append(t.records, NewRecord(r.target.ID, r.target.StartID, r.version, r.leaving(now), r.limit, 0))
+}
+
+func (r *report) leaving(now time.Duration) bool { return now < r.leavingUntil }
+
+// setLeaving records that the target stated at a time that it leaves, and returns the change if this is
+// new.
+func (r *report) setLeaving(now, stated time.Duration) (changes []Change) {
+	if !r.leaving(now) {
+		changes = []Change{{target: r.target, fact: Leaving, value: 1, age: notStated}}
 	}
+	r.leavingUntil = max(r.leavingUntil, stated+leavingTTL)
 	return changes
 }
 
@@ -180,25 +190,33 @@
 func (t *Table) Merge(now time.Duration, target discovery.Target, record Record) (changes []Change) {
 	r, known := t.reports[incarnationOf(target)]
 	if !known {
-		if record.limit < 0 {
+		if record.limit < 0 && !record.leaving {
 			return nil
 		}
 		r = t.add(target)
 	}
+	if record.leaving && record.age < leavingTTL {
+		changes = r.setLeaving(now, now-record.age)
+	}
 	if record.version <= r.version {
-		return nil
+		return changes
 	}
 	r.version, r.published, r.heard = record.version, now-record.age, max(r.heard, now-record.age)
-	return r.setLimit(now, record.limit)
+	return append(changes, r.setLimit(now, record.limit)...)
 }
 
 // Wait returns how long this host may send no request to a target; zero if it may send one now.
 func (t *Table) Wait(now time.Duration, target discovery.Target, senders Senders) time.Duration {
 	r, ok := t.reports[incarnationOf(target)]
-	if !ok || !t.limited(now, r, senders) {
+	switch {
+	case !ok:
 		return 0
+	case r.leaving(now):
+		return Never
+	case t.limited(now, r, senders):
+		return r.bucket.wait(now)
 	}
-	return r.bucket.wait(now)
+	return 0
 }
 
 // Take counts a request that this host sends to a target once the current Wait has passed.
@@ -211,10 +229,15 @@
 // Rate returns how many requests a second this host may send to a target; infinite without a limit.
 func (t *Table) Rate(now time.Duration, target discovery.Target, senders Senders) float64 {
 	r, ok := t.reports[incarnationOf(target)]
-	if !ok || !t.limited(now, r, senders) {
+	switch {
+	case !ok:
 		return math.Inf(1)
+	case r.leaving(now):
+		return 0
+	case t.limited(now, r, senders):
+		return r.bucket.share.rate()
 	}
-	return r.bucket.share.rate()
+	return math.Inf(1)
 }
 
 // limited reports whether a target has a limit that holds, and brings its bucket up to date.
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -121,7 +121,7 @@
 func (c *choosers) usable(name string, t discovery.Target) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.pool(name).chooser.Usable(t)
+	return c.pool(name).chooser.Usable(c.clock(), t)
 }
 
 // affinityTarget returns the target of the pool that a request prefers by its prompt prefix.
--- a/io/gossip/report.go
+++ b/io/gossip/report.go
@@ -13,7 +13,7 @@
 // ReportFact returns the fact that tells other hosts what a target has stated.
 func ReportFact(r selfreport.Record) member.Report {
 	return member.Report{
-		Target: r.ID(), StartID: r.StartID(), Version: r.Version(), Limited: r.Limit() >= 0,
+		Target: r.ID(), StartID: r.StartID(), Version: r.Version(), Leaving: r.Leaving(), Limited: r.Limit() >= 0,
 		Limit: uint64(math.Round(max(r.Limit(), 0) * limitUnits)),
 	}
 }
@@ -24,5 +24,5 @@
 	if r.Limited {
 		limit = min(float64(r.Limit)/limitUnits, selfreport.MaxLimit)
 	}
-	return selfreport.NewRecord(r.Target, r.StartID, r.Version, limit, r.Age())
+	return selfreport.NewRecord(r.Target, r.StartID, r.Version, r.Leaving, limit, r.Age())
 }
