Keep the pauses that targets ask for

Callers: waited for, or were refused by, targets that had just said for how long they wanted nothing. Cause, the same as for limits: the Retry-After of a refusal played no part. The pause is owed by the host that was told; others keep off only once they are told, since each of them costs the target one refusal and callers are served there in the meantime. At its end one request is sent first, hosts spread theirs, and callers that find no target are refused at once with the time that is left. Calls to release results wait as well, or are dropped if the results expire before.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -191,10 +191,10 @@
 }
 
 // Usable reports whether a target that was chosen before is still one of the pool, and neither is
-// leaving nor has stated to take no more requests.
+// leaving nor has asked for a pause.
 func (c *Chooser) Usable(now time.Duration, t discovery.Target) bool {
 	st, ok := c.targets.Get(t.ID)
-	return ok && !st.target.Leaving && st.target.StartID == t.StartID && c.gate.Wait(now, t) != selfreport.Never
+	return ok && !st.target.Leaving && st.target.StartID == t.StartID && c.gate.Wait(now, t) != selfreport.Never && c.gate.Paused(now, t) == 0
 }
 
 // AffinityTarget returns the target whose cache should hold the shared parts of the prompt. It
--- a/core/selfreport/gate.go
+++ b/core/selfreport/gate.go
@@ -28,6 +28,9 @@
 	// Wait returns how long no request may be sent to the target: zero if one may be sent now, Never
 	// if it is not known when.
 	Wait(now time.Duration, t discovery.Target) time.Duration
+	// Paused returns how long the target wants no requests at all from this host, not even those that
+	// don't count as work.
+	Paused(now time.Duration, t discovery.Target) time.Duration
 	// Take counts a request that is sent once the current Wait of the target has passed.
 	Take(now time.Duration, t discovery.Target)
 	// Rate returns how many requests a second may be sent to the target; infinite without a limit.
@@ -40,6 +43,9 @@
 // Wait implements Gate.
 func (OpenGate) Wait(time.Duration, discovery.Target) time.Duration { return 0 }
 
+// Paused implements Gate.
+func (OpenGate) Paused(time.Duration, discovery.Target) time.Duration { return 0 }
+
 // Take implements Gate.
 func (OpenGate) Take(time.Duration, discovery.Target) {}
 
--- a/core/selfreport/table.go
+++ b/core/selfreport/table.go
@@ -41,8 +41,7 @@
 	// time published.
 	version   uint64
 	published time.Duration
-	// waitUntil is the end of the longest wait that the target asked for.
-	waitUntil time.Duration
+	pause     pause
 
 	bucket bucket
 	// hostsVersion and shareLimit are those for which the share of the bucket was computed.
@@ -123,15 +122,12 @@
 	if len(changes) > 0 || limit >= 0 && now-r.published >= refreshInterval {
 		t.publish(now, r)
 	}
-	if s.Wait > 0 {
-		age := notStated
-		if r.waitUntil > 0 {
-			age = max(now-r.waitUntil, 0)
-		}
-		changes = append(changes, Change{target: target, fact: Wait, value: s.Wait.Seconds(), age: age})
-		r.waitUntil = max(r.waitUntil, now+s.Wait)
+	if s.Wait <= 0 {
+		r.pause.answered(now)
+		return changes
 	}
-	return changes
+	r.pause.start(now, s.Wait, phase(incarnationOf(target).key(), t.self))
+	return append(changes, Change{target: target, fact: Wait, value: s.Wait.Seconds(), age: notStated})
 }
 
 // add adds a report about a target that has stated nothing so far.
@@ -214,14 +210,27 @@
 	case r.leaving(now):
 		return Never
 	case t.limited(now, r, senders):
-		return r.bucket.wait(now)
+		return max(r.bucket.wait(now), r.pause.wait(now))
+	}
+	return r.pause.wait(now)
+}
+
+// Paused returns how long the target wants no requests from this host, whatever its limit is.
+func (t *Table) Paused(now time.Duration, target discovery.Target) time.Duration {
+	if r, ok := t.reports[incarnationOf(target)]; ok {
+		return max(r.pause.until-now, 0)
 	}
 	return 0
 }
 
 // Take counts a request that this host sends to a target once the current Wait has passed.
 func (t *Table) Take(now time.Duration, target discovery.Target, senders Senders) {
-	if r, ok := t.reports[incarnationOf(target)]; ok && t.limited(now, r, senders) {
+	r, ok := t.reports[incarnationOf(target)]
+	if !ok {
+		return
+	}
+	r.pause.take(now)
+	if t.limited(now, r, senders) {
 		r.bucket.take(now)
 	}
 }
--- a/io/dispatch/free.go
+++ b/io/dispatch/free.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
+	"sassafrasward/core/discovery"
 	"sassafrasward/platform"
 )
 
@@ -45,8 +47,12 @@
 			d.mutex.Unlock()
 			return
 		}
+		target, ttl := g.results[handles[0]].target, g.spec.ResultTTL
 		d.mutex.Unlock()
-		err := d.postFree(address, handles)
+		err := d.awaitPause(target, ttl)
+		if err == nil {
+			err = d.postFree(target, address, handles)
+		}
 		d.mutex.Lock()
 		if err != nil {
 			// The target drops the results itself when they expire.
@@ -64,14 +70,42 @@
 	}
 }
 
-// postFree sends one release call to a target.
-func (d *Dispatcher) postFree(address string, handles []string) (err error) {
+// errPaused is returned if results expire before their target wants requests again.
+var errPaused = Error.New("the target wants no requests until the results have expired")
+
+// awaitPause waits for the end of the pause that a target has asked for, unless the results there expire
+// within the pause.
+func (d *Dispatcher) awaitPause(target discovery.Target, ttl time.Duration) (err error) {
+	wait := d.gate.Paused(d.clock(), target)
+	switch {
+	case wait == 0:
+		return nil
+	case wait >= ttl:
+		return errPaused
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-d.ctx.Done():
+		return d.ctx.Err()
+	}
+}
+
+// postFree sends one release call to a target. The call counts towards the limit of the target, so that
+// fewer other calls follow.
+func (d *Dispatcher) postFree(target discovery.Target, address string, handles []string) (err error) {
 	ctx, cancel := context.WithTimeout(d.ctx, time.Second)
 	defer cancel()
 	body, err := platform.EncodeFree(handles)
 	if err != nil {
 		return err
 	}
-	_, _, _, err = d.send(ctx, "", address, platform.PathFree, body, false)
+	d.gate.Take(d.clock(), target)
+	status, answer, _, err := d.send(ctx, "", address, platform.PathFree, body, false)
+	if err == nil && status == http.StatusServiceUnavailable {
+		d.reports.Observe(target, answer.Statement)
+	}
 	return err
 }
--- a/io/selfreport/registry.go
+++ b/io/selfreport/registry.go
@@ -121,6 +121,16 @@
 	return g.registry.table.Wait(now, t, g.senders)
 }
 
+// Paused implements selfreport.Gate.
+func (g gate) Paused(now time.Duration, t discovery.Target) time.Duration {
+	if g.registry.size.Load() == 0 {
+		return 0
+	}
+	g.registry.mutex.Lock()
+	defer g.registry.mutex.Unlock()
+	return g.registry.table.Paused(now, t)
+}
+
 // Take implements selfreport.Gate.
 func (g gate) Take(now time.Duration, t discovery.Target) {
 	if g.registry.size.Load() == 0 {
