Leave no error of an earlier attempt in a completed answer

Callers of the daemon got outcome done with the detail of an attempt that had failed before the one that completed, which reads like an error of the request. Cause: the detail of a failed attempt was kept when the next one completed. TestUnresponsiveTarget now checks it, and failed before.

--- a/io/runner/attempt_test.go
+++ b/io/runner/attempt_test.go
@@ -107,7 +107,8 @@
 }
 
 // TestUnresponsiveTarget guards against a request that waits until its deadline for a target that
-// does not respond: the stage is retried, and the first attempt is cancelled on its target.
+// does not respond: the stage is retried, and the first attempt is cancelled on its target. The answer
+// has no trace of the error of that attempt, which would look like one of the request.
 func TestUnresponsiveTarget(t *testing.T) {
 	is := is.New(t)
 	p := newTwoTargets(t, time.Millisecond)
@@ -119,6 +120,7 @@
 	answer := p.run(t, r)
 	is.Equal(answer.Outcome, "done")
 	is.Equal(answer.Stages[0].Attempts, 2)
+	is.Equal(answer.Detail, "")
 	<-p.hangEnded
 	<-p.cancelled
 }
--- a/io/runner/runner.go
+++ b/io/runner/runner.go
@@ -151,7 +151,7 @@
 			return refusal, state.progress.OutcomeWithoutWrite(refusal.Entry().Outcome())
 		}
 		if result.status == schedule.Completed {
-			state.output = result.reply.Output()
+			state.output, state.answer.Detail = result.reply.Output(), ""
 			state.progress.MarkCompleted(stage.Command())
 			return reason.None, outcome.Done
 		}
