--- a/io/integration/edge_soak_test.go
+++ b/io/integration/edge_soak_test.go
@@ -63,8 +63,11 @@
 type soak struct {
 	t      *testing.T
 	random *rand.Rand
-	seed   uint64
-	store  *standin.Store
+	// statements draws what engines state about themselves. It is separate, so that the faults of the
+	// regression seeds stay as they were.
+	statements *rand.Rand
+	seed       uint64
+	store      *standin.Store
 	// proxies lead to the store (index 0) and the engines.
 	proxies []*proxy
 	engines []*standin.Target
@@ -98,7 +101,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), store: standin.NewStore(),
+		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), statements: rand.New(rand.NewPCG(seed, 8)), store: standin.NewStore(),
 		runs: make(map[string]int), responses: make(map[string]string),
 	}
 	t.Cleanup(s.store.Close)
@@ -190,6 +193,7 @@
 		for range max(len(s.hosts)/defaultSoakHosts, 1) {
 			s.inject()
 		}
+		s.state()
 		time.Sleep(time.Duration(50+s.random.IntN(400)) * time.Millisecond)
 	}
 	s.clearFaults()
@@ -233,6 +237,25 @@
 	f.do()
 }
 
+// state makes a random engine state something about itself, or take it back. The second engine may leave:
+// it does so for good, and the first one of its pool stays.
+func (s *soak) state() {
+	e := s.engines[s.statements.IntN(len(s.engines))]
+	switch s.statements.IntN(6) {
+	case 0:
+		e.StateLimit(strconv.FormatFloat(1+5*s.statements.Float64(), 'f', 1, 64))
+	case 1, 2:
+		e.StateLimit("")
+	case 3:
+		e.StateLimit("wrong")
+	case 4:
+		d := time.Duration(100+s.statements.IntN(1500)) * time.Millisecond
+		e.RefuseFor(d, strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
+	default:
+		s.engines[1].StateLeaving(true)
+	}
+}
+
 // registerFirst registers the first engine with the state.
 func (s *soak) registerFirst(state string) {
 	s.store.RegisterAt(s.engines[0], s.proxies[1].address(), "plain", state)
@@ -267,6 +290,9 @@
 	for _, h := range s.hosts {
 		s.resume(h)
 	}
+	for _, e := range s.engines {
+		e.StateLimit("")
+	}
 	s.store.SetBroken(false)
 	s.registerFirst("ready")
 }
