Find the hosts that share a limit in time that does not grow with the fleet

Each change of the members made the next choice of a target rank all hosts for each target with a limit.

--- a/core/selfreport/share.go
+++ b/core/selfreport/share.go
@@ -2,11 +2,10 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-
-	"sassafrasward/core/member"
 )
 
 const (
@@ -31,16 +30,16 @@
 	burst float64
 }
 
-// newShare returns the part of a host in the limit (requests per second) of the target with the key. A
+// newShare returns the part of this host in the limit (requests per second) of the target with the hash. A
 // few hosts share a limit, so that a host with a part can use it in whole requests, and so that what all
 // of them send at once is bounded. Every host with the same list of hosts gets the same result.
-func newShare(senders Senders, limit float64, key, self string, hosts []string) share {
+func newShare(senders Senders, limit float64, target uint64, hosts hostList) share {
 	limit = max(limit, minLimit)
 	if senders == OneHost {
 		return share{interval: interval(limit), burst: soleBurstSeconds*limit + soleExtraBurst}
 	}
-	holders := min(int(min(limit, MaxLimit))+extraBurst, max(len(hosts), 1))
-	if len(hosts) > holders && !contains(member.First(key, holders, hosts), self) {
+	holders := min(int(min(limit, MaxLimit))+extraBurst, len(hosts.hashes))
+	if !hosts.first(target, holders) {
 		return share{}
 	}
 	return share{interval: interval(limit / float64(holders)), burst: (limit + extraBurst) / float64(holders)}
@@ -51,13 +50,44 @@
 	return max(time.Duration(float64(time.Second)/rate), 1)
 }
 
-func contains(hosts []string, self string) bool {
-	for _, h := range hosts {
-		if h == self {
-			return true
+// hostList has the hosts that send requests, this one included.
+type hostList struct {
+	self string
+	// names is sorted; hashes has the hashes of the names in the same order, and own that of self.
+	names  []string
+	hashes []uint64
+	own    uint64
+}
+
+func newHostList(self string, names []string) hostList {
+	names = append([]string{self}, names...)
+	slices.Sort(names)
+	l := hostList{self: self, names: slices.Compact(names), own: xxhash.Sum64String(self)}
+	for _, name := range l.names {
+		l.hashes = append(l.hashes, xxhash.Sum64String(name))
+	}
+	return l
+}
+
+// first reports whether this host is one of the first n in the order of the hosts for a target, which
+// rendezvous hashing gives. It ends once n other hosts are found that come before.
+func (l hostList) first(target uint64, n int) bool {
+	own, before := mix(l.own, target), 0
+	for _, h := range l.hashes {
+		if mix(h, target) < own {
+			if before++; before >= n {
+				return false
+			}
 		}
 	}
-	return false
+	return true
+}
+
+// mix combines the hashes of a host and a target.
+func mix(host, target uint64) uint64 {
+	const multiplier = 0x9e3779b97f4a7c15
+	x := (host ^ target) * multiplier
+	return (x ^ x>>29) * multiplier
 }
 
 // bucket limits the requests of this host to its share. It is a token bucket that stores the time at
@@ -94,8 +124,8 @@
 func (b *bucket) take(now time.Duration) { b.full = max(b.full, now) + b.share.interval }
 
 // phase returns a number in (0, 1] that differs between the hosts that share a target.
-func phase(key, self string) float64 {
-	return float64(xxhash.Sum64String(key+"\x00"+self)>>11+1) / (1 << 53)
+func (l hostList) phase(target uint64) float64 {
+	return float64(mix(l.own, target)>>11+1) / (1 << 53)
 }
 
 // rate returns the requests per second of the share.
--- a/core/selfreport/table.go
+++ b/core/selfreport/table.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sassafrasward/core/discovery"
 )
 
@@ -25,12 +27,15 @@
 
 func incarnationOf(t discovery.Target) incarnation { return incarnation{id: t.ID, startID: t.StartID} }
 
-// key returns the incarnation as a text for hashing.
-func (i incarnation) key() string { return i.id + "\x00" + strconv.FormatInt(i.startID, 16) }
+func (i incarnation) hash() uint64 {
+	return xxhash.Sum64String(i.id + "\x00" + strconv.FormatInt(i.startID, 16))
+}
 
 // report is what is known from the statements of one target.
 type report struct {
 	target discovery.Target
+	// hash is that of the incarnation, equal on all hosts.
+	hash uint64
 	// leavingUntil is until when the target counts as leaving.
 	leavingUntil time.Duration
 	// limit is in requests per second; negative for none. limitSince is when it last changed, heard
@@ -51,10 +56,8 @@
 
 // Table has the statements of all targets. It is not safe for concurrent use.
 type Table struct {
-	// self is the name of this host.
-	self string
-	// hosts has the sorted names of the hosts that send requests. hostsVersion counts its changes.
-	hosts        []string
+	// hostsVersion counts the changes of hosts.
+	hosts        hostList
 	hostsVersion uint64
 	// reports has the targets that have stated anything, and those only.
 	reports map[incarnation]*report
@@ -64,7 +67,7 @@
 
 // New returns the empty table of the host with the name.
 func New(self string) *Table {
-	return &Table{self: self, hosts: []string{self}, hostsVersion: 1, reports: make(map[incarnation]*report)}
+	return &Table{hosts: newHostList(self, nil), hostsVersion: 1, reports: make(map[incarnation]*report)}
 }
 
 // Len returns the number of targets that have stated anything.
@@ -72,9 +75,7 @@
 
 // SetHosts sets the names of the hosts that send requests. This host counts as one of them.
 func (t *Table) SetHosts(names []string) {
-	hosts := append([]string{t.self}, names...)
-	slices.Sort(hosts)
-	if hosts = slices.Compact(hosts); !slices.Equal(hosts, t.hosts) {
+	if hosts := newHostList(t.hosts.self, names); !slices.Equal(hosts.names, t.hosts.names) {
 		t.hosts = hosts
 		t.hostsVersion++
 	}
@@ -126,13 +127,13 @@
 		r.pause.answered(now)
 		return changes
 	}
-	r.pause.start(now, s.Wait, phase(incarnationOf(target).key(), t.self))
+	r.pause.start(now, s.Wait, t.hosts.phase(r.hash))
 	return append(changes, Change{target: target, fact: Wait, value: s.Wait.Seconds(), age: notStated})
 }
 
 // add adds a report about a target that has stated nothing so far.
 func (t *Table) add(target discovery.Target) *report {
-	r := &report{target: target, limit: -1, limitSince: -1}
+	r := &report{target: target, hash: incarnationOf(target).hash(), limit: -1, limitSince: -1}
 	t.reports[incarnationOf(target)] = r
 	return r
 }
@@ -259,8 +260,7 @@
 		return false
 	}
 	if r.hostsVersion != t.hostsVersion || r.shareLimit != r.limit {
-		key := incarnationOf(r.target).key()
-		r.bucket.setShare(now, newShare(senders, r.limit, key, t.self, t.hosts), phase(key, t.self))
+		r.bucket.setShare(now, newShare(senders, r.limit, r.hash, t.hosts), t.hosts.phase(r.hash))
 		r.hostsVersion, r.shareLimit = t.hostsVersion, r.limit
 	}
 	return true
