Count a request that was not sent as neither success nor failure

A request that waited for a target with a limit, and whose target left meanwhile, ended there like a success: that ended the backoff of a target that does not respond. TestAbandonedRequest is new; the code before has no such call.

--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -279,6 +279,13 @@
 	return st.failureRate * math.Exp2(-float64(now-st.failureRateTime)/float64(sampleHalfLife))
 }
 
+// Abandon ends a request with the load that Choose counted as in flight and that was not sent.
+func (c *Chooser) Abandon(target string, load float64) {
+	if st, ok := c.targets.Get(target); ok {
+		st.load = max(st.load-max(load, minRequestLoad), 0)
+	}
+}
+
 // Result is how a request at a target ended.
 type Result struct {
 	Target string
@@ -297,7 +304,7 @@
 	if !ok {
 		return
 	}
-	st.load = max(st.load-max(r.Load, minRequestLoad), 0)
+	c.Abandon(r.Target, r.Load)
 	sample := 0.0
 	if r.Failed || r.NoResponse {
 		sample = 1
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -188,3 +188,17 @@
 	}
 	is.True(c.SlowdownP75() < 1)
 }
+
+// TestAbandonedRequest guards against a request that was not sent and that counts as a success of its
+// target, which would end the backoff of a target that does not respond, or stays in flight for ever.
+func TestAbandonedRequest(t *testing.T) {
+	is := is.New(t)
+	c := newChoosers(1, 1)[0]
+	first, _, _ := c.Choose(0, pick.Request{Load: 1})
+	c.Finish(0, pick.Result{Target: first.ID, Load: 1, NoResponse: true})
+	again, _, ok := c.Choose(0, pick.Request{Load: 1})
+	is.True(ok)
+	c.Abandon(again.ID, 1)
+	is.Equal(c.Available(0), 0) // still in backoff
+	c.Abandon("unknown", 1)
+}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -93,7 +93,7 @@
 			return
 		}
 		if wait > 0 && !x.awaitTarget(ctx, t, wait) {
-			x.choosers.finish(x.pool, pick.Result{Target: t.ID, Load: pickRequest.Load})
+			x.choosers.abandon(x.pool, t.ID, pickRequest.Load)
 			if ctx.Err() != nil {
 				x.fail(reason.DeadlineExceeded, 0)
 				return
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -131,6 +131,13 @@
 	return c.pool(name).chooser.AffinityTarget(c.clock(), h)
 }
 
+// abandon ends a request that was not sent to the target that was chosen for it.
+func (c *choosers) abandon(name, target string, load float64) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.pool(name).chooser.Abandon(target, load)
+}
+
 // finish records the end of a request at a target of the pool.
 func (c *choosers) finish(name string, r pick.Result) {
 	c.mutex.Lock()
