--- a/io/edge/limit.go
+++ b/io/edge/limit.go
@@ -46,7 +46,7 @@
 		x.detail = "no target"
 		x.fail(reason.NoTargets, targetRetryAfter)
 	case wait == selfreport.Never:
-		x.detail = "targets take requests of other hosts only"
+		x.detail = "no target takes requests of this host"
 		x.fail(reason.TargetsLimited, limitRetryAfter(targetRetryAfter))
 	default:
 		x.detail = "targets take no requests for " + wait.Round(time.Millisecond).String()
