Test many targets with limits, late records and targets that take it back

A case of TestTargetLimit with three hosts and 24 targets, TestLeaving and TestOlderRecords. In the case with many targets the last step can't ask for more requests than two thirds of the load; for the other cases the bound stays as it was, below that.

--- a/core/selfreport/selfreport_test.go
+++ b/core/selfreport/selfreport_test.go
@@ -40,3 +40,35 @@
 	table.Retain(map[string][]discovery.Target{"p": {target("a", 2)}})
 	is.Equal(table.Len(), 0) // what was stated ends with the process
 }
+
+// TestLeaving guards against requests to a target that leaves because one of its answers is older or
+// does not say so, and against a target that stays unused after a new start or a wrong statement.
+func TestLeaving(t *testing.T) {
+	is := is.New(t)
+	table := selfreport.New("a")
+	wait := func(now time.Duration, startID int64) time.Duration {
+		return table.Wait(now, target("a", startID), selfreport.AllHosts)
+	}
+	is.Equal(describe(table.Observe(0, target("a", 1), selfreport.Statement{Leaving: true})), []string{"leaving"})
+	is.Equal(len(table.Observe(time.Second, target("a", 1), selfreport.Statement{})), 0)
+	is.Equal(wait(time.Second, 1), selfreport.Never)
+	is.Equal(wait(time.Second, 2), time.Duration(0)) // another process
+	is.Equal(table.Rate(time.Second, target("a", 1), selfreport.AllHosts), 0.0)
+	is.Equal(wait(5*time.Minute, 1), time.Duration(0)) // it has taken it back, or its process has ended
+}
+
+// TestOlderRecords guards against records of other hosts that arrive late and bring back what a target
+// no longer states.
+func TestOlderRecords(t *testing.T) {
+	is := is.New(t)
+	a, b := selfreport.New("a"), selfreport.New("b")
+	a.Observe(0, target("t", 1), selfreport.Statement{Limited: true, Limit: 1})
+	limited := a.TakeRecords()
+	a.Observe(time.Second, target("t", 1), selfreport.Statement{})
+	ended := a.TakeRecords()
+	is.Equal([]int{len(limited), len(ended)}, []int{1, 1})
+	is.Equal(describe(b.Merge(time.Second, target("t", 1), limited[0])), []string{"limit"})
+	is.Equal(describe(b.Merge(time.Second, target("t", 1), ended[0])), []string{"limit"})
+	is.Equal(len(b.Merge(time.Second, target("t", 1), limited[0])), 0)
+	is.Equal(b.Wait(time.Second, target("t", 1), selfreport.AllHosts), time.Duration(0))
+}
--- a/io/edge/limit_test.go
+++ b/io/edge/limit_test.go
@@ -114,6 +114,7 @@
 		"streams, seven hosts":     {http.MethodPost, "/chat/", "model", 0.5, 7, 4, nil},
 		"stage calls, three hosts": {http.MethodPost, "/plan/", "pieces", 2, 3, 2, standin.SetPieces},
 		"limit of zero":            {http.MethodGet, "/read/", "plain", 0, 3, 1, nil},
+		"many targets":             {http.MethodGet, "/read/", "plain", 0.5, 3, 24, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -167,7 +168,7 @@
 				for _, e := range engines {
 					received += mostIn(e, time.Now().Add(-time.Second), time.Second)
 				}
-				return received > int(2*test.limit+2)*len(engines)
+				return received > min(int(2*test.limit+2)*len(engines), perSecond*2/3)
 			})
 		})
 	}
