--- a/io/edge/limit_test.go
+++ b/io/edge/limit_test.go
@@ -29,6 +29,25 @@
 	return hosts
 }
 
+// startPool publishes a configuration and a number of targets of the pool. The pool of pieces gets a model
+// that reads its results as well.
+func startPool(t *testing.T, s *standin.Store, pool string, targets int) (engines []*standin.Target) {
+	t.Helper()
+	s.PublishConfig(1)
+	answer := signed("ok")
+	if pool != "plain" {
+		answer = func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) }
+	}
+	if pool == "pieces" {
+		s.Register(newEngine(t, "m-1", answer), "model", "ready")
+	}
+	for i := range targets {
+		engines = append(engines, newEngine(t, fmt.Sprintf("i-%d", i), answer))
+		s.Register(engines[i], pool, "ready")
+	}
+	return engines
+}
+
 // load sends requests to hosts in turn at a steady rate, each on a connection of its own, until it is
 // stopped.
 type load struct {
@@ -120,23 +139,7 @@
 			t.Parallel()
 			is := is.New(t)
 			s := newStore(t)
-			s.PublishConfig(1)
-			answer := func(w http.ResponseWriter, r *http.Request) {
-				if test.path == "/read/" || test.path == "/write/" {
-					signed("ok")(w, r)
-					return
-				}
-				events(w, 1, 2, true)
-			}
-			if test.pool == "pieces" {
-				s.Register(newEngine(t, "m-1", answer), "model", "ready")
-			}
-			var engines []*standin.Target
-			for i := range test.targets {
-				e := newEngine(t, fmt.Sprintf("i-%d", i), answer)
-				engines = append(engines, e)
-				s.Register(e, test.pool, "ready")
-			}
+			engines := startPool(t, s, test.pool, test.targets)
 			hosts := startFleet(t, s, test.hosts)
 			l := startLoad(hosts, perSecond, test.method, test.path, test.change)
 			defer l.end()
@@ -203,22 +206,7 @@
 			t.Parallel()
 			is := is.New(t)
 			s := newStore(t)
-			s.PublishConfig(1)
-			answer := func(w http.ResponseWriter, r *http.Request) {
-				if test.pool == "plain" {
-					signed("ok")(w, r)
-					return
-				}
-				events(w, 1, 2, true)
-			}
-			if test.pool == "pieces" {
-				s.Register(newEngine(t, "m-1", answer), "model", "ready")
-			}
-			var engines []*standin.Target
-			for i := range test.targets {
-				engines = append(engines, newEngine(t, fmt.Sprintf("i-%d", i), answer))
-				s.Register(engines[i], test.pool, "ready")
-			}
+			engines := startPool(t, s, test.pool, test.targets)
 			hosts := startFleet(t, s, test.hosts)
 			l := startLoad(hosts, perSecond, test.method, test.path, test.change)
 			defer l.end()
@@ -284,22 +272,7 @@
 			t.Parallel()
 			is := is.New(t)
 			s := newStore(t)
-			s.PublishConfig(1)
-			answer := func(w http.ResponseWriter, r *http.Request) {
-				if test.pool == "plain" {
-					signed("ok")(w, r)
-					return
-				}
-				events(w, 1, 2, true)
-			}
-			if test.pool == "pieces" {
-				s.Register(newEngine(t, "m-1", answer), "model", "ready")
-			}
-			var engines []*standin.Target
-			for i := range test.targets {
-				engines = append(engines, newEngine(t, fmt.Sprintf("i-%d", i), answer))
-				s.Register(engines[i], test.pool, "ready")
-			}
+			engines := startPool(t, s, test.pool, test.targets)
 			hosts := startFleet(t, s, test.hosts)
 			method := http.MethodGet
 			if test.pool != "plain" {
