Check that no request waits in vain by the log instead of the wall time

House rule: no test passes or fails on wall time. What was meant is that no request is refused after it has waited for a target that does not come; each host logs such a wait, and the tests now check that no refused request has one. That is at least as strict: a wait of any length fails it.

--- a/io/edge/limit_test.go
+++ b/io/edge/limit_test.go
@@ -1,6 +1,7 @@
 package edge_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -15,18 +16,25 @@
 	"sassafrasward/platform/standin"
 )
 
-// startFleet runs hosts on the store that know each other.
-func startFleet(t *testing.T, s *standin.Store, n int) (hosts []*testHost) {
+// startFleet runs hosts on the store that know each other, and returns their log as well.
+func startFleet(t *testing.T, s *standin.Store, n int) (hosts []*testHost, log *lineRecorder) {
 	t.Helper()
+	log = &lineRecorder{}
 	var seeds []string
 	for i := range n {
-		host, peer := startHost(t, s, fmt.Sprintf("e%d", i+1), seeds...)
-		hosts, seeds = append(hosts, host), append(seeds, peer)
+		host := prepareHost(t, s, fmt.Sprintf("e%d", i+1), seeds...)
+		host.run(context.Background(), log.logger())
+		hosts, seeds = append(hosts, host), append(seeds, host.peer)
 	}
 	for _, host := range hosts {
 		host.waitReady()
 	}
-	return hosts
+	return hosts, log
+}
+
+// refusedLate reports whether a request was refused after it had waited for a target.
+func refusedLate(log *lineRecorder) bool {
+	return log.has(`"event":1302`, `"reason":"limited"`, "waits ")
 }
 
 // startPool publishes a configuration and a number of targets of the pool. The pool of pieces gets a model
@@ -140,7 +148,7 @@
 			is := is.New(t)
 			s := newStore(t)
 			engines := startPool(t, s, test.pool, test.targets)
-			hosts := startFleet(t, s, test.hosts)
+			hosts, _ := startFleet(t, s, test.hosts)
 			l := startLoad(hosts, perSecond, test.method, test.path, test.change)
 			defer l.end()
 			hosts[0].wait(func() bool { return l.served.Load() > perSecond/4 })
@@ -207,7 +215,7 @@
 			is := is.New(t)
 			s := newStore(t)
 			engines := startPool(t, s, test.pool, test.targets)
-			hosts := startFleet(t, s, test.hosts)
+			hosts, log := startFleet(t, s, test.hosts)
 			l := startLoad(hosts, perSecond, test.method, test.path, test.change)
 			defer l.end()
 			hosts[0].wait(func() bool { return l.served.Load() > perSecond/4 })
@@ -239,9 +247,7 @@
 			t.Logf("%d late requests, longest refusal %v", late, time.Duration(l.longest.Load()))
 			is.Equal(late, 0)
 			is.Equal(l.served.Load(), served) // no target is left
-			if test.pool != "pieces" {
-				is.True(time.Duration(l.longest.Load()) < 200*time.Millisecond)
-			}
+			is.True(!refusedLate(log))
 		})
 	}
 }
@@ -273,7 +279,7 @@
 			is := is.New(t)
 			s := newStore(t)
 			engines := startPool(t, s, test.pool, test.targets)
-			hosts := startFleet(t, s, test.hosts)
+			hosts, log := startFleet(t, s, test.hosts)
 			method := http.MethodGet
 			if test.pool != "plain" {
 				method = http.MethodPost
@@ -303,9 +309,7 @@
 				}
 			}
 			t.Logf("longest refusal %v", time.Duration(l.longest.Load()))
-			if test.pool != "pieces" {
-				is.True(time.Duration(l.longest.Load()) < 400*time.Millisecond)
-			}
+			is.True(!refusedLate(log))
 			if seconds > wait.Seconds() {
 				return
 			}
