--- a/io/edge/earlier_test.go
+++ b/io/edge/earlier_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasward/platform"
 	"sassafrasward/platform/standin"
 )
 
@@ -32,7 +33,7 @@
 			earlier.Store("")
 			pieces := newEngine(t, "i-1", nil)
 			e := newRawEngine(t, "i-1", func(w io.Writer, r *http.Request, number int) bool {
-				if r.URL.Path != "/stage-run" {
+				if r.URL.Path != platform.PathRun {
 					_, _ = io.WriteString(w, framed(200, "length", ""))
 					return true
 				}
