--- a/review/lab/client.go
+++ b/review/lab/client.go
@@ -59,8 +59,26 @@
 // NewID returns the id of a client attempt.
 func NewID() string { return fmt.Sprintf("%016x", 0x5a5a000000000000+lastID.Add(1)) }
 
+// Connection is a client's kept connection.
+type Connection struct{ transport *http.Transport }
+
+// NewConnection returns a connection that is opened by the first request.
+func NewConnection() *Connection {
+	return &Connection{transport: &http.Transport{MaxConnsPerHost: 1, DisableCompression: true}}
+}
+
+// Close closes the connection.
+func (c *Connection) Close() { c.transport.CloseIdleConnections() }
+
 // Send sends a request on a new connection and waits for the answer until its deadline.
 func (l *Lab) Send(front string, q Request) (result Result) {
+	c := &Connection{transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	defer c.Close()
+	return c.Send(l, front, q)
+}
+
+// Send sends a request and waits for the answer until its deadline.
+func (c *Connection) Send(l *Lab, front string, q Request) (result Result) {
 	result.ID = NewID()
 	ctx, cancel := context.WithTimeout(context.Background(), q.Deadline)
 	defer cancel()
@@ -74,13 +92,13 @@
 	}
 	r.Host = "pule25.example"
 	r.Header.Set("X-Request-Id", result.ID)
-	r.Header.Set("X-Api-Key", Key)
+	if r.Header.Get("X-Api-Key") == "" {
+		r.Header.Set("X-Api-Key", Key)
+	}
 	r.Header.Set("X-Deadline-Ms", strconv.FormatInt(q.Deadline.Milliseconds(), 10))
-	transport := &http.Transport{DisableKeepAlives: true, DisableCompression: true}
-	defer transport.CloseIdleConnections()
 	result.Sent = l.Record.Now()
 	l.Record.Add("client: sends %s (%s %s) to %s", result.ID, q.Method, q.Path, front)
-	response, err := transport.RoundTrip(r)
+	response, err := c.transport.RoundTrip(r)
 	if err == nil {
 		var body []byte
 		body, err = io.ReadAll(response.Body)
--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -139,6 +139,9 @@
 	_ = h.command.Process.Signal(s)
 }
 
+// PID returns the id of the process.
+func (h *Host) PID() int { return h.command.Process.Pid }
+
 // Ended is closed once the process has ended.
 func (h *Host) Ended() <-chan struct{} { return h.ended }
 
