--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -3,12 +3,14 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -52,18 +54,50 @@
 	ended chan struct{}
 }
 
+// firstPort and lastPort bound the ports that are given to processes. They are below those that the
+// kernel gives to outgoing connections, which could take a port before its process listens.
+const (
+	firstPort = 12000
+	lastPort  = 32000
+)
+
+// givenAddresses has the addresses that FreeAddress has returned.
+var givenAddresses sync.Map
+
 // FreeAddress returns a loopback address with a free port.
 func FreeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range 100 {
+		address := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		if _, given := givenAddresses.LoadOrStore(address, true); given {
+			continue
+		}
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port found")
 }
 
 // StartHosts starts one host in each zone and waits until all are ready.
 func (l *Lab) StartHosts(zones ...string) (hosts []*Host, err error) {
+	if hosts, err = l.LaunchHosts(zones...); err != nil {
+		return nil, err
+	}
+	deadline := time.Now().Add(20 * time.Second)
+	for _, h := range hosts {
+		for !h.IsReady() {
+			if time.Now().After(deadline) {
+				return nil, fmt.Errorf("%s is not ready", h.Name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return hosts, nil
+}
+
+// LaunchHosts starts one host in each zone.
+func (l *Lab) LaunchHosts(zones ...string) (hosts []*Host, err error) {
 	var seeds []string
 	for i, zone := range zones {
 		h := &Host{lab: l, Name: fmt.Sprintf("edge-%s-%d", zone, i+1), zone: zone}
@@ -77,21 +111,12 @@
 			seeds = append(seeds, h.peer)
 		}
 	}
+	l.hosts = append(l.hosts, hosts...)
 	for _, h := range hosts {
 		if err := h.start(seeds); err != nil {
 			return nil, err
 		}
 	}
-	l.hosts = append(l.hosts, hosts...)
-	deadline := time.Now().Add(20 * time.Second)
-	for _, h := range hosts {
-		for !h.IsReady() {
-			if time.Now().After(deadline) {
-				return nil, fmt.Errorf("%s is not ready", h.Name)
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}
 	return hosts, nil
 }
 
@@ -145,8 +170,8 @@
 // Ended is closed once the process has ended.
 func (h *Host) Ended() <-chan struct{} { return h.ended }
 
-// kill ends the process.
-func (h *Host) kill() {
+// Kill ends the process with SIGKILL.
+func (h *Host) Kill() {
 	if h.command == nil || h.command.Process == nil || h.ended == nil {
 		return
 	}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -51,7 +51,7 @@
 	}
 	verdict, err := run(l)
 	for _, h := range l.hosts {
-		h.kill()
+		h.Kill()
 	}
 	for _, c := range l.children {
 		c.Kill()
