--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,65 +1,63 @@
-// Command 3 lets many users come at once, with request bodies within the published limit.
+// Command 3 starts a fleet while engines leave and the configuration changes, again and again, and asks
+// which hosts still send requests to an engine that is gone.
 package main
 
 import (
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"os"
-	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
-	"syscall"
 	"time"
 
 	"review/lab"
 )
 
 const (
-	// maxBody is maxBodyBytes of the configuration.
-	maxBody = 4194304
-	// memoryLimit is memoryMb of the settings, in bytes.
-	memoryLimit = 284 << 20
-	// baseClients clients send one request after the other; a burst of 2.6 times the traffic
-	// lasts for burstTime.
-	baseClients = 30
-	burstUsers  = 48 // 2.6 times baseClients in all
-	burstTime   = 5 * time.Second
-	deadline    = 8 * time.Second
-	// events is the number of events of a stream, gap the time between two of them.
-	events = 17
-	gap    = 300 * time.Millisecond
+	// hostCount is about that of leuchtfeld-fleet-grown, 66, and idleRoutes the count of its big_config.
+	hostCount  = 66
+	idleRoutes = 1400
+	// A round starts all hosts, changes the published data changes times, changeGap apart from
+	// firstChange after the start on, asks each host once settleTime after the last change, and kills all
+	// hosts. No round begins later than lastRound after the start of the case.
+	firstChange = 300 * time.Millisecond
+	changes     = 12
+	changeGap   = 330 * time.Millisecond
+	settleTime  = 2500 * time.Millisecond
+	lastRound   = 90 * time.Second
+	// ahead is the number of engines that are ready at a time.
+	ahead    = 30
+	deadline = 2 * time.Second
 )
 
-const config = `{"version":7,"routes":[
-{"name":"report","host":"pule25.example","prefix":"/report/","kind":"streaming","timeoutMs":8000,"sloMs":1400,"priority":1,"service":"sprachwerk","maxAttempts":1,"public":false,"resumable":false,"gapAimMs":400}],
-"services":[{"name":"sprachwerk","healthPath":"/healthz","maxConnections":360,"protocol":"h1","tls":false,"engine":{"slots":64,"kvTokens":357587}}],` + lab.Tail
-
 func main() { lab.Main(run) }
 
-// engine is a stand-in for a model engine.
+// engine is the only engine of a service, which has a route of its own.
 type engine struct {
-	lab *lab.Lab
-	id  string
-	// passed has the IDs of the requests that it runs or ran.
-	passed sync.Map
+	lab         *lab.Lab
+	number      int
+	id, address string
+	// removed is when the store acknowledged that it is gone; zero if it is not.
+	removed time.Duration
+	// arrivals has the IDs of the requests that reached it, and when.
+	arrivals sync.Map
 }
 
+// start starts the engine and publishes it.
 func (e *engine) start() error {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
+	e.id, e.address = fmt.Sprintf("i-%d", e.number), listener.Addr().String()
 	go func() { _ = http.Serve(listener, e) }()
 	e.lab.Store.Put("servers/"+e.id, fmt.Sprintf(
-		`{"service":"sprachwerk","address":%q,"zone":"a","version":"v1","slots":64,"state":"ready","coldRemainingMs":0,"sequence":1,"born":%d}`,
-		listener.Addr().String(), time.Now().UnixMilli()))
+		`{"service":"s%d","address":%q,"zone":"a","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1,"born":%d}`,
+		e.number, e.address, time.Now().UnixMilli()))
 	return nil
 }
 
-// ServeHTTP reads the whole request at once and answers with a stream.
+// ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
@@ -67,130 +65,135 @@
 		lab.Refuse(w, http.StatusMisdirectedRequest)
 		return
 	}
-	n, err := io.Copy(io.Discard, r.Body)
-	if err != nil {
-		return
-	}
-	e.passed.Store(id, true)
-	e.lab.Record.Add("%s: runs %s (%d bytes)", e.id, id, n)
+	e.arrivals.Store(id, e.lab.Record.Now())
 	w.Header().Set("X-Response-Signature", "sig."+id)
-	w.Header().Set("Content-Type", "text/event-stream")
-	for n := 1; n <= events; n++ {
-		select {
-		case <-time.After(gap):
-		case <-r.Context().Done():
-			e.lab.Record.Add("%s: drops %s", e.id, id)
-			return
-		}
-		fmt.Fprintf(w, "id: %d\ndata: piece %d of %d\n\n", n, n, events)
-		w.(http.Flusher).Flush()
-	}
+	fmt.Fprint(w, "stock")
 }
 
-// memory returns the resident anonymous memory of a process in bytes. Pages of its program file don't
-// count.
-func memory(pid int) int64 {
-	raw, _ := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/status")
-	for line := range strings.Lines(string(raw)) {
-		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
-			kilobytes, _ := strconv.ParseInt(strings.Fields(rest)[0], 10, 64)
-			return kilobytes * 1024
-		}
+// idlePath returns a long path that does not repeat, so that the configuration has almost a megabyte.
+func idlePath(n int) string {
+	var parts []string
+	for k := range 40 {
+		parts = append(parts, fmt.Sprintf("%08x", uint32((n*40+k+1)*2654435761)))
 	}
-	return 0
+	return strings.Join(parts, "/")
 }
 
-// guard kills the host's process once it exceeds its memory limit, as the platform does. It returns the
-// highest memory seen.
-func guard(l *lab.Lab, h *lab.Host, killed *atomic.Bool, stop <-chan struct{}) (peak int64) {
-	for {
-		select {
-		case <-stop:
-			return peak
-		case <-h.Ended():
-			return peak
-		case <-time.After(10 * time.Millisecond):
-		}
-		used := memory(h.PID())
-		peak = max(peak, used)
-		if used > memoryLimit {
-			l.Record.Add("%s: uses %d MB of 284 MB", h.Name, used>>20)
-			killed.Store(true)
-			h.Signal(syscall.SIGKILL)
-			<-h.Ended()
-			return peak
-		}
+// config returns a configuration with the route and the service of each engine, and the idle routes.
+func config(version, engines int) string {
+	var routes, services []string
+	for n := range engines {
+		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"pule25.example","prefix":"/s%d/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"priority":2,"service":"s%d","maxAttempts":1,"public":false}`, n, n, n))
+		services = append(services, fmt.Sprintf(`{"name":"s%d","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}`, n))
 	}
+	for n := range idleRoutes {
+		routes = append(routes, fmt.Sprintf(`{"name":"r-idle%d-%x","host":"idle%d.example","prefix":"/puxa%d/%s/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"priority":2,"service":"s0","trafficSplit":[{"service":"s0","weight":90},{"service":"s1","weight":10}],"maxAttempts":2,"stages":[],"public":false,"sticky":false,"resumable":false,"gapAimMs":0}`,
+			n, n*7919, n, n, idlePath(n)))
+	}
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],`, version, strings.Join(routes, ","), strings.Join(services, ",")) + lab.Tail
 }
 
-// user sends requests on a kept connection, one after the other, until the time is over.
-func user(l *lab.Lab, front string, until time.Time, record func(lab.Result)) {
-	c := lab.NewConnection()
-	defer c.Close()
-	body := strings.Repeat("x", maxBody)
-	for time.Now().Before(until) {
-		result := c.Send(l, front, lab.Request{Method: http.MethodPost, Path: "/report/1", Body: body, Deadline: deadline})
-		if record(result); result.Err != nil {
-			return // the connection has ended
-		}
+// fleet is the published data, and the engines.
+type fleet struct {
+	lab     *lab.Lab
+	version int
+	engines []*engine
+}
+
+// add starts another engine.
+func (f *fleet) add() error {
+	e := &engine{lab: f.lab, number: len(f.engines)}
+	f.engines = append(f.engines, e)
+	return e.start()
+}
+
+// publish publishes the next version of the configuration.
+func (f *fleet) publish() {
+	f.version++
+	text := config(f.version, len(f.engines))
+	f.lab.Record.Add("configuration %d has %d bytes", f.version, len(text))
+	f.lab.Store.Put("op/config", text)
+}
+
+// change replaces an engine: a new one starts, and the entry of the oldest one is removed.
+func (f *fleet) change() error {
+	if err := f.add(); err != nil {
+		return err
 	}
+	old := f.engines[len(f.engines)-1-ahead]
+	f.lab.Store.Delete("servers/" + old.id)
+	old.removed = f.lab.Record.Now()
+	f.publish()
+	return nil
 }
 
 func run(l *lab.Lab) (v lab.Verdict, err error) {
-	l.Store.Put("op/config", config)
-	e1, e2 := &engine{lab: l, id: "i-1"}, &engine{lab: l, id: "i-2"}
-	for _, e := range []*engine{e1, e2} {
-		if err := e.start(); err != nil {
+	f := &fleet{lab: l}
+	for range ahead + 1 {
+		if err := f.add(); err != nil {
 			return v, err
 		}
 	}
-	hosts, err := l.StartHosts("a", "b", "b")
-	if err != nil {
-		return v, err
+	f.publish()
+	var zones []string
+	for n := range hostCount {
+		zones = append(zones, string(rune('a'+n%3)))
 	}
-	time.Sleep(4 * time.Second)
-	var killed atomic.Bool
-	stop, peak := make(chan struct{}), make(chan int64)
-	go func() { peak <- guard(l, hosts[0], &killed, stop) }()
-	var mutex sync.Mutex
-	var results []lab.Result
-	record := func(r lab.Result) {
-		mutex.Lock()
-		defer mutex.Unlock()
-		results = append(results, r)
-	}
-	began := time.Now()
-	var users sync.WaitGroup
-	for n := range baseClients {
-		users.Go(func() {
-			time.Sleep(time.Duration(n) * 5 * time.Second / baseClients)
-			user(l, hosts[0].Front, began.Add(15*time.Second), record)
-		})
-	}
-	if l.Trouble {
-		for n := range burstUsers {
-			users.Go(func() {
-				time.Sleep(7*time.Second + time.Duration(n)*burstTime/burstUsers)
-				user(l, hosts[0].Front, time.Now().Add(100*time.Millisecond), record)
-			})
+	for l.Record.Now() < lastRound && len(v.Broken) == 0 {
+		first := len(f.engines) - ahead - 1
+		hosts, err := l.LaunchHosts(zones...)
+		if err != nil {
+			return v, err
 		}
-	}
-	users.Wait()
-	close(stop)
-	l.Record.Add("%s: used %d MB at most", hosts[0].Name, <-peak>>20)
-	cut := 0
-	for _, r := range results {
-		_, first := e1.passed.Load(r.ID)
-		_, second := e2.passed.Load(r.ID)
-		if (first || second) && r.Err != nil && r.Ended-r.Sent < deadline {
-			cut++
+		time.Sleep(firstChange)
+		for range changes {
+			time.Sleep(changeGap)
+			if !l.Trouble {
+				continue
+			}
+			if err := f.change(); err != nil {
+				return v, err
+			}
+		}
+		time.Sleep(settleTime)
+		ready := 0
+		for _, h := range hosts {
+			if h.IsReady() {
+				ready++
+			}
+		}
+		l.Record.Add("%d of %d hosts are ready", ready, len(hosts))
+		v.Broken = append(v.Broken, ask(l, hosts, f.engines[first:])...)
+		for _, h := range hosts {
+			h.Kill()
 		}
-	}
-	if killed.Load() {
-		v.Broken = append(v.Broken, "Fault: the process of "+hosts[0].Name+" exceeded its memory and was killed")
-	}
-	if cut > 3 {
-		v.Broken = append(v.Broken, fmt.Sprintf("LOST: %d requests of kept connections were passed on to sound engines, and their connections ended without an answer", cut))
 	}
 	return v, nil
 }
+
+// ask sends each host a request to the route of each engine that is gone, and one to an engine that is
+// not. It returns the requests that reached an engine that is gone.
+func ask(l *lab.Lab, hosts []*lab.Host, engines []*engine) (broken []string) {
+	var mutex sync.Mutex
+	var clients sync.WaitGroup
+	for _, h := range hosts {
+		clients.Go(func() {
+			for _, e := range engines {
+				if e.removed == 0 && e.number != engines[len(engines)-1].number {
+					continue
+				}
+				r := l.Send(h.Front, lab.Request{Method: http.MethodGet, Path: fmt.Sprintf("/s%d/1", e.number), Deadline: deadline})
+				at, reached := e.arrivals.Load(r.ID)
+				if !reached || e.removed == 0 {
+					continue
+				}
+				mutex.Lock()
+				broken = append(broken, fmt.Sprintf("DRAIN: %s sent %s to %s, %.1f s after the store had acknowledged that it is gone",
+					h.Name, r.ID, e.id, (at.(time.Duration)-e.removed).Seconds()))
+				mutex.Unlock()
+			}
+		})
+	}
+	clients.Wait()
+	return broken
+}
