--- a/review/3/main.go
+++ b/review/3/main.go
@@ -18,21 +18,25 @@
 	hostCount  = 66
 	idleRoutes = 1400
 	// A round starts all hosts, changes the published data changes times, changeGap apart from
-	// firstChange after the start on, asks each host once settleTime after the last change, and kills all
+	// firstChange after the start on, asks each host settleTime after the last change, and kills all
 	// hosts. No round begins later than lastRound after the start of the case.
 	firstChange = 300 * time.Millisecond
 	changes     = 12
 	changeGap   = 330 * time.Millisecond
-	settleTime  = 2500 * time.Millisecond
-	lastRound   = 90 * time.Second
-	// ahead is the number of engines that are ready at a time.
-	ahead    = 30
+	settleTime  = 4 * time.Second
+	lastRound   = 98 * time.Second
+	// engineCount is the number of engines of the service that are ready at a time.
+	engineCount = 30
+	// requests is the number of requests to each host, one after the other.
+	requests = 60
 	deadline = 2 * time.Second
+	// drainTime is drainMs on the grown site.
+	drainTime = 3 * time.Second
 )
 
 func main() { lab.Main(run) }
 
-// engine is the only engine of a service, which has a route of its own.
+// engine is an engine of the only service.
 type engine struct {
 	lab         *lab.Lab
 	number      int
@@ -52,8 +56,8 @@
 	e.id, e.address = fmt.Sprintf("i-%d", e.number), listener.Addr().String()
 	go func() { _ = http.Serve(listener, e) }()
 	e.lab.Store.Put("servers/"+e.id, fmt.Sprintf(
-		`{"service":"s%d","address":%q,"zone":"a","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1,"born":%d}`,
-		e.number, e.address, time.Now().UnixMilli()))
+		`{"service":"verleih","address":%q,"zone":"a","version":"v1","slots":6,"state":"ready","coldRemainingMs":0,"sequence":1,"born":%d}`,
+		e.address, time.Now().UnixMilli()))
 	return nil
 }
 
@@ -66,6 +70,7 @@
 		return
 	}
 	e.arrivals.Store(id, e.lab.Record.Now())
+	e.lab.Record.Add("%s: runs %s", e.id, id)
 	w.Header().Set("X-Response-Signature", "sig."+id)
 	fmt.Fprint(w, "stock")
 }
@@ -79,18 +84,15 @@
 	return strings.Join(parts, "/")
 }
 
-// config returns a configuration with the route and the service of each engine, and the idle routes.
-func config(version, engines int) string {
-	var routes, services []string
-	for n := range engines {
-		routes = append(routes, fmt.Sprintf(`{"name":"r%d","host":"pule25.example","prefix":"/s%d/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"priority":2,"service":"s%d","maxAttempts":1,"public":false}`, n, n, n))
-		services = append(services, fmt.Sprintf(`{"name":"s%d","healthPath":"/healthz","maxConnections":96,"protocol":"h1","tls":false}`, n))
-	}
+// config returns a configuration with the route of the service and the idle routes. The versions differ in
+// the timeout of the route.
+func config(version int) string {
+	routes := []string{fmt.Sprintf(`{"name":"stock","host":"pule25.example","prefix":"/stock/","kind":"idempotent","timeoutMs":%d,"sloMs":300,"priority":2,"service":"verleih","maxAttempts":1,"public":false}`, 2000+version)}
 	for n := range idleRoutes {
-		routes = append(routes, fmt.Sprintf(`{"name":"r-idle%d-%x","host":"idle%d.example","prefix":"/puxa%d/%s/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"priority":2,"service":"s0","trafficSplit":[{"service":"s0","weight":90},{"service":"s1","weight":10}],"maxAttempts":2,"stages":[],"public":false,"sticky":false,"resumable":false,"gapAimMs":0}`,
+		routes = append(routes, fmt.Sprintf(`{"name":"r-idle%d-%x","host":"idle%d.example","prefix":"/puxa%d/%s/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"priority":2,"service":"verleih","maxAttempts":2,"stages":[],"public":false,"sticky":false,"resumable":false,"gapAimMs":0}`,
 			n, n*7919, n, n, idlePath(n)))
 	}
-	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[%s],`, version, strings.Join(routes, ","), strings.Join(services, ",")) + lab.Tail
+	return fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":"verleih","healthPath":"/healthz","maxConnections":460,"protocol":"h1","tls":false}],`, version, strings.Join(routes, ",")) + lab.Tail
 }
 
 // fleet is the published data, and the engines.
@@ -110,7 +112,7 @@
 // publish publishes the next version of the configuration.
 func (f *fleet) publish() {
 	f.version++
-	text := config(f.version, len(f.engines))
+	text := config(f.version)
 	f.lab.Record.Add("configuration %d has %d bytes", f.version, len(text))
 	f.lab.Store.Put("op/config", text)
 }
@@ -120,7 +122,7 @@
 	if err := f.add(); err != nil {
 		return err
 	}
-	old := f.engines[len(f.engines)-1-ahead]
+	old := f.engines[len(f.engines)-1-engineCount]
 	f.lab.Store.Delete("servers/" + old.id)
 	old.removed = f.lab.Record.Now()
 	f.publish()
@@ -128,8 +130,9 @@
 }
 
 func run(l *lab.Lab) (v lab.Verdict, err error) {
+	l.Bounds = lab.GrownBounds
 	f := &fleet{lab: l}
-	for range ahead + 1 {
+	for range engineCount {
 		if err := f.add(); err != nil {
 			return v, err
 		}
@@ -140,7 +143,6 @@
 		zones = append(zones, string(rune('a'+n%3)))
 	}
 	for l.Record.Now() < lastRound && len(v.Broken) == 0 {
-		first := len(f.engines) - ahead - 1
 		hosts, err := l.LaunchHosts(zones...)
 		if err != nil {
 			return v, err
@@ -163,7 +165,7 @@
 			}
 		}
 		l.Record.Add("%d of %d hosts are ready", ready, len(hosts))
-		v.Broken = append(v.Broken, ask(l, hosts, f.engines[first:])...)
+		v.Broken = append(v.Broken, ask(l, hosts, f.engines)...)
 		for _, h := range hosts {
 			h.Kill()
 		}
@@ -171,29 +173,33 @@
 	return v, nil
 }
 
-// ask sends each host a request to the route of each engine that is gone, and one to an engine that is
-// not. It returns the requests that reached an engine that is gone.
+// ask sends each host requests. It returns those that reached an engine later than drainTime after its
+// entry had been removed.
 func ask(l *lab.Lab, hosts []*lab.Host, engines []*engine) (broken []string) {
-	var mutex sync.Mutex
 	var clients sync.WaitGroup
-	for _, h := range hosts {
+	senders := make([]map[string]bool, len(hosts))
+	for n, h := range hosts {
+		senders[n] = make(map[string]bool)
 		clients.Go(func() {
-			for _, e := range engines {
-				if e.removed == 0 && e.number != engines[len(engines)-1].number {
-					continue
-				}
-				r := l.Send(h.Front, lab.Request{Method: http.MethodGet, Path: fmt.Sprintf("/s%d/1", e.number), Deadline: deadline})
-				at, reached := e.arrivals.Load(r.ID)
-				if !reached || e.removed == 0 {
-					continue
-				}
-				mutex.Lock()
-				broken = append(broken, fmt.Sprintf("DRAIN: %s sent %s to %s, %.1f s after the store had acknowledged that it is gone",
-					h.Name, r.ID, e.id, (at.(time.Duration)-e.removed).Seconds()))
-				mutex.Unlock()
+			for range requests {
+				senders[n][l.Send(h.Front, lab.Request{Method: http.MethodGet, Path: "/stock/1", Deadline: deadline}).ID] = true
 			}
 		})
 	}
 	clients.Wait()
+	for _, e := range engines {
+		if e.removed == 0 {
+			continue
+		}
+		e.arrivals.Range(func(id, at any) bool {
+			late := at.(time.Duration) - e.removed
+			for n, h := range hosts {
+				if late > drainTime && senders[n][id.(string)] {
+					broken = append(broken, fmt.Sprintf("DRAIN: %s sent %s to %s, %.1f s after the store had acknowledged that it is gone", h.Name, id, e.id, late.Seconds()))
+				}
+			}
+			return true
+		})
+	}
 	return broken
 }
--- a/review/lab/host.go
+++ b/review/lab/host.go
@@ -15,7 +15,7 @@
 	"time"
 )
 
-// hostTemplate is deploy/host.ini with the bounds of the sheet of leuchtfeld-fleet.
+// hostTemplate is deploy/host.ini with the bounds of a sheet.
 const hostTemplate = `[host]
 name = %s
 zone = %s
@@ -28,11 +28,11 @@
 memory = 284
 grace = 8
 lifetime = 5
-contact = 3000
-leave = 2000
-apply = 2000
+contact = %d
+leave = %d
+apply = %d
 ratio = 0.2
-slack = 52
+slack = %d
 window = 10
 [platform]
 address = %s
@@ -41,6 +41,15 @@
 seeds = %s
 `
 
+// Bounds are the bounds of a sheet that differ between sites, in milliseconds but for RetrySlack.
+type Bounds struct{ ContactMs, DrainMs, ConfigApplyMs, RetrySlack int }
+
+// The bounds of the sites.
+var (
+	SmallBounds = Bounds{ContactMs: 3000, DrainMs: 2000, ConfigApplyMs: 2000, RetrySlack: 52}
+	GrownBounds = Bounds{ContactMs: 4000, DrainMs: 3000, ConfigApplyMs: 3000, RetrySlack: 172}
+)
+
 // Host is an edge host, run as a process of its own.
 type Host struct {
 	lab  *Lab
@@ -123,7 +132,9 @@
 // start starts the process with the command of the deploy file.
 func (h *Host) start(seeds []string) error {
 	file := filepath.Join(h.lab.folder, h.Name+".ini")
-	text := fmt.Sprintf(hostTemplate, h.Name, h.zone, h.Front, h.peer, h.Ready, h.metrics, h.Directory, h.lab.Store.Address, strings.Join(seeds, ","))
+	b := h.lab.Bounds
+	text := fmt.Sprintf(hostTemplate, h.Name, h.zone, h.Front, h.peer, h.Ready, h.metrics, h.Directory,
+		b.ContactMs, b.DrainMs, b.ConfigApplyMs, b.RetrySlack, h.lab.Store.Address, strings.Join(seeds, ","))
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/lab/lab.go
+++ b/review/lab/lab.go
@@ -12,6 +12,8 @@
 	Store  *Store
 	// Trouble is false if the case runs without its disruption.
 	Trouble bool
+	// Bounds are those of the sheet in the settings of the hosts.
+	Bounds Bounds
 
 	// folder is a temporary folder for settings and logs of hosts.
 	folder   string
@@ -44,7 +46,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
-	l := &Lab{Record: record, Trouble: os.Getenv("TROUBLE") != "0", folder: folder}
+	l := &Lab{Record: record, Trouble: os.Getenv("TROUBLE") != "0", Bounds: SmallBounds, folder: folder}
 	if l.Store, err = newStore(record); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
