--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -111,6 +111,12 @@
 	message.RegisterLeadServer(r, service{dispatcher: c.dispatcher})
 }
 
+// Drain makes this host refuse new jobs of other hosts, which go on to the next candidate at once.
+func (c *Client) Drain() { c.dispatcher.draining.Store(true) }
+
+// RemoteJobs returns the number of jobs of other hosts that are in progress at this one.
+func (c *Client) RemoteJobs() int { return int(c.dispatcher.remoteJobs.Load()) }
+
 // Outcome is the result of a job.
 type Outcome struct {
 	// Handles has one result per piece unless there is a fault.
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -5,6 +5,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -86,6 +87,9 @@
 	submitted chan struct{}
 	// running tracks the goroutines of calls and of the release of results.
 	running sync.WaitGroup
+	// remoteJobs is the number of jobs of other hosts in progress. None is accepted once draining is set.
+	remoteJobs atomic.Int64
+	draining   atomic.Bool
 	// ctx ends all calls.
 	ctx context.Context
 }
--- a/io/dispatch/job.go
+++ b/io/dispatch/job.go
@@ -55,7 +55,7 @@
 	FaultGone Fault = "gone"
 	// FaultFailed means that a piece failed and may not be retried again.
 	FaultFailed Fault = "failed"
-	// FaultUnresponsive means that the dispatching host did not respond in time.
+	// FaultUnresponsive means that the dispatching host did not respond in time or is draining.
 	FaultUnresponsive Fault = "silent"
 )
 
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -17,7 +17,8 @@
 }
 
 // Run dispatches a job. It reports whether the job was accepted, then sends heartbeats, and at
-// last the results or the fault. If the call is canceled, so is the job.
+// last the results or the fault. If the call is canceled, so is the job. A draining host responds with
+// FaultUnresponsive.
 func (s service) Run(m *message.Job, stream grpc.ServerStreamingServer[message.Progress]) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	send := func(p *message.Progress) error {
@@ -25,6 +26,11 @@
 		p.Soon, p.All, p.Growth = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth
 		return stream.Send(p)
 	}
+	s.dispatcher.remoteJobs.Add(1)
+	defer s.dispatcher.remoteJobs.Add(-1)
+	if s.dispatcher.draining.Load() {
+		return send(&message.Progress{Step: &message.Progress_Ended{Ended: &message.Ended{Fault: string(FaultUnresponsive)}}})
+	}
 	a, wait, ok := s.dispatcher.Submit(decode(m))
 	if !ok {
 		return send(&message.Progress{Step: &message.Progress_Refused{Refused: &message.Refused{Retry: wait.Milliseconds()}}})
