Refuse requests that a stopping daemon can't wait for

What callers saw: with a limit drain below the deadlines, a daemon took requests after the signal and cut them off at the limit.

Cause: a draining host took all requests for the time in which callers have its address, and compared none with the limit of the stop.

Evidence: TestRequestBeyondStop and TestCommandBeyondStop; both fail with a view that outlasts all requests.

Ruled out: refusing commands where requests are read. The owner of a key decides, as it may have the answer; a command for another owner is answered as unknown, since an earlier request may have run it.

Why it works: the published view has the time of the stop, and each path compares the timeout with it.

--- a/io/callerapi/server.go
+++ b/io/callerapi/server.go
@@ -239,8 +239,14 @@
 	if _, ok := v.Document().Workspace(request.Workspace); !ok {
 		return request, p, reason.UnknownWorkspace, request.Workspace
 	}
-	why, detail = validate(request, p)
-	return request, p, why, detail
+	if why, detail = validate(request, p); why != reason.None {
+		return request, p, why, detail
+	}
+	// The owner of a key decides on its command: it may have run already.
+	if timeout := runner.NewRequest("", p, request, nil).Timeout(); !p.Command() && !v.Outlasts(timeout) {
+		return request, p, reason.Draining, ""
+	}
+	return request, p, reason.None, ""
 }
 
 func (s *Server) decode(c echo.Context) (request wire.Request, why reason.Reason, detail string) {
--- a/io/callerapi/server_test.go
+++ b/io/callerapi/server_test.go
@@ -67,6 +67,12 @@
 
 // serve runs a server on the loopback interface with the given preset and refusal.
 func serve(t *testing.T, e *fakeRunner, preset string, refusal reason.Reason, options ...callerapi.Option) (base string, m *metric.Metrics) {
+	t.Helper()
+	return serveView(t, e, preset, refusal, nil, options...)
+}
+
+// serveView is serve with options of the view.
+func serveView(t *testing.T, e *fakeRunner, preset string, refusal reason.Reason, viewOptions []view.Option, options ...callerapi.Option) (base string, m *metric.Metrics) {
 	t.Helper()
 	d, err := config.Parse([]byte(strings.Replace(configDocument, "preset = ordinary", "preset = "+preset, 1)))
 	if err != nil {
@@ -77,7 +83,7 @@
 		t.Fatal(err)
 	}
 	views, m := view.NewHolder(), metric.New()
-	views.Publish(view.New(d, config.VersionOf(1, d), nil, refusal))
+	views.Publish(view.New(d, config.VersionOf(1, d), nil, refusal, viewOptions...))
 	s := callerapi.New(wire.Host{}, views, e, m, append(options, callerapi.WithMaxBody(bodyLimit))...)
 	done := make(chan error, 1)
 	go s.Serve(listener, done)
@@ -161,6 +167,19 @@
 	}
 }
 
+// TestRequestBeyondStop guards against a request that a stopping host takes although it may be cut off at
+// the limit of the stop, and against one that is refused although it ends before.
+func TestRequestBeyondStop(t *testing.T) {
+	is := is.New(t)
+	e := &fakeRunner{}
+	base, _ := serveView(t, e, "ordinary", reason.Draining, []view.Option{view.WithStop(time.Now().Add(900 * time.Millisecond))})
+	_, answer := send(t, http.MethodPost, base+wire.PathPipelines+"lookup", `{"workspace":"thun","input":1}`) // 1 s
+	is.Equal(answer.Outcome+" "+answer.Reason, "not-run draining")
+	is.Equal(e.requests, 0)
+	_, answer = send(t, http.MethodPost, base+wire.PathPipelines+"lookup", `{"workspace":"thun","input":1,"deadline":200}`)
+	is.Equal(answer.Outcome, outcome.Done.String())
+}
+
 func send(t *testing.T, method, url, body string) (status int, answer wire.Answer) {
 	t.Helper()
 	request, err := http.NewRequest(method, url, strings.NewReader(body))
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -56,6 +56,8 @@
 	// orders, both as of the last configure.
 	leaving, controllers []string
 	draining             bool
+	// stop is when a draining host cuts off the requests in progress.
+	stop time.Time
 	// serving reports whether the host takes requests, and everServed whether it ever did.
 	serving, everServed bool
 	// loggedMembers holds the members by incarnation as last logged.
@@ -160,11 +162,13 @@
 	c.publishView()
 }
 
-// drain marks the host as draining and returns when the published view says so.
+// drain marks the host as draining until the deadline of the context, and returns when the published
+// view says so.
 func (c *control) drain(ctx context.Context) {
 	done := make(chan struct{})
 	c.send(ctx, func() {
 		c.draining = true
+		c.stop, _ = ctx.Deadline()
 		c.members.Drain(c.clock())
 		c.node.Tick()
 		c.applyMembership()
@@ -260,7 +264,7 @@
 	case !c.serving:
 		why = reason.Joining
 	}
-	c.views.Publish(view.New(c.document, c.version, c.candidates(), why))
+	c.views.Publish(view.New(c.document, c.version, c.candidates(), why, view.WithStop(c.stop)))
 }
 
 // candidates returns the serving hosts that callers may use.
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -192,7 +192,7 @@
 // runLocal runs a command whose key this host issued. A duplicate waits for the running command
 // or gets the stored answer of the finished one.
 func (o *Owner) runLocal(ctx context.Context, request runner.Request, c keyedRequest) wire.Answer {
-	d, e := o.begin(c, request.Pipeline().Command())
+	d, e := o.begin(c, request)
 	switch d.Status() {
 	case command.Begun:
 		o.metrics.Counter("command.begun").Inc(1)
@@ -211,9 +211,8 @@
 }
 
 // begin decides on a request whose key this host issued. The execution is set if the command
-// begins or is running. A command begins only if it is runnable, that is, if its pipeline is
-// in the configuration and has a command stage.
-func (o *Owner) begin(c keyedRequest, runnable bool) (d command.Decision, e *execution) {
+// begins or is running.
+func (o *Owner) begin(c keyedRequest, request runner.Request) (d command.Decision, e *execution) {
 	v := o.views.Load()
 	maxRecords := 0
 	if doc := v.Document(); doc != nil {
@@ -223,7 +222,7 @@
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	d = o.table.Lookup(o.clock(), c.key, c.workspace, c.fingerprint)
-	if why := o.beginRefusal(v, runnable); d.Status() == command.Begun && why != reason.None {
+	if why := o.beginRefusal(v, request); d.Status() == command.Begun && why != reason.None {
 		return command.Refuse(why), nil
 	}
 	d = o.table.Begin(o.clock(), c.key, c.workspace, c.fingerprint, maxRecords)
@@ -235,10 +234,11 @@
 
 // beginRefusal returns why no command may begin now, or None. Forwarded commands did not pass the
 // checks of this host's callerapi.Server, and the forwarding host may have another configuration,
-// so the checks are made here.
-func (o *Owner) beginRefusal(v *view.View, runnable bool) reason.Reason {
+// so the checks are made here. A command begins only if its pipeline is in the configuration and has a
+// command stage.
+func (o *Owner) beginRefusal(v *view.View, request runner.Request) reason.Reason {
 	switch {
-	case o.draining:
+	case o.draining || !v.Outlasts(request.Timeout()):
 		return reason.Draining
 	case o.pauses.paused(o.clock()):
 		return reason.HostPaused
@@ -246,7 +246,7 @@
 		return reason.Joining
 	case v.Document() != nil && !v.Document().ActivePreset().AcceptsRequests():
 		return reason.PresetClosed
-	case !runnable:
+	case !request.Pipeline().Command():
 		return reason.UnknownPipeline
 	}
 	return reason.None
--- a/io/owner/owner_test.go
+++ b/io/owner/owner_test.go
@@ -228,6 +228,37 @@
 	is.Equal((<-h.send(context.Background(), "5", keys[0])).Outcome, outcome.Done.String())
 }
 
+// TestCommandBeyondStop guards against a command that begins, or is forwarded, although the stopping host
+// may cut it off, and against a resend that is refused for the same reason.
+func TestCommandBeyondStop(t *testing.T) {
+	is := is.New(t)
+	h, other := newHarness(t), newHarness(t)
+	running, unused, foreign := h.key(), h.key(), other.key()
+	first := h.send(context.Background(), "1", running)
+	<-h.started
+	d, err := config.Parse([]byte(testConfig))
+	is.NoErr(err)
+	stop := func(after time.Duration) { // the deadline of the pipeline is 3 min
+		h.views.Publish(view.New(d, config.Version{}, nil, reason.Draining, view.WithStop(time.Now().Add(after))))
+	}
+	stop(2 * time.Minute)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second) // of a command that begins
+	defer cancel()
+	refused := <-h.send(ctx, "2", unused)
+	is.Equal(refused.Outcome+" "+refused.Reason, "not-run draining")
+	refused = <-h.send(ctx, "3", foreign)
+	is.Equal(refused.Outcome+" "+refused.Reason, "unknown draining")
+	resend := h.send(context.Background(), "4", running)
+	h.answers <- result(outcome.Done, reason.None, `"x"`)
+	is.Equal((<-first).Outcome, outcome.Done.String())
+	is.Equal((<-resend).Outcome, outcome.Done.String())
+	stop(4 * time.Minute)
+	last := h.send(context.Background(), "5", unused)
+	<-h.started
+	h.answers <- result(outcome.Done, reason.None, `"x"`)
+	is.Equal((<-last).Outcome, outcome.Done.String())
+}
+
 // TestClosedPreset guards against a command that begins under a preset that accepts no new
 // requests, and against a resend of a finished command that is refused under it.
 func TestClosedPreset(t *testing.T) {
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -40,8 +40,8 @@
 	if answer, ok := o.answerInherited(request.ID(), c); ok {
 		return answer
 	}
-	if o.pauses.paused(o.clock()) {
-		answer := refuse(request.ID(), reason.HostPaused, "")
+	if why := o.forwardRefusal(request); why != reason.None {
+		answer := refuse(request.ID(), why, "")
 		answer.Outcome = outcome.Unknown.String()
 		return answer
 	}
@@ -62,6 +62,17 @@
 	return o.takeover(ctx, request, remaining)
 }
 
+// forwardRefusal returns why this host may not forward a command now, or None.
+func (o *Owner) forwardRefusal(request runner.Request) reason.Reason {
+	switch {
+	case o.pauses.paused(o.clock()):
+		return reason.HostPaused
+	case !o.views.Load().Outlasts(request.Timeout()):
+		return reason.Draining
+	}
+	return reason.None
+}
+
 // answerInherited answers a command from the records that its owner handed over to this host.
 func (o *Owner) answerInherited(id string, c keyedRequest) (answer wire.Answer, ok bool) {
 	o.mutex.Lock()
--- a/io/view/view.go
+++ b/io/view/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync/atomic"
+	"time"
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/hostselect"
@@ -16,11 +17,23 @@
 	hosts []hostselect.Candidate
 	// refusal is None if the host accepts requests, and otherwise the reason for refusing them.
 	refusal reason.Reason
+	// stop is when a draining host cuts off the requests in progress; zero if the host is not draining.
+	stop time.Time
 }
 
+// Option configures a View.
+type Option func(*View)
+
+// WithStop sets when a draining host cuts off the requests in progress.
+func WithStop(t time.Time) Option { return func(v *View) { v.stop = t } }
+
 // New returns a View. The document may be nil while the host is joining.
-func New(d *config.Document, v config.Version, hosts []hostselect.Candidate, refusal reason.Reason) *View {
-	return &View{document: d, version: v, hosts: hosts, refusal: refusal}
+func New(d *config.Document, v config.Version, hosts []hostselect.Candidate, refusal reason.Reason, options ...Option) *View {
+	view := &View{document: d, version: v, hosts: hosts, refusal: refusal}
+	for _, o := range options {
+		o(view)
+	}
+	return view
 }
 
 // Document returns the configuration in force. It may be nil while the host is joining.
@@ -35,6 +48,14 @@
 // Refusal returns None if the host accepts requests, and otherwise the reason for refusing them.
 func (v *View) Refusal() reason.Reason { return v.refusal }
 
+// Outlasts reports whether the host runs until a request with the timeout that begins now has ended.
+func (v *View) Outlasts(timeout time.Duration) bool {
+	return v.stop.IsZero() || time.Until(v.stop) >= timeout+stopMargin
+}
+
+// stopMargin is the time in which the answer to a request that has reached its deadline is written.
+const stopMargin = 100 * time.Millisecond
+
 // Holder holds the newest View. It is safe for concurrent use.
 type Holder struct {
 	pointer atomic.Pointer[View]
