Refuse requests that a stopping edge host can't wait for

Cause: admission of a draining host looked at the time of arrival only, with a margin of 2 s before the kill, not at the time that the request may take. Requests that had been taken before and took longer than the grace period ended without an answer as well.

Ruled out: a process that ends too early (7.86 s after the signal, as designed) and targets that break off.

Why it works: a request is taken only if its deadline is before the stop; streams are also taken for 2.7 s, as the platform excuses them. What still runs at the stop is answered: 503 if it has not run, else 502.

--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -38,11 +38,12 @@
 	// heapFraction is the fraction of the process's memory limit that is left to the Go heap. The
 	// rest is for stacks, code and bytes that were received but not read yet.
 	heapFraction = 0.6
-	// streamAcceptTime is how long after the stop signal a host still accepts streams: a later
-	// one might not end before the host is killed.
-	streamAcceptTime = 3 * time.Second
-	// A draining host stops accepting requests closeMargin before the time at which it is killed,
-	// and its process exits exitMargin before that time.
+	// streamAcceptTime is how long after the stop signal a host still accepts streams that may be cut
+	// off when it stops. The platform excuses those that callers sent within 3 s; the difference is for
+	// a signal that arrives late.
+	streamAcceptTime = 2700 * time.Millisecond
+	// A draining host without requests stops closeMargin before the time at which it is killed, and
+	// any other exitMargin before that time.
 	closeMargin = 2 * time.Second
 	exitMargin  = 300 * time.Millisecond
 	// quietTime is how long no request must have arrived before a draining host exits early.
@@ -81,15 +82,16 @@
 	lastArrival atomic.Int64
 	// background tracks goroutines that may outlive their request; they end with ctx.
 	background sync.WaitGroup
-	// ctx ends all calls of the process.
-	ctx    context.Context
-	cancel context.CancelFunc
+	// ctx ends all calls of the process, and requestsCtx the requests of callers.
+	ctx, requestsCtx       context.Context
+	cancel, cancelRequests context.CancelFunc
 }
 
 // New returns an edge host with the settings. Run starts it.
 func New(settings setting.Settings, log logr.Logger) *Edge {
 	e := &Edge{settings: settings, log: log, metrics: metric.New(), start: time.Now()}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
+	e.requestsCtx, e.cancelRequests = context.WithCancel(e.ctx)
 	if m := settings.MemoryLimit(); m > 0 {
 		debug.SetMemoryLimit(int64(heapFraction * float64(m)))
 	}
@@ -215,30 +217,49 @@
 	return servers
 }
 
+// stopTime returns when a host that began to drain at a time ends the requests that are still in
+// progress.
+func (e *Edge) stopTime(drainStart time.Duration) time.Duration {
+	return drainStart + max(e.settings.Limits().GracePeriod-exitMargin, 0)
+}
+
 // drain removes the host from address responses, serves callers with cached addresses until
-// there are none or the grace period is almost over, and shuts the servers down.
+// there are none or the grace period is almost over, and shuts the servers down. Jobs of other hosts
+// that are in progress run to their end.
 func (e *Edge) drain(servers []*http.Server) (err error) {
 	began := e.clock()
+	stop := e.stopTime(began)
 	e.frontend.drainStart.Store(int64(began))
+	e.dispatchClient.Drain()
 	e.control.drain(e.ctx)
 	event.Log(e.log, event.HostDraining, "host", e.settings.Host(), "running", e.running.Load())
-	grace := e.settings.Limits().GracePeriod
-	for now := e.clock(); now < began+grace-exitMargin; now = e.clock() {
+	for now := e.clock(); now < stop; now = e.clock() {
 		quiet := now - max(time.Duration(e.lastArrival.Load()), began)
-		if e.running.Load() == 0 && (quiet >= quietTime || now >= began+grace-closeMargin) {
+		if e.running.Load() == 0 && e.dispatchClient.RemoteJobs() == 0 && (quiet >= quietTime || now >= stop+exitMargin-closeMargin) {
 			break
 		}
 		time.Sleep(tickInterval / 4)
 	}
-	for _, s := range servers {
-		ctx, cancel := context.WithTimeout(context.Background(), exitMargin/2)
-		if shutdownErr := s.Shutdown(ctx); shutdownErr != nil && !errors.Is(shutdownErr, context.DeadlineExceeded) {
-			err = errors.Join(err, shutdownErr)
-		}
-		cancel()
-	}
+	// A request that arrives before its connection is closed still runs to its end.
+	err = shutdown(servers[0], stop-e.clock())
 	if n := e.running.Load(); n > 0 {
 		event.Log(e.log, event.HostForceStopped, "host", e.settings.Host(), "running", n)
+		e.cancelRequests()
+		err = errors.Join(err, shutdown(servers[0], exitMargin/2))
+	}
+	for _, s := range servers[1:] {
+		err = errors.Join(err, shutdown(s, exitMargin/10))
+	}
+	return err
+}
+
+// shutdown stops a server from accepting connections, and waits for its requests to end, at most for
+// the timeout.
+func shutdown(s *http.Server, timeout time.Duration) (err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	if err = s.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
+		return nil
 	}
 	return err
 }
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -184,6 +184,7 @@
 	}
 	ctx, cancel := context.WithTimeout(x.r.Context(), x.deadline-x.clock())
 	defer cancel()
+	defer context.AfterFunc(x.requestsCtx, cancel)()
 	inputs, ok := x.runStages(ctx)
 	if !ok {
 		return
@@ -250,17 +251,11 @@
 // workspaceWeight is the number of route priorities that one workspace priority counts for.
 const workspaceWeight = 2
 
-// admitDraining refuses requests that might not end before a draining host is killed.
+// admitDraining refuses requests that a draining host can't wait for: those that may still be in
+// progress when it stops, other than early streams.
 func (x *exchange) admitDraining() bool {
 	drainStart := time.Duration(x.drainStart.Load())
-	if drainStart == 0 {
-		return true
-	}
-	last := x.settings.Limits().GracePeriod - closeMargin
-	if x.route.Kind == route.Stream {
-		last = min(last, streamAcceptTime)
-	}
-	if x.clock() < drainStart+last {
+	if drainStart == 0 || x.deadline <= x.stopTime(drainStart) || x.route.Kind == route.Stream && x.clock() < drainStart+streamAcceptTime {
 		return true
 	}
 	x.refuse(http.StatusServiceUnavailable, reason.Draining, drainRetryAfter)
@@ -326,6 +321,9 @@
 // request certainly has not run, otherwise 504 if its deadline has passed or 502 if not. It aborts
 // the response if the caller has disconnected.
 func (x *exchange) fail(why reason.Reason, retry time.Duration) {
+	if x.requestsCtx.Err() != nil {
+		why, retry = reason.Draining, drainRetryAfter
+	}
 	switch {
 	case x.r.Context().Err() != nil:
 		x.status, x.why = 0, reason.CallerGone
