Apply an update of the entries although its link has ended

Cause: a follower passed an update on with the context of its link. If the link had ended by then, the control loop dropped the update, while the copy counted it as known.

TestLinkEndsDuringUpdate failed on: the change never arrived; the same test covers the news that the store is down or back.

Ruled out: a watch of the daemon that stops loses nothing for good, since the next one begins from nothing; it gets the same fix. A packet between hosts that is dropped counts as failed at its sender, which repeats it.

Why it works: the context that goes to the handler is that of the process; the link's ends only the call.

--- a/io/daemon/watch.go
+++ b/io/daemon/watch.go
@@ -53,15 +53,16 @@
 		event.Log(w.log, event.WatchStopped)
 		return
 	}
-	ctx, w.cancel = context.WithCancel(ctx)
-	w.running.Go(func() { w.poll(ctx, w.readConfig(pollWait)) })
-	w.running.Go(func() { w.poll(ctx, w.readHosts(pollWait)) })
+	watchCtx, cancel := context.WithCancel(ctx)
+	w.cancel = cancel
+	w.running.Go(func() { w.poll(watchCtx, w.readConfig(ctx, pollWait)) })
+	w.running.Go(func() { w.poll(watchCtx, w.readHosts(ctx, pollWait)) })
 	event.Log(w.log, event.WatchStarted)
 }
 
 // readOnce reads the configuration and the host list without waiting for a change.
 func (w *watcher) readOnce(ctx context.Context) {
-	for _, read := range []func(context.Context) error{w.readConfig(0), w.readHosts(0)} {
+	for _, read := range []func(context.Context) error{w.readConfig(ctx, 0), w.readHosts(ctx, 0)} {
 		w.running.Go(func() {
 			if err := read(ctx); err != nil && ctx.Err() == nil {
 				event.LogError(w.log, event.PlatformFailed, err)
@@ -95,8 +96,9 @@
 }
 
 // readConfig returns a function that reads the configuration if it has changed since its last
-// call, waiting up to the given time for a change.
-func (w *watcher) readConfig(wait time.Duration) func(context.Context) error {
+// call, waiting up to the given time for a change. What it has read is passed on until handlerCtx ends,
+// also if the watch stops meanwhile.
+func (w *watcher) readConfig(handlerCtx context.Context, wait time.Duration) func(context.Context) error {
 	var number uint64
 	return func(ctx context.Context) error {
 		cfg, changed, err := w.platform.Config(ctx, number, wait)
@@ -105,7 +107,7 @@
 		}
 		stale := cfg.Version() < number
 		number = cfg.Version()
-		w.config(ctx, cfg)
+		w.config(handlerCtx, cfg)
 		if stale {
 			return errStale
 		}
@@ -113,9 +115,8 @@
 	}
 }
 
-// readHosts returns a function that reads the host list if it has changed since its last call,
-// waiting up to the given time for a change.
-func (w *watcher) readHosts(wait time.Duration) func(context.Context) error {
+// readHosts is readConfig for the host list.
+func (w *watcher) readHosts(handlerCtx context.Context, wait time.Duration) func(context.Context) error {
 	var version uint64
 	return func(ctx context.Context) error {
 		list, changed, err := w.platform.Hosts(ctx, version, wait)
@@ -124,7 +125,7 @@
 		}
 		stale := list.Version < version
 		version = list.Version
-		w.hosts(ctx, list)
+		w.hosts(handlerCtx, list)
 		if stale {
 			return errStale
 		}
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -61,6 +61,12 @@
 	return r.down
 }
 
+func (r *recorder) upCount() int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.ups
+}
+
 // testHost is a hub with its server and its follower.
 type testHost struct {
 	*recorder
@@ -157,6 +163,86 @@
 	is.Equal(c.hub.Revision(), uint64(3))
 }
 
+// slowHandler is a recorder that is busy when the first change arrives. Like the control loop of a host,
+// it drops a change whose context has ended.
+type slowHandler struct {
+	*recorder
+	// busy gets a value when the handler is called, which returns after a value on free.
+	busy, free chan struct{}
+}
+
+func (h slowHandler) await(ctx context.Context) (ok bool) {
+	h.busy <- struct{}{}
+	<-h.free
+	return ctx.Err() == nil
+}
+
+func (h slowHandler) OnChanges(ctx context.Context, changes []feed.Item, revision uint64) {
+	if h.await(ctx) {
+		h.recorder.OnChanges(ctx, changes, revision)
+	}
+}
+
+func (h slowHandler) OnStoreDown(ctx context.Context, err error) {
+	if h.await(ctx) {
+		h.recorder.OnStoreDown(ctx, err)
+	}
+}
+
+func (h slowHandler) OnStoreUp(ctx context.Context) {
+	if h.await(ctx) {
+		h.recorder.OnStoreUp(ctx)
+	}
+}
+
+// pass lets the handler go on, after it was called and meanwhile has run.
+func (h slowHandler) pass(meanwhile func()) {
+	<-h.busy
+	meanwhile()
+	h.free <- struct{}{}
+}
+
+// TestLinkEndsDuringUpdate guards against a change of the entries, or an outage of the store and its end,
+// that a host loses for good because the link that brought it ends before the change is handled.
+func TestLinkEndsDuringUpdate(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b, c := startHost(t), startHost(t), startHost(t)
+	for _, upstream := range []*testHost{a, b, c} {
+		upstream.publish("x", "1", 1)
+	}
+	b.hub.StoreFailed(context.Background(), errors.New("turned away"))
+	h := slowHandler{recorder: &recorder{entries: make(map[string]string)}, busy: make(chan struct{}), free: make(chan struct{})}
+	began := time.Now()
+	hub, conns := iofeed.NewHub(func() time.Duration { return time.Since(began) }, h), peer.NewConnPool()
+	follower := iofeed.NewFollower(hub, conns)
+	ctx, cancel := context.WithCancel(context.Background())
+	end := make(chan error, 1)
+	go follower.Run(ctx, end)
+	defer func() {
+		cancel()
+		is.NoErr(<-end)
+		conns.Close()
+	}()
+	endLink := func() {
+		follower.SetPlan(iofeed.Plan{Reader: true})
+		time.Sleep(100 * time.Millisecond) // the link is canceled
+	}
+	for _, step := range []struct {
+		upstream *testHost
+		handled  func() bool
+	}{
+		{a, func() bool { return h.get("x") == "1" }},
+		{b, func() bool { return h.downs() == 1 }},
+		{c, func() bool { return h.upCount() == 1 }},
+	} {
+		follower.SetPlan(iofeed.Plan{Upstreams: []string{step.upstream.address}})
+		h.pass(endLink)
+		wait(t, step.handled)
+		is.Equal(hub.Revision(), uint64(1)) // no later update brings the change again
+	}
+}
+
 // TestReaderFollowsNobody guards against readers that follow each other while they reach the store,
 // and against one that is turned away by the store and does not ask those that are not.
 func TestReaderFollowsNobody(t *testing.T) {
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -184,22 +184,22 @@
 
 // start follows a host.
 func (f *Follower) start(ctx context.Context, l *links, address string) {
-	ctx, cancel := context.WithCancel(ctx)
+	linkCtx, cancel := context.WithCancel(ctx)
 	l.cancels[address] = cancel
 	go func() {
-		f.follow(ctx, address)
+		f.follow(ctx, linkCtx, address)
 		l.ends <- address
 	}()
 }
 
-// follow adds the updates of another host to the hub until it does not respond or the context
-// ends.
-func (f *Follower) follow(ctx context.Context, address string) {
+// follow adds the updates of another host to the hub until it does not respond or the context of the
+// link ends. An update that has arrived by then is still applied.
+func (f *Follower) follow(ctx, linkCtx context.Context, address string) {
 	conn, err := f.peers.Conn(address)
 	if err != nil {
 		return
 	}
-	callCtx, cancel := context.WithCancel(ctx)
+	callCtx, cancel := context.WithCancel(linkCtx)
 	defer cancel()
 	timer := time.AfterFunc(acceptTimeout, cancel)
 	defer timer.Stop()
@@ -212,7 +212,7 @@
 		timer.Reset(heartbeatTimeout)
 		err = f.receive(ctx, address, m)
 	}
-	if ctx.Err() == nil {
+	if linkCtx.Err() == nil {
 		// The connection may be dead while new ones to the host work.
 		f.peers.Drop(address, conn)
 	}
--- a/io/feed/hub.go
+++ b/io/feed/hub.go
@@ -16,7 +16,8 @@
 // storeSource is the name of the store among the sources of the copy.
 const storeSource = "store"
 
-// Handler gets what changes in the copy. Its methods are called one at a time.
+// Handler gets what changes in the copy. Its methods are called one at a time. A change is reported once:
+// the context ends with the process, not with the connection that brought the change.
 type Handler interface {
 	// OnChanges is called with the entries that changed, and the revision of the copy.
 	OnChanges(ctx context.Context, changes []feed.Item, revision uint64)
