--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -128,10 +128,10 @@
 	e.node.Register(e.server.Registrar())
 	e.hub = iofeed.NewHub(e.clock, c)
 	e.hub.Register(e.server.Registrar())
-	e.follower = iofeed.NewFollower(e.hub, e.feedPeers)
+	e.follower = iofeed.NewFollower(e.hub, e.feedPeers, iofeed.WithLog(e.log))
 	calls := e.metrics.Counter("platform.calls")
 	e.watcher = &watcher{
-		hub: e.hub, clock: e.clock, jitter: rand.Float64(),
+		hub: e.hub, clock: e.clock, log: e.log, jitter: rand.Float64(),
 		wait:     min(s.Limits().RecoveryTime-watchSlack-watchMargin, maxWait),
 		coalesce: s.Limits().CoalesceDelay(),
 		store:    platform.NewStore(s.PlatformAddress(), transport.Dial, func() { calls.Inc(1) }),
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"sassafrasward/core/feed"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
@@ -37,6 +39,7 @@
 	store *platform.Store
 	hub   *iofeed.Hub
 	clock func() time.Duration
+	log   logr.Logger
 	// reader is set while this host reads the store for others.
 	reader atomic.Bool
 	// jitter is a random number of this host in [0, 1).
@@ -45,8 +48,9 @@
 	wait time.Duration
 	// coalesce is the delay after a read with changes, so that the next read returns more of them.
 	coalesce time.Duration
-	// lastRead is when the last read ended.
+	// lastRead is when the last read ended, failing whether it failed.
 	lastRead time.Duration
+	failing  bool
 }
 
 // run reads the store until the context ends, then sends nil on done. If the store has compacted
@@ -66,11 +70,15 @@
 		switch {
 		case compacted:
 		case err != nil:
+			if !w.failing && ctx.Err() == nil {
+				event.LogError(w.log, event.StoreReadFailed, err, "revision", w.hub.Revision())
+			}
+			w.failing = true
 			w.hub.StoreFailed(ctx, err)
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 		default:
-			backoff = minBackoff
+			backoff, w.failing = minBackoff, false
 			w.hub.StoreResponded(ctx, u)
 			if len(u.Items) > 0 {
 				sleep(ctx, w.coalesce)
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -64,6 +64,8 @@
 	StoreRecovered     = register(1204, 0, "store found", "The metadata store answers again.")
 	TargetsChanged     = register(1205, 0, "targets changed", "Targets were added, removed or are leaving.")
 	EntryIgnored       = register(1206, 1, "entry ignored", "An entry of the store is not used as a target, because a field is missing or wrong.")
+	StoreReadFailed    = register(1207, 0, "store read failed", "A read of the metadata store failed after one that did not; this host reads again, or follows other hosts.")
+	LinkEnded          = register(1208, 0, "link ended", "A host that this one followed for the entries of the store does not respond any more.")
 	RequestEnded       = register(1302, 0, "request ended", "A request ended; the line has its route, target, attempts, times and the reason of a refusal or failure.")
 	RequestRepeated    = register(1303, 0, "request repeated", "A request is sent to another target after the previous one failed.")
 	TargetStated       = register(1304, 0, "target stated", "What a target states about itself changed (fact): that it leaves (leaving), the requests a second that it takes from all hosts together (limit, negative once it has none) or the seconds for which it wants no requests from this host (wait). The line has the new value, for how many milliseconds the one before held (age, negative if there was none), and whether an answer or another host told it (source).")
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"sassafrasward/core/feed"
+	"sassafrasward/io/event"
 	"sassafrasward/io/feed/message"
 	"sassafrasward/io/peer"
 )
@@ -44,6 +47,7 @@
 type Follower struct {
 	hub   *Hub
 	peers *peer.ConnPool
+	log   logr.Logger
 	// planned gets a value when the plan changes.
 	planned chan struct{}
 
@@ -51,9 +55,19 @@
 	plan  Plan
 }
 
+// Option configures a Follower.
+type Option func(*Follower)
+
+// WithLog sets the log.
+func WithLog(log logr.Logger) Option { return func(f *Follower) { f.log = log } }
+
 // NewFollower returns a follower that adds to the hub what it receives. Run starts it.
-func NewFollower(hub *Hub, peers *peer.ConnPool) *Follower {
-	return &Follower{hub: hub, peers: peers, planned: make(chan struct{}, 1)}
+func NewFollower(hub *Hub, peers *peer.ConnPool, options ...Option) *Follower {
+	f := &Follower{hub: hub, peers: peers, log: logr.Discard(), planned: make(chan struct{}, 1)}
+	for _, o := range options {
+		o(f)
+	}
+	return f
 }
 
 // SetPlan sets the role of this host.
@@ -213,6 +227,7 @@
 		err = f.receive(ctx, address, m)
 	}
 	if linkCtx.Err() == nil {
+		event.LogError(f.log, event.LinkEnded, err, "address", address, "revision", f.hub.Revision())
 		// The connection may be dead while new ones to the host work.
 		f.peers.Drop(address, conn)
 	}
