Decode only the newest configuration of a batch, and each one once

Cause: the control loop decoded each configuration of a batch, though only the last one matters, and decoded one again that had come from another host, before it compared versions. A configuration of 0.85 MB takes long on a fraction of a core, and changes of targets waited behind it.

Ruled out: failed reads and links (events 1207 and 1208, none at the first hosts that failed).

Why it works: the last configuration of a batch replaces the ones before, and one with the hash of that in force changes nothing. Event 1205 now has the revision at each change.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -117,15 +117,24 @@
 	c.Post(ctx, func() {
 		c.storeRevision = revision
 		c.applyTargets(changes)
-		for _, item := range changes {
-			if item.Key == platform.KeyConfig && !item.Deleted {
-				c.applyConfig(item.Value, "store")
-			}
+		if raw := newestConfig(changes); raw != nil {
+			c.applyConfig(raw, "store")
 		}
 		c.publishChanges()
 	})
 }
 
+// newestConfig returns the last configuration among the changes, nil if there is none. The ones before
+// would be replaced at once, and decoding a large one takes long.
+func newestConfig(changes []feed.Item) (raw []byte) {
+	for _, item := range changes {
+		if item.Key == platform.KeyConfig && !item.Deleted {
+			raw = item.Value
+		}
+	}
+	return raw
+}
+
 // OnStoreUp implements feed.Handler.
 func (c *control) OnStoreUp(ctx context.Context) {
 	c.Post(ctx, func() {
@@ -145,12 +154,16 @@
 // applyConfig applies a configuration if it is newer than the current one. It returns false if
 // the configuration is invalid.
 func (c *control) applyConfig(raw []byte, source string) (accepted bool) {
+	hash := sha256.Sum256(raw)
+	if c.table != nil && hash == c.version.Hash() {
+		return true // it came from the store and from another host
+	}
 	t, err := platform.DecodeConfig(raw)
 	if err != nil {
 		event.LogError(c.log, event.ConfigRejected, err, "source", source)
 		return false
 	}
-	v := config.NewVersion(t.Version(), sha256.Sum256(raw))
+	v := config.NewVersion(t.Version(), hash)
 	if c.table != nil && t.Version() <= c.table.Version() {
 		return true
 	}
@@ -247,9 +260,7 @@
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
-	if old := c.state.Load(); len(old.zones) != len(c.zones) {
-		c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision)
-	}
+	c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision)
 	c.publishState()
 }
 
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -1,10 +1,14 @@
 package edge_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
 
+	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 )
 
@@ -35,3 +39,31 @@
 	}
 	first.wait(func() bool { return s.Waiting() <= readerCount })
 }
+
+// TestConfigBurst guards against a host that falls behind because it decodes each of many configurations
+// that arrive together, although only the last one matters.
+func TestConfigBurst(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.PublishConfig(1)
+	e := newEngine(t, "i-1", signed("ok"))
+	s.Register(e, "plain", "ready")
+	host := prepareHost(t, s, "e1")
+	var accepted atomic.Int64
+	log := funcr.NewJSON(func(line string) {
+		if strings.Contains(line, `"event":1101,`) {
+			accepted.Add(1)
+		}
+	}, funcr.Options{})
+	host.run(context.Background(), log)
+	host.waitServed("/read/")
+	const versions = 200
+	for v := 2; v <= versions; v++ {
+		s.PublishConfig(v)
+	}
+	s.PublishConfig(versions+1, `{"name":"last","host":"h.example","prefix":"/last/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2}`)
+	host.waitServed("/last/")
+	is.True(accepted.Load() >= 2)
+	is.True(accepted.Load() < versions/4) // the first of the burst, and the rest by a few reads
+}
