Limit the head of the answer to a command, and the memory of an event

What callers could have seen (report of another operator): a faulty target that sends bytes without end takes a daemon over its memory, and the requests of all callers are lost.

Cause: the answer to a command was read without a limit on its head; an event of many short lines kept each as a text of its own; a body in chunks that had broken its limit was read on until the deadline.

Ruled out: the edge host.

Why it works: the head has the same limit as on the other path, lines are joined in one buffer, and the connection is closed instead of the body. The endless server of the tests is shared in io/loopback.

--- a/io/sse/sse.go
+++ b/io/sse/sse.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"io"
 	"iter"
-	"strings"
 
 	"github.com/zeebo/errs"
 )
@@ -37,26 +36,29 @@
 	return func(yield func(Event, error) bool) {
 		scanner := bufio.NewScanner(body)
 		scanner.Buffer(make([]byte, 0, min(initialBufferSize, limit)), limit)
-		var e Event
-		var data []string
-		size := 0
+		name, hasData, size := "", false, 0
+		var data []byte
 		for scanner.Scan() {
-			if size += len(scanner.Bytes()); size > limit {
+			line := scanner.Bytes()
+			if size += len(line); size > limit {
 				yield(Event{}, Error.New("event exceeds %d bytes", limit))
 				return
 			}
-			key, value, _ := strings.Cut(scanner.Text(), ":")
-			value = strings.TrimPrefix(value, " ")
+			key, value, _ := bytes.Cut(line, []byte(":"))
+			value = bytes.TrimPrefix(value, []byte(" "))
 			switch {
-			case scanner.Text() == "":
-				if data != nil && !yield(Event{name: e.name, data: strings.Join(data, "\n")}, nil) {
+			case len(line) == 0:
+				if hasData && !yield(Event{name: name, data: string(data)}, nil) {
 					return
 				}
-				e, data, size = Event{}, nil, 0
-			case key == "event":
-				e.name = value
-			case key == "data":
-				data = append(data, value)
+				name, data, hasData, size = "", data[:0], false, 0
+			case string(key) == "event":
+				name = string(value)
+			case string(key) == "data":
+				if hasData {
+					data = append(data, '\n')
+				}
+				data, hasData = append(data, value...), true
 			}
 		}
 		if err := scanner.Err(); err != nil {
--- a/io/target/command.go
+++ b/io/target/command.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"io"
+	"math"
 	"net/http"
 	"time"
 
@@ -59,15 +61,26 @@
 		reply.status = lostAnswerStatus(ctx, err)
 		return reply, err
 	}
-	response, err := http.ReadResponse(bufio.NewReader(conn), request)
+	response, err := readHead(conn, request)
 	if err != nil {
 		reply.status = lostAnswerStatus(ctx, err)
 		return reply, err
 	}
-	defer func() { _ = response.Body.Close() }()
+	// The body is not closed, because that would read it to its end; the connection is.
 	return readCommandAnswer(ctx, response, run)
 }
 
+// readHead reads the head of an answer, which has at most maxHeadBytes. The body is not limited.
+func readHead(conn io.Reader, request *http.Request) (response *http.Response, err error) {
+	limited := &io.LimitedReader{R: conn, N: maxHeadBytes}
+	response, err = http.ReadResponse(bufio.NewReader(limited), request)
+	if err != nil && limited.N <= 0 {
+		return nil, errs.New("the head of the answer has more than %d bytes", maxHeadBytes)
+	}
+	limited.N = math.MaxInt64
+	return response, err
+}
+
 // lostAnswerStatus returns the status of a command without a usable answer. An invalid answer says
 // as little about the command as a broken connection, so both count as crashed.
 func lostAnswerStatus(ctx context.Context, err error) schedule.CallStatus {
--- a/io/transport/endless_test.go
+++ b/io/transport/endless_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"io"
-	"net"
 	"net/http"
 	"runtime"
 	"strings"
@@ -13,43 +12,13 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasward/io/loopback"
 	"sassafrasward/io/transport"
 )
 
 // maxHeapGrowth is the bound of the heap that one exchange with a broken target may use, in bytes.
 const maxHeapGrowth = 8 << 20
 
-// endlessServer sends the prefix, and then the block again and again until the connection is closed.
-func endlessServer(t *testing.T, prefix, block string) (address string) {
-	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	ended := make(chan struct{})
-	t.Cleanup(func() {
-		_ = listener.Close()
-		<-ended
-	})
-	go func() {
-		defer close(ended)
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			chunk := []byte(strings.Repeat(block, 1+(16<<10)/len(block)))
-			_ = conn.SetDeadline(time.Now().Add(30 * time.Second)) // ends a test that doesn't close the connection
-			_, err = conn.Write([]byte(prefix))
-			for err == nil {
-				_, err = conn.Write(chunk)
-			}
-			_ = conn.Close()
-		}
-	}()
-	return listener.Addr().String()
-}
-
 // TestBytesWithoutEnd guards against a target that fills the memory of a host: it sends a first line,
 // headers, informational responses or the response to another request without end.
 func TestBytesWithoutEnd(t *testing.T) {
@@ -67,7 +36,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := endlessServer(t, c.prefix, c.block)
+			address := loopback.ServeEndless(t, c.prefix, c.block)
 			pool := transport.New(func() {})
 			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 			defer cancel()
@@ -90,7 +59,7 @@
 // TestLongHead guards against a bound on the head that sound responses exceed.
 func TestLongHead(t *testing.T) {
 	is := is.New(t)
-	address := endlessServer(t, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", 40<<10)+"\r\nContent-Length: 3\r\n\r\nabc", "y")
+	address := loopback.ServeEndless(t, "HTTP/1.1 200 OK\r\nX-Long: "+strings.Repeat("x", 40<<10)+"\r\nContent-Length: 3\r\n\r\nabc", "y")
 	response, err := transport.New(func() {}).Do(context.Background(), address, transport.Request{Method: http.MethodGet, URI: "/", Host: "h"})
 	is.NoErr(err)
 	is.Equal(len(response.Header.Get("X-Long")), 40<<10)
