--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/url"
@@ -76,7 +75,7 @@
 }
 
 // Hosts returns the host list if its version differs from after. It waits up to wait for such a
-// version; changed reports whether there is one.
+// version; changed reports whether there is one. Entries that can't be decoded are left out.
 func (c *Client) Hosts(ctx context.Context, after uint64, wait time.Duration) (list wire.HostList, changed bool, err error) {
 	defer func() { err = Error.Wrap(err) }()
 	body, _, changed, err := c.get(ctx, wire.PathHosts, after, wait, maxHostListBytes)
@@ -86,7 +85,7 @@
 	if len(body) > maxHostListBytes {
 		return wire.HostList{}, false, fmt.Errorf("host list is larger than %d bytes", maxHostListBytes)
 	}
-	err = json.Unmarshal(body, &list)
+	list, err = decodeHosts(body)
 	return list, err == nil, err
 }
 
