Update the groups that a pool no longer has

Cause: Configure updated the groups of the new list only. A group that the pool had before kept its targets, went on with its queue, and got the jobs of hosts that had not regrouped yet.

Ruled out: the daemon, which takes the address of a target from the newest document.

Why it works: such a group gets the remaining targets of its zone, or all if there are none, so that its jobs end there.

--- a/io/dispatch/cut_test.go
+++ b/io/dispatch/cut_test.go
@@ -40,6 +40,13 @@
 	metrics := metric.New()
 	d := dispatch.NewDispatcher(ctx, clock, transport.New(func() {}), selfreport.New("b", clock, logr.Discard(), metrics), logr.Discard(), metrics,
 		func() *quota.Quota { return quota.New(10*time.Second, 1, 1000) })
+	d.Configure(newTable(ctx, t), map[string][]discovery.Target{"pieces": targets})
+	return d
+}
+
+// newTable returns the configuration that the stand-in of the store publishes.
+func newTable(ctx context.Context, t *testing.T) (table *route.Table) {
+	t.Helper()
 	s := standin.NewStore()
 	defer s.Close()
 	s.PublishConfig(1)
@@ -47,12 +54,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	var table *route.Table
 	if table, err = platform.DecodeConfig(item.Value); err != nil {
 		t.Fatal(err)
 	}
-	d.Configure(table, map[string][]discovery.Target{"pieces": targets})
-	return d
+	return table
 }
 
 // cutProxy is a TCP proxy that closes each connection once it has passed on a number of bytes from the
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -49,9 +49,9 @@
 
 // group is the dispatch state of one group of the targets of a pool.
 type group struct {
-	// key is the groupKey of the group.
-	key     string
-	batcher *batch.Dispatcher
+	// key is the groupKey of the group, made of pool and name.
+	key, pool, name string
+	batcher         *batch.Dispatcher
 	quota   *quota.Quota
 	jobs    map[uint64]*ActiveJob
 	// results has the results by handle that were neither released nor expired.
@@ -103,6 +103,7 @@
 func (d *Dispatcher) Configure(table *route.Table, targets map[string][]discovery.Target) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	configured := make(map[string]bool)
 	for _, name := range table.Pools() {
 		spec, _ := table.Pool(name)
 		if spec.Batch == nil {
@@ -111,7 +112,15 @@
 		groups := splitTargets(targets[name])
 		d.groups[name] = slices.Sorted(maps.Keys(groups))
 		for group, list := range groups {
-			d.configureGroup(groupKey(name, group), spec, list)
+			d.configureGroup(name, group, spec, list)
+			configured[groupKey(name, group)] = true
+		}
+	}
+	// Groups that a pool no longer has still run the jobs that they got, and get those of hosts that
+	// don't know of the change yet.
+	for key, g := range d.groupsByKey {
+		if !configured[key] {
+			g.batcher.SetTargets(remainingTargets(targets[g.pool], g.name))
 		}
 	}
 }
@@ -136,12 +145,23 @@
 	return groups
 }
 
-// configureGroup creates or updates the group with a key.
-func (d *Dispatcher) configureGroup(key string, spec route.Pool, targets []discovery.Target) {
+// remainingTargets returns the targets of a pool that run the jobs of a group which the pool may no
+// longer have: those of its availability zone, or all if there are none.
+func remainingTargets(targets []discovery.Target, group string) []discovery.Target {
+	near := slices.DeleteFunc(slices.Clone(targets), func(t discovery.Target) bool { return t.Zone != group })
+	if len(near) == 0 {
+		return targets
+	}
+	return near
+}
+
+// configureGroup creates or updates a group of a pool.
+func (d *Dispatcher) configureGroup(pool, name string, spec route.Pool, targets []discovery.Target) {
+	key := groupKey(pool, name)
 	g, ok := d.groupsByKey[key]
 	if !ok {
 		g = &group{
-			key: key, batcher: batch.New(*spec.Batch, batch.WithGate(d.gate)), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
+			key: key, pool: pool, name: name, batcher: batch.New(*spec.Batch, batch.WithGate(d.gate)), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
 			results: make(map[string]storedResult), calls: make(map[uint64]pendingCall), toFree: make(map[string][]string), freeing: make(map[string]bool),
 		}
 		d.groupsByKey[key] = g
