Ask who is at the address of a target after a pause of the host

Cause: such an answer counted as broken off only if the address refused another connection at the end.

Ruled out: asking always, which costs a health check for each such answer of sound targets, and the news of the store, which may come later.

Why it works: after a pause the host asks for the health of the target with the identity that it expects; only an answer from it lets the end of the connection count. The detector of pauses moves from io/owner to io/pause, unchanged; the edge host uses the time of day, which goes on while a machine is suspended.

--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -52,8 +52,8 @@
 	// key is the groupKey of the group, made of pool and name.
 	key, pool, name string
 	batcher         *batch.Dispatcher
-	quota   *quota.Quota
-	jobs    map[uint64]*ActiveJob
+	quota           *quota.Quota
+	jobs            map[uint64]*ActiveJob
 	// results has the results by handle that were neither released nor expired.
 	results map[string]storedResult
 	// calls has the calls in progress that were not hedged, by ID.
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -88,6 +88,7 @@
 
 // tick does the periodic work of the control loop.
 func (c *control) tick() {
+	c.pauses.Tick(wallClock())
 	c.targetSet.Tick(c.clock())
 	c.node.Tick()
 	c.publishChanges()
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -24,6 +24,7 @@
 	iofeed "sassafrasward/io/feed"
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/pause"
 	"sassafrasward/io/peer"
 	ioselfreport "sassafrasward/io/selfreport"
 	"sassafrasward/io/setting"
@@ -82,6 +83,8 @@
 	lastArrival atomic.Int64
 	// background tracks goroutines that may outlive their request; they end with ctx.
 	background sync.WaitGroup
+	// pauses tells, on the clock wallClock, whether this host stood still.
+	pauses *pause.Detector
 	// ctx ends all calls of the process, and requestsCtx the requests of callers.
 	ctx, requestsCtx       context.Context
 	cancel, cancelRequests context.CancelFunc
@@ -89,7 +92,7 @@
 
 // New returns an edge host with the settings. Run starts it.
 func New(settings setting.Settings, log logr.Logger) *Edge {
-	e := &Edge{settings: settings, log: log, metrics: metric.New(), start: time.Now()}
+	e := &Edge{settings: settings, log: log, metrics: metric.New(), start: time.Now(), pauses: pause.New(wallClock())}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.requestsCtx, e.cancelRequests = context.WithCancel(e.ctx)
 	if m := settings.MemoryLimit(); m > 0 {
@@ -152,6 +155,9 @@
 
 func (e *Edge) clock() time.Duration { return time.Since(e.start) }
 
+// wallClock returns the time of day, which goes on while the machine is suspended. It may be stepped.
+func wallClock() time.Duration { return time.Duration(time.Now().UnixNano()) }
+
 // Reload applies those new settings that may change while the process runs: the seeds.
 func (e *Edge) Reload(s setting.Settings) {
 	e.control.Post(e.ctx, func() {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -35,6 +35,8 @@
 	minEventTimeout = 1200 * time.Millisecond
 	// maxUnreachable is the number of unreachable targets after which a request fails.
 	maxUnreachable = 4
+	// healthTimeout is the timeout of a health check, which may wait for a slot.
+	healthTimeout = 1 * time.Second
 	// promptPerLoad is the prompt length that counts as a load of 1.
 	promptPerLoad = 4000.0 // tokens
 )
@@ -61,8 +63,9 @@
 // attempt holds the target, the response and the error of one attempt to run the request.
 type attempt struct {
 	target discovery.Target
-	// began is when the request was sent, answered when the headers of the response arrived.
-	began, answered time.Duration
+	// began is when the request was sent, and beganAt the same on the clock wallClock; answered is when
+	// the headers of the response arrived.
+	began, beganAt, answered time.Duration
 	// last is set if no other attempt may follow. inputsGone is set if the target did not run the
 	// request because some of its inputs no longer exist.
 	last, inputsGone bool
@@ -101,7 +104,7 @@
 			continue
 		}
 		attempts++
-		a := &attempt{target: t, began: x.clock(), last: attempts >= x.route.MaxAttempts}
+		a := &attempt{target: t, began: x.clock(), beganAt: wallClock(), last: attempts >= x.route.MaxAttempts}
 		v := x.try(ctx, s, a, inputs)
 		x.recordDecision("target %s in %q, inputs in %q: %s%s", t.ID, t.Zone, pickRequest.InputZone, v.label(), x.describeResponse(a))
 		x.choosers.finish(x.pool, pick.Result{
@@ -203,9 +206,37 @@
 }
 
 // targetCrashed reports whether the target of a response that ended with its connection is gone: then
-// the end shows nothing, because the connections of a process are closed when it crashes.
+// the end shows nothing, because the connections of a process are closed when it crashes. If this host
+// stood still meanwhile, another process may be at the address by now.
 func (x *exchange) targetCrashed(a *attempt) bool {
-	return a.response.Framing == transport.FramedByClose && refusesConnection(probe(x.r.Context(), a.target.Address))
+	switch {
+	case a.response.Framing != transport.FramedByClose:
+		return false
+	case refusesConnection(probe(x.r.Context(), a.target.Address)):
+		return true
+	}
+	return x.pauses.PausedSince(wallClock(), a.beganAt) && !x.confirmsIdentity(a.target)
+}
+
+// confirmsIdentity asks for the health of a target, and reports whether the answer comes from the target
+// and not from another process at its address. The answer doesn't have to be good.
+func (x *exchange) confirmsIdentity(t discovery.Target) bool {
+	table := x.state.Load().table
+	p, ok := table.Pool(t.Pool)
+	if !ok || p.HealthPath == "" || x.choosers.gate.Wait(x.clock(), t) > 0 {
+		return false
+	}
+	x.choosers.gate.Take(x.clock(), t)
+	ctx, cancel := context.WithTimeout(x.r.Context(), healthTimeout)
+	defer cancel()
+	response, err := x.conns.Do(ctx, t.Address, transport.Request{
+		Method: http.MethodGet, URI: p.HealthPath, Host: t.Address, Header: platform.HealthHeader(t.ID), NewConnection: true,
+	})
+	if err != nil {
+		return false
+	}
+	response.Close(false)
+	return platform.IsHealthOf(t.ID, response.Status, response.Header)
 }
 
 // pickRequest returns the parameters for choosing a target, including the zone that holds most of
--- a/io/owner/owner.go
+++ b/io/owner/owner.go
@@ -17,6 +17,7 @@
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
 	"sassafrasward/io/metric"
+	"sassafrasward/io/pause"
 	"sassafrasward/io/peer"
 	"sassafrasward/io/runner"
 	"sassafrasward/io/view"
@@ -30,6 +31,9 @@
 	secretBytes = 32
 	// MaxKeys is the maximum number of keys that Issue returns for one addresses request.
 	MaxKeys = 100
+	// resumeDelay is how long a host begins no commands after a pause. It is long enough to read,
+	// and refuse, all requests that waited in the socket buffers during the pause.
+	resumeDelay = 200 * time.Millisecond
 	// sweepInterval is the time between two removals of records of expired keys.
 	sweepInterval = time.Minute
 )
@@ -55,7 +59,7 @@
 	directory Directory
 	// hostList is the newest host list.
 	hostList atomic.Pointer[wire.HostList]
-	pauses   pauseDetector
+	pauses   *pause.Detector
 
 	mutex     sync.Mutex
 	table     *command.Table
@@ -90,11 +94,10 @@
 	o := &Owner{
 		host: host, clock: clock, runner: r, views: views, conns: conns, metrics: metrics, log: logr.Discard(),
 		incarnation: binary.BigEndian.Uint64(seed[:]),
-		successor:   command.NewSuccessor(command.DefaultMaxInherited),
-		running:     make(map[command.Key]*execution), idle: make(chan struct{}),
+		successor:   command.NewSuccessor(command.DefaultMaxInherited), pauses: pause.New(clock()),
+		running: make(map[command.Key]*execution), idle: make(chan struct{}),
 	}
 	o.hostList.Store(&wire.HostList{})
-	o.pauses.lastTick.Store(int64(clock()))
 	for _, option := range options {
 		option(o)
 	}
@@ -123,7 +126,7 @@
 // expired keys. The control goroutine calls it every 100 ms.
 func (o *Owner) Tick() {
 	now := o.clock()
-	o.pauses.observe(now)
+	o.pauses.Tick(now)
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
 	if now-o.lastSweep < sweepInterval {
@@ -134,6 +137,14 @@
 	o.successor.Expire(now)
 }
 
+// paused reports whether the process is or was recently paused. A request that waited in the socket
+// buffers of a paused host may be past its deadline, since requests carry only the remaining time, and
+// its caller may have received another answer.
+func (o *Owner) paused() bool {
+	now := o.clock()
+	return o.pauses.PausedSince(now, now-resumeDelay)
+}
+
 // NeverBegun reports whether the command of the request's key is known never to have begun, so
 // that the request can be refused with the outcome not-run. The host knows this for keys that
 // it issued and for text that is not a valid key.
@@ -240,7 +251,7 @@
 	switch {
 	case o.draining || !v.Outlasts(request.Timeout()):
 		return reason.Draining
-	case o.pauses.paused(o.clock()):
+	case o.paused():
 		return reason.HostPaused
 	case v.Refusal() == reason.Joining:
 		return reason.Joining
--- a/io/owner/remote.go
+++ b/io/owner/remote.go
@@ -65,7 +65,7 @@
 // forwardRefusal returns why this host may not forward a command now, or None.
 func (o *Owner) forwardRefusal(request runner.Request) reason.Reason {
 	switch {
-	case o.pauses.paused(o.clock()):
+	case o.paused():
 		return reason.HostPaused
 	case !o.views.Load().Outlasts(request.Timeout()):
 		return reason.Draining
