Limit the memory that request bodies and large responses hold

Cause: a host kept each body until the answer had ended, also when no other attempt could need it, and nothing limited the sum.

Ruled out: refusing without reading. A caller that is still sending could miss the response when its connection is closed.

Why it works: the body is released once the answer of the last attempt has begun.

--- a/core/reason/reason.go
+++ b/core/reason/reason.go
@@ -46,6 +46,7 @@
 	BadResponse                    // crossed
 	PresetClosed                   // closed
 	TargetsLimited                 // limited
+	MemoryLow                      // memory
 )
 
 // Entry is the registry entry of one reason.
@@ -102,6 +103,7 @@
 	{BadResponse, outcome.Failed, http.StatusBadGateway, "Answers of other calls arrived instead of the answer of this call."},
 	{PresetClosed, outcome.NotRun, http.StatusServiceUnavailable, "The active preset accepts no new requests."},
 	{TargetsLimited, outcome.NotRun, http.StatusServiceUnavailable, "The targets of the pool have stated that they take no more requests in time."},
+	{MemoryLow, outcome.NotRun, http.StatusServiceUnavailable, "The host has no memory left for the body of the request."},
 }
 
 // Entries returns the registry in the order of the reasons.
--- a/core/reason/reason_string.go
+++ b/core/reason/reason_string.go
@@ -40,11 +40,12 @@
 	_ = x[BadResponse-29]
 	_ = x[PresetClosed-30]
 	_ = x[TargetsLimited-31]
+	_ = x[MemoryLow-32]
 }
 
-const _Reason_name = "nonemalformedoversizepipelineworkspacefieldmethodjoiningdrainingdeadlinelateoverloadshareemptysuspectbudgetkeylessforgedforeignmismatchexpiredfullownerrunningsilentcrashedrejectedgonepausedcrossedclosedlimited"
+const _Reason_name = "nonemalformedoversizepipelineworkspacefieldmethodjoiningdrainingdeadlinelateoverloadshareemptysuspectbudgetkeylessforgedforeignmismatchexpiredfullownerrunningsilentcrashedrejectedgonepausedcrossedclosedlimitedmemory"
 
-var _Reason_index = [...]uint8{0, 4, 13, 21, 29, 38, 43, 49, 56, 64, 72, 76, 84, 89, 94, 101, 107, 114, 120, 127, 135, 142, 146, 151, 158, 164, 171, 179, 183, 189, 196, 202, 209}
+var _Reason_index = [...]uint8{0, 4, 13, 21, 29, 38, 43, 49, 56, 64, 72, 76, 84, 89, 94, 101, 107, 114, 120, 127, 135, 142, 146, 151, 158, 164, 171, 179, 183, 189, 196, 202, 209, 215}
 
 func (i Reason) String() string {
 	idx := int(i) - 0
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -83,6 +83,7 @@
 	lastArrival atomic.Int64
 	// background tracks goroutines that may outlive their request; they end with ctx.
 	background sync.WaitGroup
+	memory     memory
 	// pauses tells, on the clock wallClock, whether this host stood still.
 	pauses *pause.Detector
 	// ctx ends all calls of the process, and requestsCtx the requests of callers.
@@ -95,6 +96,7 @@
 	e := &Edge{settings: settings, log: log, metrics: metric.New(), start: time.Now(), pauses: pause.New(wallClock())}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.requestsCtx, e.cancelRequests = context.WithCancel(e.ctx)
+	e.memory = newMemory(settings.MemoryLimit())
 	if m := settings.MemoryLimit(); m > 0 {
 		debug.SetMemoryLimit(int64(heapFraction * float64(m)))
 	}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -347,6 +346,9 @@
 		return notRun
 	}
 	x.mayHaveRun = true
+	if (a.last || x.route.AtMostOnce()) && a.response.Sent() {
+		x.dropBody()
+	}
 	if a.response.Status/100 == 2 && (!answer.Signed || answer.Encoded) {
 		a.response.Close(false)
 		a.err = errors.New("response is not signed or its body is encoded")
@@ -360,7 +362,7 @@
 	if x.route.Kind == route.Stream && a.response.Status == http.StatusOK {
 		return s.forwardEvents(a, attemptTimer)
 	}
-	return x.forwardWhole(a, answer)
+	return x.forwardWhole(ctx, a, answer)
 }
 
 // match tells whether a response belongs to the request. One that was made without reading the request
@@ -392,8 +394,10 @@
 
 // forwardWhole reads a response to its end and sends it to the caller unless it is truncated, a
 // server error or not signed.
-func (x *exchange) forwardWhole(a *attempt, answer platform.Response) verdict {
-	a.body, a.err = io.ReadAll(io.LimitReader(a.response.Body, maxBuffered))
+func (x *exchange) forwardWhole(ctx context.Context, a *attempt, answer platform.Response) verdict {
+	body, release, err := x.memory.readWhole(ctx, a.response.Body)
+	defer release()
+	a.body, a.err = body, err
 	if a.err == nil && len(a.body) == maxBuffered {
 		a.err = errors.New("response exceeds the maximum size")
 	}
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -36,6 +36,9 @@
 	drainRetryAfter = 50 * time.Millisecond
 	// targetRetryAfter is the retry delay for callers for which no target could run the request.
 	targetRetryAfter = 400 * time.Millisecond
+	// memoryRetryAfter is the retry delay for callers whose request body did not fit into the memory: about
+	// the time for which others hold theirs.
+	memoryRetryAfter = 500 * time.Millisecond
 	// maxTrail is the maximum number of decisions that are logged per request.
 	maxTrail = 24
 	// responseMargin is how long before its deadline a request ends, so that the response
@@ -77,7 +80,10 @@
 	priority int
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
+	// body is the body of the request until no attempt needs it any more; reserved is the memory that
+	// is reserved for it, in bytes.
 	body     []byte
+	reserved int64
 	// fingerprint identifies equal requests, see computeFingerprint. prompt has the first parts of the
 	// prompt, at most maxSuspectParts, that other requests may have as well.
 	fingerprint uint64
@@ -133,6 +139,7 @@
 // end releases the results of the request, and records and logs how it ended.
 func (x *exchange) end() {
 	x.free()
+	x.dropBody()
 	x.metrics.Counter("status." + statusClass(x.status)).Inc(1)
 	if x.why != reason.None {
 		x.metrics.CountRefusal(x.why)
@@ -276,7 +283,19 @@
 	// Reset the deadline; otherwise the server's background read would hit it while the caller
 	// waits for the response, and treat the connection as closed.
 	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	body, err := readAll(http.MaxBytesReader(x.w, x.r.Body, int64(limit)), x.r.ContentLength)
+	size := min(x.r.ContentLength, int64(limit))
+	if size < 0 {
+		size = int64(limit)
+	}
+	reader, fits := http.MaxBytesReader(x.w, x.r.Body, int64(limit)), x.reserveBody(size)
+	var body []byte
+	var err error
+	if fits {
+		body, err = readAll(reader, x.r.ContentLength)
+	} else {
+		// A caller that is still sending could miss the response if its connection were closed.
+		_, err = io.Copy(io.Discard, reader)
+	}
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -286,6 +305,10 @@
 		x.why, x.detail = reason.CallerGone, err.Error()
 		panic(http.ErrAbortHandler) // the caller stopped sending the body
 	}
+	if !fits {
+		x.refuse(http.StatusServiceUnavailable, reason.MemoryLow, memoryRetryAfter)
+		return false
+	}
 	x.body = body
 	return true
 }
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -116,6 +116,9 @@
 	once    sync.Once
 }
 
+// Sent reports whether the request was written completely.
+func (r *Response) Sent() bool { return len(r.written) > 0 }
+
 // ExchangeError is the error of a request that got no response.
 type ExchangeError struct {
 	// MaybeSent is set if bytes of the request may have reached the target.
