Log the output of a process whose test has failed

TestOwnerPaused failed once because a process had ended, and its output was not kept. Now a test that fails logs the last lines of its processes, and how one ended that had ended before.

--- a/io/integration/process_test.go
+++ b/io/integration/process_test.go
@@ -66,10 +66,33 @@
 	}
 	_ = writer.Close()
 	go p.collect(bufio.NewScanner(reader))
-	t.Cleanup(p.kill)
+	t.Cleanup(func() {
+		p.logIfFailed()
+		p.kill()
+	})
 	return p
 }
 
+// loggedLines is the number of the last lines of a process that are logged if its test has failed.
+const loggedLines = 40
+
+// logIfFailed logs the last output of the process if the test has failed, and how the process ended.
+func (p *process) logIfFailed() {
+	if !p.t.Failed() {
+		return
+	}
+	select {
+	case <-p.ended:
+		p.t.Logf("process %d ended before the test: %v", p.command.Process.Pid, p.command.ProcessState)
+	default:
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	for _, line := range p.lines[max(len(p.lines)-loggedLines, 0):] {
+		p.t.Logf("process %d: %s", p.command.Process.Pid, line)
+	}
+}
+
 func (p *process) collect(scanner *bufio.Scanner) {
 	for scanner.Scan() {
 		p.mutex.Lock()
