Log the targets of each published revision, and apply the last valid configuration of a batch

Found by reading the changes once more. Event 1205 came with each configuration, also when the targets had not changed; it now comes once for each revision of the store. A batch whose last configuration is invalid applied none; the last valid one is applied, as before.

--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -53,8 +53,9 @@
 	// maxHosts is the largest number of live hosts that was known at a time, at least minHosts. The
 	// retry slack is divided by it.
 	maxHosts int
-	// storeRevision is the revision of the store that the targets reflect.
-	storeRevision uint64
+	// storeRevision is the revision of the store that the targets reflect, publishedRevision that of the
+	// published ones.
+	storeRevision, publishedRevision uint64
 	// settled is set from settleTime on.
 	settled  bool
 	draining bool
@@ -118,22 +119,19 @@
 	c.Post(ctx, func() {
 		c.storeRevision = revision
 		c.applyTargets(changes)
-		if raw := newestConfig(changes); raw != nil {
-			c.applyConfig(raw, "store")
-		}
+		c.applyNewestConfig(changes)
 		c.publishChanges()
 	})
 }
 
-// newestConfig returns the last configuration among the changes, nil if there is none. The ones before
-// would be replaced at once, and decoding a large one takes long.
-func newestConfig(changes []feed.Item) (raw []byte) {
-	for _, item := range changes {
-		if item.Key == platform.KeyConfig && !item.Deleted {
-			raw = item.Value
+// applyNewestConfig applies the last valid configuration among the changes. Those before would be
+// replaced at once, and decoding a large one takes long.
+func (c *control) applyNewestConfig(changes []feed.Item) {
+	for _, item := range slices.Backward(changes) {
+		if item.Key == platform.KeyConfig && !item.Deleted && c.applyConfig(item.Value, "store") {
+			return
 		}
 	}
-	return raw
 }
 
 // OnStoreUp implements feed.Handler.
@@ -261,7 +259,10 @@
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
-	c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision)
+	if c.publishedRevision != c.storeRevision {
+		c.publishedRevision = c.storeRevision
+		c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision)
+	}
 	c.publishState()
 }
 
--- a/io/edge/memory.go
+++ b/io/edge/memory.go
@@ -73,7 +73,6 @@
 		if m.responses == nil {
 			continue
 		}
-		// What is read next, and the copy while the buffer grows.
 		next := int64(min(limit*responseGrowth, maxBuffered) - limit)
 		if err := m.responses.Acquire(ctx, next); err != nil {
 			return body, release, err
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -62,7 +62,7 @@
 	SettingsReloaded   = register(1007, 0, "settings reloaded", "The settings file was read again; the new seeds are in force. Other changes need a restart.")
 	StoreLost          = register(1203, 0, "store lost", "The metadata store does not answer; the last configuration and targets stay in force, and other hosts spread newer configurations.")
 	StoreRecovered     = register(1204, 0, "store found", "The metadata store answers again.")
-	TargetsChanged     = register(1205, 0, "targets changed", "Targets were added, removed or are leaving.")
+	TargetsChanged     = register(1205, 0, "targets changed", "The targets of a newer revision of the store are in force.")
 	EntryIgnored       = register(1206, 1, "entry ignored", "An entry of the store is not used as a target, because a field is missing or wrong.")
 	StoreReadFailed    = register(1207, 0, "store read failed", "A read of the metadata store failed after one that did not; this host reads again, or follows other hosts.")
 	LinkEnded          = register(1208, 0, "link ended", "A host that this one followed for the entries of the store does not respond any more.")
