--- a/io/integration/edge_pause_test.go
+++ b/io/integration/edge_pause_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -29,6 +30,11 @@
 func startRawTarget(t *testing.T, address string, serve func(c net.Conn, r *http.Request)) *rawTarget {
 	t.Helper()
 	listener, err := net.Listen("tcp", address)
+	// A process that is being started by another test may still hold a listener that was closed.
+	for n := 0; n < 500 && errors.Is(err, syscall.EADDRINUSE); n++ {
+		time.Sleep(10 * time.Millisecond)
+		listener, err = net.Listen("tcp", address)
+	}
 	if err != nil {
 		t.Fatal(err)
 	}
