--- a/io/integration/edge_stop_test.go
+++ b/io/integration/edge_stop_test.go
@@ -21,7 +21,7 @@
 )
 
 // slowRoutes are routes of each kind with timeouts that are short compared to the grace period of an
-// edgeHost, and two with timeouts that exceed it.
+// edgeHost, and of each kind with timeouts that exceed it.
 var slowRoutes = []string{
 	`{"name":"book","host":"h.example","prefix":"/book/","kind":"non_idempotent","timeoutMs":4000,"sloMs":3000,"service":"plain","maxAttempts":1}`,
 	`{"name":"look","host":"h.example","prefix":"/look/","kind":"idempotent","timeoutMs":4000,"sloMs":3000,"service":"plain","maxAttempts":2}`,
@@ -29,6 +29,7 @@
 	`{"name":"work","host":"h.example","prefix":"/work/","kind":"streaming","timeoutMs":4000,"sloMs":3000,"service":"model","maxAttempts":1,"gapAimMs":400,
 	  "stages":[{"service":"pieces","after":[],"bytes":10},{"service":"pieces","after":[0],"bytes":10}]}`,
 	`{"name":"long","host":"h.example","prefix":"/long/","kind":"streaming","timeoutMs":30000,"sloMs":20000,"service":"model","maxAttempts":1,"gapAimMs":9000}`,
+	`{"name":"hold","host":"h.example","prefix":"/hold/","kind":"non_idempotent","timeoutMs":30000,"sloMs":20000,"service":"plain","maxAttempts":1}`,
 	`{"name":"wait","host":"h.example","prefix":"/wait/","kind":"idempotent","timeoutMs":30000,"sloMs":20000,"service":"plain","maxAttempts":1}`,
 }
 
