Give a slow host more time before a link to it is started again

Cause, this part: a link to a followed host that brought no update within 0.7 s was ended and started again, for ever. With little processor time each attempt adds a call, a packed update that nobody reads and often a connection, so that slowness makes more of it.

The time for the first update now doubles after each link to a host that timed out, three times at most, and is the first one again after a link that brought an update.

--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -333,3 +333,44 @@
 	a.publish("x", "1", 1)
 	wait(t, func() bool { return b.get("x") == "1" })
 }
+
+// slowServer sends its first update to a follower late, as a host without processor time does.
+type slowServer struct {
+	message.UnimplementedFeedServer
+	calls atomic.Int64
+}
+
+func (s *slowServer) Follow(_ *message.Position, stream grpc.ServerStreamingServer[message.Update]) error {
+	s.calls.Add(1)
+	select {
+	case <-time.After(2 * time.Second):
+	case <-stream.Context().Done():
+		return stream.Context().Err()
+	}
+	if err := stream.Send(&message.Update{Revision: 1, Full: true}); err != nil {
+		return err
+	}
+	<-stream.Context().Done()
+	return stream.Context().Err()
+}
+
+// TestSlowUpstream guards against a link to a slow host that is ended and started again for ever, which makes
+// the host slower and brings no update.
+func TestSlowUpstream(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	slow, server := &slowServer{}, peer.NewServer()
+	message.RegisterFeedServer(server.Registrar(), slow)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	ended := make(chan error, 1)
+	go server.Serve(listener, ended)
+	defer func() {
+		server.Stop()
+		is.NoErr(<-ended)
+	}()
+	h := startHost(t)
+	h.follower.SetPlan(iofeed.Plan{Upstreams: []string{listener.Addr().String()}})
+	wait(t, func() bool { return h.hub.Revision() == 1 })
+	is.True(slow.calls.Load() <= 3) // after 0.7 s, 1.4 s and 2.8 s
+}
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -13,13 +13,16 @@
 	"sassafrasward/io/event"
 	"sassafrasward/io/feed/message"
 	"sassafrasward/io/peer"
+	"sassafrasward/io/watchdog"
 )
 
 const (
 	// maxLinks is the number of hosts that a host follows at a time.
 	maxLinks = 2
-	// acceptTimeout is how long to wait for the first update of another host.
+	// acceptTimeout is how long to wait for the first update of another host. It doubles after each link to
+	// the host that ended without one, maxDoublings times at most.
 	acceptTimeout = 700 * time.Millisecond
+	maxDoublings  = 3
 	// heartbeatTimeout is the time without an update after which the other host counts as gone.
 	heartbeatTimeout = heartbeatInterval + 1500*time.Millisecond
 	// retryDelay is the time after which a host that could not be followed is tried again, and
@@ -96,21 +99,30 @@
 	cancels map[string]context.CancelFunc
 	// retryAt is when a host that could not be followed is tried again.
 	retryAt map[string]time.Duration
-	// ends receives the address of each link that has ended.
-	ends chan string
+	// failures is the number of links in a row to a host that have timed out before the first update.
+	failures map[string]int
+	// ends receives a value from each link that has ended.
+	ends chan linkEnd
+}
+
+// linkEnd is how a link ended.
+type linkEnd struct {
+	address string
+	// accepted is set if the other host sent an update, slow if the link timed out before.
+	accepted, slow bool
 }
 
 // Run follows other hosts until the context ends. It then sends nil on done.
 func (f *Follower) Run(ctx context.Context, done chan<- error) {
-	l := &links{cancels: make(map[string]context.CancelFunc), retryAt: make(map[string]time.Duration), ends: make(chan string)}
+	l := &links{cancels: make(map[string]context.CancelFunc), retryAt: make(map[string]time.Duration), failures: make(map[string]int), ends: make(chan linkEnd)}
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
 		f.adjust(ctx, l)
 		timer.Reset(f.delay())
 		select {
-		case address := <-l.ends:
-			f.remove(l, address)
+		case end := <-l.ends:
+			f.remove(l, end)
 		case <-f.planned:
 		case <-timer.C:
 			f.replace(l)
@@ -135,7 +147,14 @@
 }
 
 // remove forgets a link that has ended.
-func (f *Follower) remove(l *links, address string) {
+func (f *Follower) remove(l *links, end linkEnd) {
+	address := end.address
+	switch {
+	case end.accepted:
+		delete(l.failures, address)
+	case end.slow:
+		l.failures[address] = min(l.failures[address]+1, maxDoublings)
+	}
 	l.cancels[address]()
 	delete(l.cancels, address)
 	delay := f.delay()
@@ -200,37 +219,38 @@
 func (f *Follower) start(ctx context.Context, l *links, address string) {
 	linkCtx, cancel := context.WithCancel(ctx)
 	l.cancels[address] = cancel
-	go func() {
-		f.follow(ctx, linkCtx, address)
-		l.ends <- address
-	}()
+	timeout := acceptTimeout << l.failures[address]
+	go func() { l.ends <- f.follow(ctx, linkCtx, address, timeout) }()
 }
 
 // follow adds the updates of another host to the hub until it does not respond or the context of the
-// link ends. An update that has arrived by then is still applied.
-func (f *Follower) follow(ctx, linkCtx context.Context, address string) {
+// link ends. An update that has arrived by then is still applied. The timeout is that for the first update.
+func (f *Follower) follow(ctx, linkCtx context.Context, address string, timeout time.Duration) (end linkEnd) {
+	end.address = address
 	conn, err := f.peers.Conn(address)
 	if err != nil {
-		return
+		return end
 	}
 	callCtx, cancel := context.WithCancel(linkCtx)
 	defer cancel()
-	timer := time.AfterFunc(acceptTimeout, cancel)
-	defer timer.Stop()
+	dog := watchdog.New(timeout, cancel)
 	stream, err := message.NewFeedClient(conn).Follow(callCtx, &message.Position{Revision: f.hub.Revision()})
 	for err == nil {
 		var m *message.Update
 		if m, err = stream.Recv(); err != nil {
 			break
 		}
-		timer.Reset(heartbeatTimeout)
+		end.accepted = true
+		dog.Reset(heartbeatTimeout)
 		err = f.receive(ctx, address, m)
 	}
+	end.slow = !dog.Stop() && !end.accepted
 	if linkCtx.Err() == nil {
-		event.LogError(f.log, event.LinkEnded, err, "address", address, "revision", f.hub.Revision())
+		event.LogError(f.log, event.LinkEnded, err, "address", address, "revision", f.hub.Revision(), "accepted", end.accepted)
 		// The connection may be dead while new ones to the host work.
 		f.peers.Drop(address, conn)
 	}
+	return end
 }
 
 // receive adds one update of a followed host to the hub.
--- /dev/null
+++ b/io/watchdog/watchdog_test.go
@@ -0,0 +1,36 @@
+package watchdog_test
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sassafrasward/io/watchdog"
+)
+
+// TestWatchdog guards against an operation that is ended although it makes progress or is over, and against one
+// without progress that is not.
+func TestWatchdog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var expired time.Time
+		w := watchdog.New(time.Second, func() { expired = time.Now() })
+		for range 10 {
+			time.Sleep(900 * time.Millisecond)
+			w.Reset(time.Second)
+		}
+		is.True(expired.IsZero())
+		w.Reset(3 * time.Second)
+		last := time.Now()
+		time.Sleep(time.Minute)
+		is.Equal(expired.Sub(last), 3*time.Second)
+		is.True(!w.Stop())
+		w.Reset(time.Second) // has no effect any more
+
+		stopped := watchdog.New(time.Second, func() { t.Error("expired after Stop") })
+		is.True(stopped.Stop())
+		time.Sleep(time.Minute)
+	})
+}
