--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -1,6 +1,10 @@
 package member
 
-import "time"
+import (
+	"time"
+
+	"sassafrasward/core/config"
+)
 
 // requestPacket returns the packet of a regular exchange. It requests a repair if one is due.
 func (s *State) requestPacket(now time.Duration, to uint64) Packet {
@@ -128,45 +132,64 @@
 		mergeFact(s, now, s.handovers, h, bulk)
 	}
 	s.recordHeard(p, address)
-	return s.pull(now, p, address)
+	if address == "" {
+		address = s.dialAddress(p.From)
+	}
+	return s.pull(now, announcement{version: p.Version, address: address, incarnation: p.From.Incarnation})
 }
 
-// maxPulls is the number of hosts from which one version is read concurrently. It is more than
-// one because the first host may have become unreachable. The second pull starts a period after
-// the first, since most hosts hear of a version from several others at once.
-const maxPulls = 2
+// announcement is a configuration version that another host has in force.
+type announcement struct {
+	version config.Version
+	// address is the peer address of the host, incarnation its process; zero if not known.
+	address     string
+	incarnation uint64
+}
 
-// pullProgress tracks the running pulls of one version.
-type pullProgress struct {
-	running     int
-	newestStart time.Duration // start of the newest pull
+// pullState tracks the pulls of configuration documents. There is at most one pull at a time, so that a
+// host on which pulls take long does not add to its load.
+type pullState struct {
+	running bool
+	// current is the pull that is running.
+	current announcement
+	// next is the newest version that was announced during the pull. An announcement of the current
+	// version by another host counts as well, in case the first host does not respond.
+	next announcement
 }
 
-func (s *State) pull(now time.Duration, p Packet, address string) []Call {
-	progress := s.pulls[p.Version]
-	busy := progress.running >= maxPulls || (progress.running > 0 && now-progress.newestStart < s.period)
-	if !s.isBehind(p.Version) || busy {
+// Announced handles the news, received by other means than a Packet, that the host at the address has a
+// version of the configuration in force. It returns the call by which to read a newer version.
+func (s *State) Announced(now time.Duration, v config.Version, address string) (calls []Call) {
+	s.now = max(s.now, now)
+	return s.pull(now, announcement{version: v, address: address})
+}
+
+// pull returns the call by which to read an announced version that is newer than that of this host. While
+// another pull is running, the version is read after it.
+func (s *State) pull(now time.Duration, a announcement) []Call {
+	switch {
+	case !s.isBehind(a.version):
 		return nil
+	case !s.pulls.running:
+		s.pulls = pullState{running: true, current: a}
+		return []Call{{kind: Pull, address: a.address, version: a.version, expected: a.incarnation, startedAt: now}}
 	}
-	if address == "" {
-		address = s.dialAddress(p.From)
+	if a.version.Newer(s.pulls.next.version) && (a.version != s.pulls.current.version || a.address != s.pulls.current.address) {
+		s.pulls.next = a
 	}
-	s.pulls[p.Version] = pullProgress{running: progress.running + 1, newestStart: now}
-	return []Call{{kind: Pull, address: address, version: p.Version, expected: p.From.Incarnation, startedAt: now}}
+	return nil
 }
 
 // Pulled reports the end of a Pull: whether the document was accepted, and whether it was read
-// but rejected. A rejected version is not read again.
-func (s *State) Pulled(call Call, accepted, rejected bool) {
-	progress := s.pulls[call.version]
-	progress.running--
-	s.pulls[call.version] = progress
-	if progress.running <= 0 {
-		delete(s.pulls, call.version)
-	}
+// but rejected. A rejected version is not read again. It returns the call by which to read the newest
+// version that was announced meanwhile.
+func (s *State) Pulled(call Call, accepted, rejected bool) (calls []Call) {
+	next := s.pulls.next
+	s.pulls = pullState{}
 	if !accepted && rejected {
 		s.rejectedVersion = call.version
 	}
+	return s.pull(s.now, next)
 }
 
 // Ping returns a packet without facts other than the sender's member.
--- a/core/member/simulation_test.go
+++ b/core/member/simulation_test.go
@@ -128,7 +128,7 @@
 				if accepted {
 					n.publish(sim.now, call.Version())
 				}
-				n.Pulled(call, accepted, false)
+				sim.deliver(n, n.Pulled(call, accepted, false))
 			}})
 		case !reached:
 			sim.deliver(n, n.Failed(sim.now, call))
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -56,8 +56,7 @@
 	seeds         []string
 	standalone    bool
 	configVersion config.Version
-	// pulls tracks the running pulls of each version.
-	pulls map[config.Version]pullProgress
+	pulls         pullState
 	// rejectedVersion is the last version whose document was rejected.
 	rejectedVersion config.Version
 
@@ -118,7 +117,6 @@
 	self.Counter, self.Liveness, self.Lifecycle, self.TTL = 1, Alive, Joining, 0
 	s := &State{
 		random: random, period: defaultPeriod, self: self,
-		pulls:       make(map[config.Version]pullProgress),
 		members:     newStore[uint64, Member](factRetransmits),
 		loads:       newStore[uint64, Load](loadRetransmits),
 		leavings:    newStore[string, Leaving](factRetransmits),
--- a/core/member/state_test.go
+++ b/core/member/state_test.go
@@ -215,6 +215,33 @@
 	}
 }
 
+// TestOnePullAtATime guards against a host that pulls several configurations at a time, which makes a slow
+// host slower, or each one that it has heard of instead of the newest.
+func TestOnePullAtATime(t *testing.T) {
+	is := is.New(t)
+	s := member.New(0, rand.New(rand.NewPCG(1, 1)), member.Member{Incarnation: 1, Name: "a"})
+	pulled := func(calls []member.Call, v uint64, address string) member.Call {
+		is.Equal(len(calls), 1)
+		is.Equal(calls[0].Kind(), member.Pull)
+		is.Equal(calls[0].Version(), version(v))
+		is.Equal(calls[0].Address(), address)
+		return calls[0]
+	}
+	first := pulled(s.Announced(0, version(2), "b"), 2, "b")
+	for v := uint64(3); v <= 6; v++ {
+		is.Equal(len(s.Announced(time.Second, version(v), "c")), 0)
+	}
+	is.Equal(len(s.Announced(time.Second, version(4), "b")), 0)
+	s.SetConfigVersion(time.Second, first.Version())
+	second := pulled(s.Pulled(first, true, true), 6, "c")
+	is.Equal(len(s.Announced(time.Second, version(6), "c")), 0)
+	is.Equal(len(s.Announced(time.Second, version(6), "d")), 0)
+	third := pulled(s.Pulled(second, false, false), 6, "d") // the first host did not respond
+	s.SetConfigVersion(time.Second, third.Version())
+	is.Equal(len(s.Pulled(third, true, true)), 0)
+	is.Equal(len(s.Announced(time.Second, version(6), "b")), 0)
+}
+
 // TestWatchers guards against too many or no hosts that watch the platform, and against a silent
 // watcher that no host replaces.
 func TestWatchers(t *testing.T) {
--- /dev/null
+++ b/io/compress/doc.go
@@ -0,0 +1,2 @@
+// Package compress compresses what hosts send each other with Zstandard.
+package compress
--- a/io/daemon/control.go
+++ b/io/daemon/control.go
@@ -180,26 +180,32 @@
 	}
 }
 
-// ApplyDocument implements gossip.EventLoop. It applies a configuration document if it is valid
-// and newer than the one in force.
-func (c *control) ApplyDocument(number uint64, raw []byte) (accepted bool) {
+// PrepareDocument implements gossip.EventLoop. It parses a configuration document outside the control
+// goroutine; the returned function applies it if it is newer than the one in force.
+func (c *control) PrepareDocument(number uint64, raw []byte) (apply func() (accepted bool)) {
 	d, err := config.Parse(raw)
 	if err != nil {
 		c.countDiagnostics(err)
 		event.LogError(c.log, event.ConfigRejected, err, "version", number)
-		return false
+		return func() bool { return false }
 	}
-	v := config.VersionOf(number, d)
-	if !v.Newer(c.version) {
+	return func() bool {
+		c.applyDocument(config.VersionOf(number, d), d)
 		return true
 	}
+}
+
+// applyDocument puts a configuration document in force if it is newer than the current one.
+func (c *control) applyDocument(v config.Version, d *config.Document) {
+	if !v.Newer(c.version) {
+		return
+	}
 	c.document, c.version = d, v
 	c.announcements.Add(event.ConfigAccepted, "version", v.String(), "preset", d.ActivePreset().Name())
 	c.configure()
 	c.node.SetDocument(d.Raw(), v)
 	c.node.Tick()
 	c.applyMembership()
-	return true
 }
 
 // countDiagnostics increments, once per refused document, the counter of each diagnostic code
--- a/io/daemon/daemon.go
+++ b/io/daemon/daemon.go
@@ -44,11 +44,13 @@
 	// forwardConns because the gossip drops a connection when a call on it fails, which must
 	// not cut off a forwarded command.
 	gossipConns *peer.ConnPool
-	owner       *owner.Owner
-	node        *gossip.Node
-	control     *control
-	orders      *order.Controller
-	start       time.Time
+	// documentConns holds the connections on which configuration documents are pulled.
+	documentConns *peer.ConnPool
+	owner         *owner.Owner
+	node          *gossip.Node
+	control       *control
+	orders        *order.Controller
+	start         time.Time
 	// incarnation identifies this process among all processes of all hosts.
 	incarnation uint64
 	// drainDelay is how long a draining host still takes requests.
@@ -114,7 +116,7 @@
 	}
 	counters := peer.NewCounters(d.metrics.Counter("peer.bytes.sent"), d.metrics.Counter("peer.bytes.received"))
 	d.peerListener = counters.WrapListener(d.peerListener)
-	d.forwardConns, d.gossipConns = peer.NewConnPool(counters.DialOption()), peer.NewConnPool(counters.DialOption())
+	d.forwardConns, d.gossipConns, d.documentConns = peer.NewConnPool(counters.DialOption()), peer.NewConnPool(counters.DialOption()), peer.NewConnPool(counters.DialOption())
 	return nil
 }
 
@@ -148,11 +150,12 @@
 		Incarnation: d.incarnation, Name: d.settings.Host(), Zone: d.settings.Zone(),
 		Address: d.callerListener.Addr().String(), Peer: d.peerListener.Addr().String(),
 	}, member.WithSeeds(d.settings.Seeds()...), member.WithStandalone(d.settings.StandaloneStart()))
-	c.node = gossip.New(c.members, c, d.gossipConns, d.log, d.metrics)
+	c.node = gossip.New(c.members, c, d.gossipConns, d.log, d.metrics, gossip.WithDocumentConns(d.documentConns))
 	c.watcher = &watcher{
 		platform: d.platform, log: d.log,
 		config: func(ctx context.Context, cfg platform.Config) {
-			c.Post(ctx, func() { c.ApplyDocument(cfg.Version(), cfg.Raw()) })
+			apply := c.PrepareDocument(cfg.Version(), cfg.Raw())
+			c.Post(ctx, func() { apply() })
 		},
 		hosts: func(ctx context.Context, list wire.HostList) { c.Post(ctx, func() { c.applyHosts(list) }) },
 		alive: func(ctx context.Context) { c.Post(ctx, func() { c.heartbeat() }) },
@@ -190,6 +193,7 @@
 	d.peerServer.Stop()
 	d.forwardConns.Close()
 	d.gossipConns.Close()
+	d.documentConns.Close()
 	event.Log(d.log, event.HostStopped, "host", d.settings.Host())
 	return err
 }
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"slices"
 	"time"
 
@@ -15,7 +14,6 @@
 	"sassafrasward/io/dispatch"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
-	"sassafrasward/platform"
 )
 
 const (
@@ -41,7 +39,8 @@
 	*Edge
 
 	// tasks has functions to run on the control goroutine.
-	tasks chan func()
+	tasks   chan func()
+	decoder decoder
 
 	members   *member.State
 	targetSet *discovery.Set
@@ -109,9 +108,14 @@
 // Clock implements gossip.EventLoop.
 func (c *control) Clock() time.Duration { return c.clock() }
 
-// ApplyDocument implements gossip.EventLoop. It applies a configuration received from another host.
-func (c *control) ApplyDocument(_ uint64, raw []byte) (accepted bool) {
-	return c.applyConfig(raw, "host")
+// PrepareDocument implements gossip.EventLoop.
+func (c *control) PrepareDocument(_ uint64, raw []byte) (apply func() (accepted bool)) {
+	return c.prepareConfig(raw, "host")
+}
+
+// OnVersion implements feed.Handler.
+func (c *control) OnVersion(ctx context.Context, address string, v config.Version) {
+	c.Post(ctx, func() { c.node.Announced(v, address) })
 }
 
 // OnChanges implements feed.Handler.
@@ -119,21 +123,10 @@
 	c.Post(ctx, func() {
 		c.storeRevision = revision
 		c.applyTargets(changes)
-		c.applyNewestConfig(changes)
 		c.publishChanges()
 	})
 }
 
-// applyNewestConfig applies the last valid configuration among the changes. Those before would be
-// replaced at once, and decoding a large one takes long.
-func (c *control) applyNewestConfig(changes []feed.Item) {
-	for _, item := range slices.Backward(changes) {
-		if item.Key == platform.KeyConfig && !item.Deleted && c.applyConfig(item.Value, "store") {
-			return
-		}
-	}
-}
-
 // OnStoreUp implements feed.Handler.
 func (c *control) OnStoreUp(ctx context.Context) {
 	c.Post(ctx, func() {
@@ -150,28 +143,32 @@
 	})
 }
 
-// applyConfig applies a configuration if it is newer than the current one. It returns false if
-// the configuration is invalid.
-func (c *control) applyConfig(raw []byte, source string) (accepted bool) {
-	hash := sha256.Sum256(raw)
-	if c.table != nil && hash == c.version.Hash() {
-		return true // it came from the store and from another host
-	}
-	t, err := platform.DecodeConfig(raw)
+// prepareConfig decodes a configuration. It is called outside the control goroutine, which would handle
+// nothing else meanwhile. The returned function is for the control goroutine: it applies the configuration if
+// it is newer than the current one, and returns false if it is invalid.
+func (c *control) prepareConfig(raw []byte, source string) (apply func() (accepted bool)) {
+	t, v, err := c.decoder.decode(raw)
 	if err != nil {
 		event.LogError(c.log, event.ConfigRejected, err, "source", source)
-		return false
+		return func() bool { return false }
 	}
-	v := config.NewVersion(t.Version(), hash)
-	if c.table != nil && t.Version() <= c.table.Version() {
+	return func() bool {
+		c.applyConfig(raw, t, v, source)
 		return true
 	}
+}
+
+// applyConfig applies a configuration if it is newer than the current one.
+func (c *control) applyConfig(raw []byte, t *route.Table, v config.Version, source string) {
+	if c.table != nil && t.Version() <= c.table.Version() {
+		return
+	}
 	c.table, c.version = t, v
 	c.announcements.Add(event.ConfigAccepted, "version", t.Version(), "source", source)
 	c.node.SetDocument(raw, v)
+	c.hub.SetVersion(v)
 	c.publishTargets()
 	c.node.Tick()
-	return true
 }
 
 // publishChanges updates the serving state of this host, and publishes a new state if targets or
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -29,7 +29,6 @@
 	ioselfreport "sassafrasward/io/selfreport"
 	"sassafrasward/io/setting"
 	"sassafrasward/io/transport"
-	"sassafrasward/platform"
 )
 
 // Error is the error class of this package.
@@ -61,11 +60,13 @@
 	choosers *choosers
 	conns    *transport.Pool
 	reports  *ioselfreport.Registry
-	// peers has the connections for jobs, gossipPeers those for gossip, and feedPeers those to the
-	// hosts that this one follows. They are separate because gossip and the follower close a
-	// connection when a call fails, which would cut off the other calls on it.
+	// peers has the connections for jobs, gossipPeers those for gossip, documentPeers those for
+	// configurations, and feedPeers those to the hosts that this one follows. They are separate because
+	// gossip and the follower close a connection when a call fails, which would cut off the other calls
+	// on it, and because small messages must not wait behind configurations.
 	peers          *peer.ConnPool
 	gossipPeers    *peer.ConnPool
+	documentPeers  *peer.ConnPool
 	feedPeers      *peer.ConnPool
 	server         *peer.Server
 	dispatcher     *dispatch.Dispatcher
@@ -75,6 +76,7 @@
 	frontend       *frontend
 	suspects       *suspects
 	watcher        *watcher
+	configWatcher  *configWatcher
 	hub            *iofeed.Hub
 	follower       *iofeed.Follower
 	// running is the number of requests in progress. lastArrival is when the last request arrived,
@@ -109,7 +111,7 @@
 	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
 		return transport.Dial(ctx, "tcp", address)
 	})
-	e.peers, e.gossipPeers, e.feedPeers = peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial)
+	e.peers, e.gossipPeers, e.documentPeers, e.feedPeers = peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial)
 	e.server = peer.NewServer()
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
 	e.newControl()
@@ -129,17 +131,29 @@
 	c.members = member.New(e.clock(), rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())), member.Member{
 		Incarnation: incarnation, Name: s.Host(), Zone: s.Zone(), Address: s.CallerAddress(), Peer: s.PeerAddress(),
 	}, member.WithSeeds(s.Seeds()...), member.WithStandalone(true), member.WithPeriod(gossipInterval))
-	e.node = gossip.New(c.members, c, e.gossipPeers, e.log, e.metrics)
+	e.node = gossip.New(c.members, c, e.gossipPeers, e.log, e.metrics, gossip.WithDocumentConns(e.documentPeers))
 	e.node.Register(e.server.Registrar())
 	e.hub = iofeed.NewHub(e.clock, c)
 	e.hub.Register(e.server.Registrar())
 	e.follower = iofeed.NewFollower(e.hub, e.feedPeers, iofeed.WithLog(e.log))
 	calls := e.metrics.Counter("platform.calls")
+	countCall := func() { calls.Inc(1) }
 	e.watcher = &watcher{
 		hub: e.hub, clock: e.clock, log: e.log, jitter: rand.Float64(),
 		wait:     min(s.Limits().RecoveryTime-watchSlack-watchMargin, maxWait),
 		coalesce: s.Limits().CoalesceDelay(),
-		store:    platform.NewStore(s.PlatformAddress(), transport.Dial, func() { calls.Inc(1) }),
+		store:    newStoreClient(s.PlatformAddress(), countCall),
+	}
+	e.configWatcher = &configWatcher{
+		hub: e.hub, clock: e.clock, log: e.log, jitter: e.watcher.jitter, wait: e.watcher.wait, coalesce: e.watcher.coalesce,
+		store:   newStoreClient(s.PlatformAddress(), countCall),
+		reader:  e.watcher.reader.Load,
+		known:   func() bool { return e.state.Load().table != nil },
+		heardAt: e.node.HeardAt,
+		apply: func(ctx context.Context, raw []byte) {
+			apply := c.prepareConfig(raw, "store")
+			c.Post(ctx, func() { apply() })
+		},
 	}
 	c.updatePlan()
 }
@@ -178,8 +192,8 @@
 	}
 	servers := e.servers()
 	// ends receives one value each from the HTTP servers, the peer server, the control goroutine,
-	// the watcher, the follower and the dispatcher. It is buffered for all of them, so that none blocks.
-	ends := make(chan error, len(servers)+5)
+	// the watchers, the follower and the dispatcher. It is buffered for all of them, so that none blocks.
+	ends := make(chan error, len(servers)+6)
 	for _, s := range servers {
 		l, err := transport.Listen(ctx, s.Addr)
 		if err != nil {
@@ -190,6 +204,7 @@
 	go e.server.Serve(peerListener, ends)
 	go e.control.run(e.ctx, ends)
 	go e.watcher.run(e.ctx, ends)
+	go e.configWatcher.run(e.ctx, ends)
 	go e.follower.Run(e.ctx, ends)
 	go e.dispatcher.Run(e.ctx, ends)
 	select {
@@ -204,6 +219,7 @@
 	e.server.Stop()
 	e.peers.Close()
 	e.gossipPeers.Close()
+	e.documentPeers.Close()
 	e.feedPeers.Close()
 	event.Log(e.log, event.HostStopped, "host", e.settings.Host())
 	return err
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -7,9 +7,12 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
+
+	"sassafrasward/platform"
 )
 
 // TestFewReaders guards against calls to the store that grow with the fleet: of 12 hosts 8 wait for
@@ -29,7 +32,10 @@
 	for _, h := range hosts {
 		h.waitReady()
 	}
-	first.wait(func() bool { return s.Waiting() == readerCount })
+	readers := func(count int) bool {
+		return s.Waiting(platform.PrefixTargets) == count && s.Waiting(platform.KeyConfig) == count
+	}
+	first.wait(func() bool { return readers(readerCount) })
 	e := newEngine(t, "i-1", signed("ok"))
 	s.Register(e, "plain", "ready")
 	for i, h := range hosts {
@@ -37,7 +43,9 @@
 		status, _, _ := h.call(http.MethodGet, "/read/", "r"+strconv.Itoa(i), nil)
 		is.Equal(status, http.StatusOK)
 	}
-	first.wait(func() bool { return s.Waiting() <= readerCount })
+	first.wait(func() bool {
+		return s.Waiting(platform.PrefixTargets) <= readerCount && s.Waiting(platform.KeyConfig) <= readerCount
+	})
 }
 
 // TestConfigBurst guards against a host that falls behind because it decodes each of many configurations
@@ -67,3 +75,30 @@
 	is.True(accepted.Load() >= 2)
 	is.True(accepted.Load() < versions/4) // the first of the burst, and the rest by a few reads
 }
+
+// TestTargetsDuringSlowConfig guards against a change of the targets that waits for a configuration, which the
+// host reads slowly, and against a read of the configuration that starts again although bytes arrive.
+func TestTargetsDuringSlowConfig(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.PublishConfig(1)
+	old, next := newEngine(t, "i-1", signed("old")), newEngine(t, "i-2", signed("new"))
+	s.Register(old, "plain", "ready")
+	host, _ := startHost(t, s, "e1")
+	host.waitServed("/read/")
+	s.SetConfigPause(400 * time.Millisecond) // over four seconds in all
+	answers := s.ConfigAnswers()
+	s.PublishConfig(2, `{"name":"last","host":"h.example","prefix":"/last/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2}`)
+	host.wait(func() bool { return s.ConfigAnswers() > answers })
+	s.Register(next, "plain", "ready")
+	s.Put("servers/i-1", "")
+	began := time.Now()
+	host.wait(func() bool {
+		_, body, _ := host.call(http.MethodGet, "/read/", "r"+strconv.FormatInt(time.Now().UnixNano(), 10), nil)
+		return body == "new"
+	})
+	is.True(time.Since(began) < 3*time.Second) // the time within which a target that is gone gets no requests
+	host.waitServed("/last/")
+	is.Equal(s.ConfigAnswers(), answers+1)
+}
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -21,9 +21,10 @@
 	maxWait = 2 * time.Second
 	// idleCheck is the longest time between two checks of a host that does not read the store.
 	idleCheck = 1 * time.Second
-	// readTimeout is the timeout of a read of the store that doesn't wait for changes.
+	// readTimeout is the longest time without a byte from the store during a read that doesn't wait for
+	// changes.
 	readTimeout = 1 * time.Second
-	// watchSlack is how much longer than its wait a long poll may take.
+	// watchSlack is how much longer than its wait a long poll may take until its answer begins.
 	watchSlack = 700 * time.Millisecond
 	// watchMargin is the part of the time within which a host must be up to date again that is
 	// reserved for the first read after a long poll without a response.
@@ -33,10 +34,10 @@
 	maxBackoff = 600 * time.Millisecond
 )
 
-// watcher reads the store with long polls while this host has to, and adds what it reads to the copy
-// that other hosts follow.
+// watcher reads the targets in the store with long polls while this host has to, and adds what it reads to the
+// copy that other hosts follow.
 type watcher struct {
-	store *platform.Store
+	store *storeClient
 	hub   *iofeed.Hub
 	clock func() time.Duration
 	log   logr.Logger
@@ -71,7 +72,7 @@
 		case compacted:
 		case err != nil:
 			if !w.failing && ctx.Err() == nil {
-				event.LogError(w.log, event.StoreReadFailed, err, "revision", w.hub.Revision())
+				event.LogError(w.log, event.StoreReadFailed, err, "entries", "targets", "revision", w.hub.Revision())
 			}
 			w.failing = true
 			w.hub.StoreFailed(ctx, err)
@@ -102,41 +103,32 @@
 	if revision == 0 || compacted {
 		return w.readAll(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, w.wait+watchSlack)
-	defer cancel()
-	items, newRevision, err := w.store.Watch(ctx, "", revision, w.wait)
+	ctx, end := w.store.begin(ctx, w.wait+watchSlack)
+	defer end()
+	items, newRevision, err := w.store.Watch(ctx, platform.PrefixTargets, revision, w.wait)
 	if err != nil {
 		return feed.Update{}, err
 	}
-	return feed.Update{Items: published(items), Revision: max(newRevision, revision)}, nil
+	return feed.Update{Items: entries(items), Revision: max(newRevision, revision)}, nil
 }
 
-// published returns the items that are the configuration or targets.
-func published(items []platform.Item) (list []feed.Item) {
+// entries converts the items of the store to entries of the copy.
+func entries(items []platform.Item) (list []feed.Item) {
 	for _, i := range items {
-		if i.Key == platform.KeyConfig || strings.HasPrefix(i.Key, platform.PrefixTargets) {
-			list = append(list, feed.Item(i))
-		}
+		list = append(list, feed.Item(i))
 	}
 	return list
 }
 
-// readAll returns the configuration and all targets.
+// readAll returns all targets.
 func (w *watcher) readAll(ctx context.Context) (u feed.Update, err error) {
-	ctx, cancel := context.WithTimeout(ctx, readTimeout)
-	defer cancel()
+	ctx, end := w.store.begin(ctx, readTimeout)
+	defer end()
 	items, revision, err := w.store.List(ctx, platform.PrefixTargets)
 	if err != nil {
 		return feed.Update{}, err
 	}
-	config, _, ok, err := w.store.Get(ctx, platform.KeyConfig)
-	if err != nil {
-		return feed.Update{}, err
-	}
-	if ok {
-		items = append(items, config)
-	}
-	return feed.Update{Items: published(items), Full: true, Revision: revision}, nil
+	return feed.Update{Items: entries(items), Full: true, Revision: revision}, nil
 }
 
 // sleep waits for d or until the context ends.
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -12,6 +14,7 @@
 	"github.com/matryer/is"
 	"google.golang.org/grpc"
 
+	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
 	iofeed "sassafrasward/io/feed"
 	"sassafrasward/io/feed/message"
@@ -23,6 +26,7 @@
 	mutex     sync.Mutex
 	entries   map[string]string
 	down, ups int
+	versions  []config.Version
 }
 
 func (r *recorder) OnChanges(_ context.Context, changes []feed.Item, _ uint64) {
@@ -49,6 +53,18 @@
 	r.ups++
 }
 
+func (r *recorder) OnVersion(_ context.Context, _ string, v config.Version) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.versions = append(r.versions, v)
+}
+
+func (r *recorder) seenVersions() []config.Version {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.versions)
+}
+
 func (r *recorder) get(key string) string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -347,7 +363,7 @@
 	case <-stream.Context().Done():
 		return stream.Context().Err()
 	}
-	if err := stream.Send(&message.Update{Revision: 1, Full: true}); err != nil {
+	if err := stream.Send(&message.Update{Revision: 1, Full: true, Entries: []*message.Entry{{Key: "x", Value: []byte("1"), Revision: 1}}}); err != nil {
 		return err
 	}
 	<-stream.Context().Done()
@@ -371,6 +387,48 @@
 	}()
 	h := startHost(t)
 	h.follower.SetPlan(iofeed.Plan{Upstreams: []string{listener.Addr().String()}})
-	wait(t, func() bool { return h.hub.Revision() == 1 })
+	wait(t, func() bool { return h.get("x") == "1" })
 	is.True(slow.calls.Load() <= 3) // after 0.7 s, 1.4 s and 2.8 s
 }
+
+// TestVersion guards against a host that does not learn, or learns only after the next change of the entries,
+// which configuration the hosts that it follows have, and against one that reports an older one.
+func TestVersion(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b := startHost(t), startHost(t)
+	older, newer := config.NewVersion(1, [32]byte{1}), config.NewVersion(2, [32]byte{2})
+	a.publish("x", "1", 1)
+	b.hub.SetVersion(older)
+	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
+	wait(t, func() bool { return b.get("x") == "1" })
+	a.hub.SetVersion(older)
+	a.hub.SetVersion(newer)
+	wait(t, func() bool { return len(b.seenVersions()) > 0 })
+	b.hub.SetVersion(newer)
+	seen := len(b.seenVersions())
+	time.Sleep(1500 * time.Millisecond) // a heartbeat
+	is.Equal(len(b.seenVersions()), seen)
+	for _, v := range b.seenVersions() {
+		is.Equal(v, newer)
+	}
+}
+
+// TestManyEntries guards against an update that is compressed, because it has many entries, and comes back
+// otherwise.
+func TestManyEntries(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b := startHost(t), startHost(t)
+	u := feed.Update{Full: true, Revision: 500}
+	for n := range 500 {
+		u.Items = append(u.Items, feed.Item{Key: fmt.Sprintf("x%d", n), Value: []byte(fmt.Sprint(n)), Revision: uint64(n + 1)})
+	}
+	a.hub.StoreResponded(context.Background(), u)
+	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
+	wait(t, func() bool { return b.hub.Revision() == 500 })
+	for _, item := range u.Items {
+		wait(t, func() bool { return b.get(item.Key) == string(item.Value) })
+	}
+	is.Equal(b.hub.Revision(), uint64(500))
+}
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"errors"
 	"slices"
 	"sync"
@@ -9,6 +10,7 @@
 
 	"github.com/go-logr/logr"
 
+	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
 	"sassafrasward/io/event"
 	"sassafrasward/io/feed/message"
@@ -255,11 +257,14 @@
 
 // receive adds one update of a followed host to the hub.
 func (f *Follower) receive(ctx context.Context, address string, m *message.Update) (err error) {
-	items, err := unpack(m.GetPacked())
+	items, err := decode(m)
 	if err != nil {
 		return err
 	}
 	u := feed.Update{Items: items, Full: m.GetFull(), Revision: m.GetRevision()}
 	f.hub.apply(ctx, address, time.Duration(m.GetAge())*time.Millisecond, m.GetDown(), u)
+	if hash := m.GetHash(); len(hash) == sha256.Size {
+		f.hub.announced(ctx, address, config.NewVersion(m.GetNumber(), [sha256.Size]byte(hash)))
+	}
 	return nil
 }
--- a/io/feed/hub.go
+++ b/io/feed/hub.go
@@ -7,7 +7,9 @@
 
 	"github.com/zeebo/errs"
 
+	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
+	"sassafrasward/io/feed/message"
 )
 
 // Error is the class of all errors of this package.
@@ -19,12 +21,16 @@
 // Handler gets what changes in the copy. Its methods are called one at a time. A change is reported once:
 // the context ends with the process, not with the connection that brought the change.
 type Handler interface {
-	// OnChanges is called with the entries that changed, and the revision of the copy.
+	// OnChanges is called with the entries that changed, and the revision of the copy. There may be none in
+	// the first copy.
 	OnChanges(ctx context.Context, changes []feed.Item, revision uint64)
 	// OnStoreDown is called when the store responds neither to this host any more nor to those that
 	// it follows, and OnStoreUp when it responds again.
 	OnStoreDown(ctx context.Context, err error)
 	OnStoreUp(ctx context.Context)
+	// OnVersion is called when the followed host at an address has a newer configuration in force than
+	// this one. It is called again by later updates until SetVersion is called with that version.
+	OnVersion(ctx context.Context, address string, v config.Version)
 }
 
 // Hub holds this host's copy of the published entries. It is safe for concurrent use.
@@ -39,14 +45,26 @@
 	freshness *feed.Freshness
 	// changed is closed and replaced when the copy changes or the store goes down.
 	changed chan struct{}
-	// snapshot caches the packed entries of a full update at a revision.
-	snapshot         []byte
-	snapshotRevision uint64
+	// version is that of the configuration in force on this host.
+	version config.Version
+	// encodings has the encoded changes since the revisions that followers have, up to encodedRevision.
+	encodings       map[uint64]*encoding
+	encodedRevision uint64
+}
+
+// encoding has changes in the form in which all followers with the same revision receive them.
+type encoding struct {
+	once sync.Once
+	// changes is cleared once it is encoded.
+	changes feed.Update
+	// update has only the fields that depend on the changes.
+	update message.Update
+	err    error
 }
 
 // NewHub returns a hub without entries.
 func NewHub(clock func() time.Duration, handler Handler) *Hub {
-	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), changed: make(chan struct{})}
+	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), changed: make(chan struct{}), encodings: make(map[uint64]*encoding)}
 }
 
 // Revision returns the revision of the store up to which the copy is complete; zero if it is empty.
@@ -77,6 +95,26 @@
 	return h.freshness.Failing(source)
 }
 
+// SetVersion sets the version of the configuration in force on this host, which its followers learn of.
+func (h *Hub) SetVersion(v config.Version) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.version = v
+	h.notify()
+}
+
+// announced calls the handler if a followed host has a newer configuration in force than this one.
+func (h *Hub) announced(ctx context.Context, address string, v config.Version) {
+	h.order.Lock()
+	defer h.order.Unlock()
+	h.mutex.Lock()
+	newer := v.Newer(h.version)
+	h.mutex.Unlock()
+	if newer {
+		h.handler.OnVersion(ctx, address, v)
+	}
+}
+
 // StoreResponded adds what this host read from the store.
 func (h *Hub) StoreResponded(ctx context.Context, u feed.Update) {
 	h.apply(ctx, storeSource, 0, false, u)
@@ -98,17 +136,19 @@
 	h.order.Lock()
 	defer h.order.Unlock()
 	h.mutex.Lock()
+	empty := h.log.Revision() == 0
 	changes := h.log.Apply(u)
 	revision := h.log.Revision()
+	changed := len(changes) > 0 || empty && revision > 0
 	recovered := !down && h.freshness.Succeeded(source, h.clock()-age)
-	if len(changes) > 0 || recovered {
+	if changed || recovered {
 		h.notify()
 	}
 	h.mutex.Unlock()
 	if recovered {
 		h.handler.OnStoreUp(ctx)
 	}
-	if len(changes) > 0 {
+	if changed {
 		h.handler.OnChanges(ctx, changes, revision)
 	}
 	if down {
--- a/io/feed/server.go
+++ b/io/feed/server.go
@@ -7,6 +7,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"sassafrasward/core/config"
+	"sassafrasward/core/feed"
 	"sassafrasward/io/feed/message"
 )
 
@@ -53,22 +55,42 @@
 // update returns the changes after a revision, and a channel that is closed at the next change.
 func (h *Hub) update(revision uint64) (m *message.Update, changed <-chan struct{}, err error) {
 	h.mutex.Lock()
-	defer h.mutex.Unlock()
-	m = &message.Update{Revision: h.log.Revision(), Age: h.freshness.Age(h.clock()).Milliseconds(), Down: h.freshness.Down()}
-	if revision == m.GetRevision() {
-		return m, h.changed, nil
+	m = &message.Update{
+		Revision: h.log.Revision(), Age: h.freshness.Age(h.clock()).Milliseconds(), Down: h.freshness.Down(), Number: h.version.Number(),
 	}
-	u := h.log.Since(revision)
-	m.Full = u.Full
-	if u.Full && h.snapshotRevision == u.Revision {
-		m.Packed = h.snapshot
-		return m, h.changed, nil
+	if h.version != (config.Version{}) {
+		hash := h.version.Hash()
+		m.Hash = hash[:]
 	}
-	if m.Packed, err = pack(u.Items); err != nil {
-		return nil, nil, err
+	changed = h.changed
+	var e *encoding
+	if revision != m.GetRevision() {
+		e = h.encodingSince(revision)
 	}
-	if u.Full {
-		h.snapshot, h.snapshotRevision = m.GetPacked(), u.Revision
+	h.mutex.Unlock()
+	if e == nil {
+		return m, changed, nil
 	}
-	return m, h.changed, nil
+	e.once.Do(func() {
+		e.update.Full = e.changes.Full
+		e.err = encode(&e.update, e.changes.Items)
+		e.changes = feed.Update{}
+	})
+	m.Full, m.Packed, m.Entries = e.update.GetFull(), e.update.GetPacked(), e.update.GetEntries()
+	return m, changed, e.err
+}
+
+// encodingSince returns the encoding of the changes after a revision. The mutex is held; the changes are
+// encoded without it.
+func (h *Hub) encodingSince(revision uint64) *encoding {
+	if current := h.log.Revision(); h.encodedRevision != current {
+		h.encodedRevision = current
+		clear(h.encodings)
+	}
+	e, ok := h.encodings[revision]
+	if !ok {
+		e = &encoding{changes: h.log.Since(revision)}
+		h.encodings[revision] = e
+	}
+	return e
 }
--- a/io/gossip/node.go
+++ b/io/gossip/node.go
@@ -10,6 +10,8 @@
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/member"
@@ -27,7 +29,10 @@
 	// period.
 	probeTimeout         = 500 * time.Millisecond
 	indirectProbeTimeout = 2 * probeTimeout
-	pullTimeout          = 3 * time.Second
+	// minPullTimeout is the time for a pull. It doubles after each pull that took longer, maxSlowPulls times
+	// at most, so that a slow host does not pull the same document again and again.
+	minPullTimeout = 700 * time.Millisecond
+	maxSlowPulls   = 3
 )
 
 // EventLoop is the goroutine that runs the member.State and the Node.
@@ -36,20 +41,24 @@
 	Post(ctx context.Context, f func())
 	// Clock returns the time since process start.
 	Clock() time.Duration
-	// ApplyDocument puts a configuration document pulled from another host in force and reports
-	// whether it was accepted. It is called on the loop.
-	ApplyDocument(number uint64, raw []byte) (accepted bool)
+	// PrepareDocument decodes a configuration document pulled from another host. It is called outside the
+	// loop, because a large document takes long. It returns a function to be called on the loop, which puts
+	// the document in force and reports whether it was accepted.
+	PrepareDocument(number uint64, raw []byte) (apply func() (accepted bool))
 }
 
 // Node sends and receives the packets of one member.State.
 type Node struct {
 	message.UnimplementedGossipServer
 
-	state   *member.State
-	loop    EventLoop
-	conns   *peer.ConnPool
-	log     logr.Logger
-	metrics *metric.Metrics
+	state *member.State
+	loop  EventLoop
+	conns *peer.ConnPool
+	// documentConns has the connections for documents. They are separate, so that packets do not wait
+	// behind a document on a slow link.
+	documentConns *peer.ConnPool
+	log           logr.Logger
+	metrics       *metric.Metrics
 	// ctx is the context of all calls to other hosts; stop cancels it.
 	ctx  context.Context
 	stop context.CancelFunc
@@ -59,24 +68,34 @@
 	inFlight sync.WaitGroup
 	// document is the configuration in force, which other hosts can pull.
 	document atomic.Pointer[document]
-	// pulled is the document that ApplyDocument is being called with, compressed as it was
-	// received. Only the loop uses it.
-	pulled document
+	// pulled is the document that is being put in force after a pull. Only the loop uses it.
+	pulled *document
+	// heardAt is when the last packet from another host arrived, in nanoseconds on the clock of the loop; zero
+	// for none.
+	heardAt atomic.Int64
+	// slowPulls is the number of pulls in a row that timed out.
+	slowPulls atomic.Int32
 	// snapshot is the published snapshot.
 	snapshot atomic.Pointer[Snapshot]
 }
 
-// document is a compressed configuration document with the hash of its uncompressed bytes.
-type document struct {
-	hash       [sha256.Size]byte
-	compressed []byte
+// Option configures a Node.
+type Option func(*Node)
+
+// WithDocumentConns sets the connections on which documents are pulled. They are those of the packets by
+// default.
+func WithDocumentConns(conns *peer.ConnPool) Option {
+	return func(n *Node) { n.documentConns = conns }
 }
 
 // New returns a node for the state, which must only be used on the loop.
-func New(state *member.State, loop EventLoop, conns *peer.ConnPool, log logr.Logger, metrics *metric.Metrics) *Node {
-	n := &Node{state: state, loop: loop, conns: conns, log: log, metrics: metrics}
+func New(state *member.State, loop EventLoop, conns *peer.ConnPool, log logr.Logger, metrics *metric.Metrics, options ...Option) *Node {
+	n := &Node{state: state, loop: loop, conns: conns, documentConns: conns, log: log, metrics: metrics}
 	n.ctx, n.stop = context.WithCancel(context.Background())
 	n.snapshot.Store(&Snapshot{})
+	for _, o := range options {
+		o(n)
+	}
 	return n
 }
 
@@ -105,13 +124,19 @@
 // its version. It is called on the loop.
 func (n *Node) SetDocument(raw []byte, v config.Version) {
 	d := n.pulled
-	if d.hash != v.Hash() {
-		d = document{hash: v.Hash(), compressed: compress(raw)}
+	if d == nil || d.version != v {
+		d = newDocument(raw, v)
 	}
-	n.document.Store(&d)
+	n.document.Store(d)
 	n.state.SetConfigVersion(n.loop.Clock(), v)
 }
 
+// Announced pulls the version of the configuration that the host at the address has in force, if it is newer
+// than that of this host. It is called on the loop.
+func (n *Node) Announced(v config.Version, address string) {
+	n.runStep(func(now time.Duration) []member.Call { return n.state.Announced(now, v, address) })
+}
+
 // runStep runs a step of the state on the loop, records its run time and makes the calls that it
 // returns.
 func (n *Node) runStep(step func(now time.Duration) []member.Call) {
@@ -132,6 +157,9 @@
 	n.loop.Post(n.ctx, func() { n.runStep(step) })
 }
 
+// HeardAt returns when the last packet from another host arrived, on the clock of the loop; zero if none has.
+func (n *Node) HeardAt() time.Duration { return time.Duration(n.heardAt.Load()) }
+
 // perform makes one call and reports its result to the state.
 func (n *Node) perform(call member.Call) {
 	switch call.Kind() {
@@ -146,27 +174,30 @@
 
 // roundTrip sends a message and returns the response. A connection on which a call failed is not
 // used again, since it may be dead while new connections work.
-func (n *Node) roundTrip(address string, timeout time.Duration, m *message.Packet) (answer *message.Packet, err error) {
+func (n *Node) roundTrip(conns *peer.ConnPool, address string, timeout time.Duration, m *message.Packet) (answer *message.Packet, err error) {
 	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
-	conn, err := n.conns.Conn(address)
+	conn, err := conns.Conn(address)
 	if err != nil {
 		return nil, err
 	}
 	answer, err = message.NewGossipClient(conn).Exchange(ctx, m)
 	if err != nil && n.ctx.Err() == nil {
-		n.conns.Drop(address, conn)
+		conns.Drop(address, conn)
 	}
 	return answer, err
 }
 
 func (n *Node) exchange(call member.Call) {
-	answer, err := n.roundTrip(call.Address(), probeTimeout, encode(call.Packet()))
+	answer, err := n.roundTrip(n.conns, call.Address(), probeTimeout, encode(call.Packet()))
 	var p member.Packet
 	ok := err == nil
 	if ok {
 		p, ok = decode(answer)
 	}
+	if ok {
+		n.heardAt.Store(int64(n.loop.Clock()))
+	}
 	n.postStep(func(now time.Duration) []member.Call {
 		if !ok {
 			return n.state.Failed(now, call)
@@ -178,7 +209,7 @@
 func (n *Node) probeIndirectly(call member.Call) {
 	incarnation, address := call.Target()
 	m := &message.Packet{Probe: &message.Probe{Incarnation: incarnation, Address: address}}
-	answer, err := n.roundTrip(call.Address(), indirectProbeTimeout, m)
+	answer, err := n.roundTrip(n.conns, call.Address(), indirectProbeTimeout, m)
 	n.postStep(func(now time.Duration) []member.Call {
 		if err != nil || !answer.GetReached() {
 			return n.state.Failed(now, call)
@@ -188,41 +219,69 @@
 	})
 }
 
+// pullDocument pulls and decodes a document, and puts it in force on the loop.
 func (n *Node) pullDocument(call member.Call) {
-	hash := call.Version().Hash()
-	answer, err := n.roundTrip(call.Address(), pullTimeout, &message.Packet{Want: hash[:]})
-	var raw []byte
-	if err == nil && len(answer.GetDocument()) > 0 {
-		if raw, err = decompress(answer.GetDocument(), hash); err != nil {
-			n.metrics.Counter("gossip.documents.refused").Inc(1)
-			event.LogError(n.log, event.ConfigHashMismatch, err, "peer", call.Address(), "version", call.Version().String())
-			raw = nil
-		}
+	d, raw, err := n.fetch(call)
+	if err != nil {
+		n.metrics.Counter("gossip.documents.refused").Inc(1)
+		event.LogError(n.log, event.ConfigHashMismatch, err, "peer", call.Address(), "version", call.Version().String())
+	}
+	apply := func() bool { return false }
+	if d != nil {
+		apply = n.loop.PrepareDocument(d.version.Number(), raw)
 	}
 	n.postStep(func(time.Duration) []member.Call {
-		n.pulled = document{hash: hash, compressed: answer.GetDocument()}
-		accepted := raw != nil && n.loop.ApplyDocument(call.Version().Number(), raw)
-		n.pulled = document{}
-		n.state.Pulled(call, accepted, raw != nil)
+		n.pulled = d
+		accepted := apply()
+		n.pulled = nil
 		if accepted {
 			n.metrics.Counter("gossip.documents.pulled").Inc(1)
 		}
-		return nil
+		return n.state.Pulled(call, accepted, d != nil)
 	})
 }
 
+// fetch reads the document of a version, or that of a newer one, from another host. There is no document if
+// the host did not send one, and an error if the document does not have the hash of its version.
+func (n *Node) fetch(call member.Call) (d *document, raw []byte, err error) {
+	hash := call.Version().Hash()
+	timeout := minPullTimeout << n.slowPulls.Load()
+	answer, err := n.roundTrip(n.documentConns, call.Address(), timeout, &message.Packet{Want: hash[:]})
+	switch {
+	case status.Code(err) == codes.DeadlineExceeded:
+		n.slowPulls.Store(min(n.slowPulls.Load()+1, maxSlowPulls))
+	case err == nil:
+		n.slowPulls.Store(0)
+	}
+	if err != nil || len(answer.GetDocument()) == 0 {
+		return nil, nil, nil
+	}
+	v := call.Version()
+	if len(answer.GetHash()) == len(hash) {
+		v = config.NewVersion(answer.GetNumber(), [sha256.Size]byte(answer.GetHash()))
+	}
+	if call.Version().Newer(v) {
+		return nil, nil, nil // another process now has the address
+	}
+	if raw, err = decompress(answer.GetDocument(), v.Hash()); err != nil {
+		return nil, nil, err
+	}
+	return &document{version: v, compressed: answer.GetDocument()}, raw, nil
+}
+
 // Exchange implements message.GossipServer.
 func (n *Node) Exchange(ctx context.Context, m *message.Packet) (*message.Packet, error) {
 	switch {
 	case m.GetProbe() != nil:
 		return n.probe(ctx, m.GetProbe())
 	case len(m.GetWant()) > 0:
-		return n.lookupDocument(m.GetWant()), nil
+		return n.lookupDocument()
 	}
 	p, ok := decode(m)
 	if !ok {
 		return nil, Error.New("malformed packet")
 	}
+	n.heardAt.Store(int64(n.loop.Clock()))
 	answers := make(chan member.Packet, 1)
 	n.loop.Post(ctx, func() {
 		n.runStep(func(now time.Duration) []member.Call {
@@ -247,7 +306,7 @@
 	n.loop.Post(ctx, func() {
 		address := n.state.PeerAddress(probe.GetIncarnation(), probe.GetAddress())
 		m := encode(n.state.Ping())
-		requests <- func() (*message.Packet, error) { return n.roundTrip(address, probeTimeout, m) }
+		requests <- func() (*message.Packet, error) { return n.roundTrip(n.conns, address, probeTimeout, m) }
 	})
 	select {
 	case request := <-requests:
@@ -259,12 +318,16 @@
 	}
 }
 
-// lookupDocument returns the document in force if it has the wanted hash, and an empty packet
-// otherwise.
-func (n *Node) lookupDocument(want []byte) *message.Packet {
+// lookupDocument returns the document in force with its version. It may be newer than the wanted one.
+func (n *Node) lookupDocument() (*message.Packet, error) {
 	d := n.document.Load()
-	if d == nil || string(d.hash[:]) != string(want) {
-		return &message.Packet{}
+	if d == nil {
+		return &message.Packet{}, nil
+	}
+	compressed, err := d.bytes()
+	if err != nil {
+		return nil, err
 	}
-	return &message.Packet{Document: d.compressed}
+	hash := d.version.Hash()
+	return &message.Packet{Number: d.version.Number(), Hash: hash[:], Document: compressed}, nil
 }
--- a/io/gossip/node_test.go
+++ b/io/gossip/node_test.go
@@ -2,19 +2,21 @@
 
 import (
 	"bytes"
-	"compress/gzip"
 	"context"
 	"crypto/sha256"
 	"math/rand/v2"
 	"net"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/matryer/is"
+	"google.golang.org/grpc"
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/member"
+	"sassafrasward/io/compress"
 	"sassafrasward/io/gossip"
 	"sassafrasward/io/gossip/message"
 	"sassafrasward/io/metric"
@@ -37,9 +39,11 @@
 
 func (l *testLoop) Clock() time.Duration { return time.Second }
 
-func (l *testLoop) ApplyDocument(_ uint64, raw []byte) bool {
-	l.documents <- raw
-	return true
+func (l *testLoop) PrepareDocument(_ uint64, raw []byte) func() bool {
+	return func() bool {
+		l.documents <- raw
+		return true
+	}
 }
 
 // forgingPeer announces a configuration with the given hash and answers pulls with the given
@@ -60,12 +64,13 @@
 	}, nil
 }
 
-func compress(raw []byte) []byte {
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	_, _ = w.Write(raw)
-	_ = w.Close()
-	return b.Bytes()
+func encode(t *testing.T, raw []byte) []byte {
+	t.Helper()
+	packed, err := compress.Encode(raw)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return packed
 }
 
 // TestPulledDocument guards against accepting a configuration whose bytes do not have the hash of
@@ -77,11 +82,11 @@
 		hashed, sent []byte
 		accepted     bool
 	}{
-		"valid":          {good, compress(good), true},
-		"other document": {good, compress([]byte("[document]\npreset = peak\n")), false},
+		"valid":          {good, encode(t, good), true},
+		"other document": {good, encode(t, []byte("[document]\npreset = peak\n")), false},
 		"uncompressed":   {good, good, false},
-		"truncated":      {good, compress(good)[:20], false},
-		"too large":      {large, compress(large), false},
+		"truncated":      {good, encode(t, good)[:20], false},
+		"too large":      {large, encode(t, large), false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -110,3 +115,77 @@
 		})
 	}
 }
+
+// slowLoop is a testLoop on which the preparation of a document takes until a value arrives on free.
+type slowLoop struct {
+	testLoop
+	preparing, free chan struct{}
+}
+
+func (l *slowLoop) PrepareDocument(number uint64, raw []byte) func() bool {
+	l.preparing <- struct{}{}
+	<-l.free
+	return l.testLoop.PrepareDocument(number, raw)
+}
+
+// countBytes returns a dial option that adds the received bytes to a counter.
+func countBytes(received *atomic.Int64) grpc.DialOption {
+	return grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return countingConn{conn, received}, err
+	})
+}
+
+type countingConn struct {
+	net.Conn
+	received *atomic.Int64
+}
+
+func (c countingConn) Read(b []byte) (n int, err error) {
+	n, err = c.Conn.Read(b)
+	c.received.Add(int64(n))
+	return n, err
+}
+
+// TestPacketsDuringPull guards against packets that wait for a large configuration: on the loop, while it is
+// decoded, or on the connection by which it comes.
+func TestPacketsDuringPull(t *testing.T) {
+	is := is.New(t)
+	random, document := rand.New(rand.NewPCG(1, 1)), make([]byte, config.MaxBytes/2)
+	for i := range document {
+		document[i] = byte(random.Uint32())
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	server := peer.NewServer()
+	message.RegisterGossipServer(server.Registrar(), &forgingPeer{hash: sha256.Sum256(document), document: encode(t, document)})
+	ended := make(chan error, 1)
+	go server.Serve(listener, ended)
+	defer func() {
+		server.Stop()
+		is.NoErr(<-ended)
+	}()
+	loop := &slowLoop{testLoop{steps: make(chan func()), documents: make(chan []byte, 1)}, make(chan struct{}), make(chan struct{})}
+	state := member.New(0, rand.New(rand.NewPCG(1, 1)), member.Member{Incarnation: 1, Name: "a"}, member.WithSeeds(listener.Addr().String()))
+	var packetBytes, documentBytes atomic.Int64
+	conns, documentConns := peer.NewConnPool(countBytes(&packetBytes)), peer.NewConnPool(countBytes(&documentBytes))
+	defer conns.Close()
+	defer documentConns.Close()
+	n := gossip.New(state, loop, conns, logr.Discard(), metric.New(), gossip.WithDocumentConns(documentConns))
+	defer n.Stop()
+	n.Tick()
+	(<-loop.steps)() // the response to the exchange
+	<-loop.preparing
+	answered := make(chan error, 1)
+	go func() {
+		_, err := n.Exchange(context.Background(), &message.Packet{From: &message.Member{Incarnation: 3, Name: "c", Counter: 1}, Digest: make([]uint32, member.DigestBuckets)})
+		answered <- err
+	}()
+	(<-loop.steps)()
+	is.NoErr(<-answered)
+	is.True(packetBytes.Load() < int64(len(document))/100)
+	is.True(documentBytes.Load() >= int64(len(document)))
+	close(loop.free)
+	(<-loop.steps)() // the result of the pull
+	is.True(bytes.Equal(<-loop.documents, document))
+}
