Pull documents in parts, and as long as parts arrive

What callers could see: configurations late on hosts with slow links. A document came in one message within a fixed time of 0.7 s, which doubles.

Exchange no longer carries documents.

TestSlowPull: a document whose parts come 0.4 s apart is pulled once; one with pauses of 1.2 s at the second attempt.

--- a/io/gossip/node.go
+++ b/io/gossip/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,12 +9,9 @@
 	"github.com/go-logr/logr"
 	"github.com/zeebo/errs"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/member"
-	"sassafrasward/io/event"
 	"sassafrasward/io/gossip/message"
 	"sassafrasward/io/metric"
 	"sassafrasward/io/peer"
@@ -29,10 +25,6 @@
 	// period.
 	probeTimeout         = 500 * time.Millisecond
 	indirectProbeTimeout = 2 * probeTimeout
-	// minPullTimeout is the time for a pull. It doubles after each pull that took longer, maxSlowPulls times
-	// at most, so that a slow host does not pull the same document again and again.
-	minPullTimeout = 700 * time.Millisecond
-	maxSlowPulls   = 3
 )
 
 // EventLoop is the goroutine that runs the member.State and the Node.
@@ -174,22 +166,22 @@
 
 // roundTrip sends a message and returns the response. A connection on which a call failed is not
 // used again, since it may be dead while new connections work.
-func (n *Node) roundTrip(conns *peer.ConnPool, address string, timeout time.Duration, m *message.Packet) (answer *message.Packet, err error) {
+func (n *Node) roundTrip(address string, timeout time.Duration, m *message.Packet) (answer *message.Packet, err error) {
 	ctx, cancel := context.WithTimeout(n.ctx, timeout)
 	defer cancel()
-	conn, err := conns.Conn(address)
+	conn, err := n.conns.Conn(address)
 	if err != nil {
 		return nil, err
 	}
 	answer, err = message.NewGossipClient(conn).Exchange(ctx, m)
 	if err != nil && n.ctx.Err() == nil {
-		conns.Drop(address, conn)
+		n.conns.Drop(address, conn)
 	}
 	return answer, err
 }
 
 func (n *Node) exchange(call member.Call) {
-	answer, err := n.roundTrip(n.conns, call.Address(), probeTimeout, encode(call.Packet()))
+	answer, err := n.roundTrip(call.Address(), probeTimeout, encode(call.Packet()))
 	var p member.Packet
 	ok := err == nil
 	if ok {
@@ -209,7 +201,7 @@
 func (n *Node) probeIndirectly(call member.Call) {
 	incarnation, address := call.Target()
 	m := &message.Packet{Probe: &message.Probe{Incarnation: incarnation, Address: address}}
-	answer, err := n.roundTrip(n.conns, call.Address(), indirectProbeTimeout, m)
+	answer, err := n.roundTrip(call.Address(), indirectProbeTimeout, m)
 	n.postStep(func(now time.Duration) []member.Call {
 		if err != nil || !answer.GetReached() {
 			return n.state.Failed(now, call)
@@ -219,63 +211,10 @@
 	})
 }
 
-// pullDocument pulls and decodes a document, and puts it in force on the loop.
-func (n *Node) pullDocument(call member.Call) {
-	d, raw, err := n.fetch(call)
-	if err != nil {
-		n.metrics.Counter("gossip.documents.refused").Inc(1)
-		event.LogError(n.log, event.ConfigHashMismatch, err, "peer", call.Address(), "version", call.Version().String())
-	}
-	apply := func() bool { return false }
-	if d != nil {
-		apply = n.loop.PrepareDocument(d.version.Number(), raw)
-	}
-	n.postStep(func(time.Duration) []member.Call {
-		n.pulled = d
-		accepted := apply()
-		n.pulled = nil
-		if accepted {
-			n.metrics.Counter("gossip.documents.pulled").Inc(1)
-		}
-		return n.state.Pulled(call, accepted, d != nil)
-	})
-}
-
-// fetch reads the document of a version, or that of a newer one, from another host. There is no document if
-// the host did not send one, and an error if the document does not have the hash of its version.
-func (n *Node) fetch(call member.Call) (d *document, raw []byte, err error) {
-	hash := call.Version().Hash()
-	timeout := minPullTimeout << n.slowPulls.Load()
-	answer, err := n.roundTrip(n.documentConns, call.Address(), timeout, &message.Packet{Want: hash[:]})
-	switch {
-	case status.Code(err) == codes.DeadlineExceeded:
-		n.slowPulls.Store(min(n.slowPulls.Load()+1, maxSlowPulls))
-	case err == nil:
-		n.slowPulls.Store(0)
-	}
-	if err != nil || len(answer.GetDocument()) == 0 {
-		return nil, nil, nil
-	}
-	v := call.Version()
-	if len(answer.GetHash()) == len(hash) {
-		v = config.NewVersion(answer.GetNumber(), [sha256.Size]byte(answer.GetHash()))
-	}
-	if call.Version().Newer(v) {
-		return nil, nil, nil // another process now has the address
-	}
-	if raw, err = decompress(answer.GetDocument(), v.Hash()); err != nil {
-		return nil, nil, err
-	}
-	return &document{version: v, compressed: answer.GetDocument()}, raw, nil
-}
-
 // Exchange implements message.GossipServer.
 func (n *Node) Exchange(ctx context.Context, m *message.Packet) (*message.Packet, error) {
-	switch {
-	case m.GetProbe() != nil:
+	if m.GetProbe() != nil {
 		return n.probe(ctx, m.GetProbe())
-	case len(m.GetWant()) > 0:
-		return n.lookupDocument()
 	}
 	p, ok := decode(m)
 	if !ok {
@@ -306,7 +245,7 @@
 	n.loop.Post(ctx, func() {
 		address := n.state.PeerAddress(probe.GetIncarnation(), probe.GetAddress())
 		m := encode(n.state.Ping())
-		requests <- func() (*message.Packet, error) { return n.roundTrip(n.conns, address, probeTimeout, m) }
+		requests <- func() (*message.Packet, error) { return n.roundTrip(address, probeTimeout, m) }
 	})
 	select {
 	case request := <-requests:
@@ -317,17 +256,3 @@
 		return nil, Error.Wrap(ctx.Err())
 	}
 }
-
-// lookupDocument returns the document in force with its version. It may be newer than the wanted one.
-func (n *Node) lookupDocument() (*message.Packet, error) {
-	d := n.document.Load()
-	if d == nil {
-		return &message.Packet{}, nil
-	}
-	compressed, err := d.bytes()
-	if err != nil {
-		return nil, err
-	}
-	hash := d.version.Hash()
-	return &message.Packet{Number: d.version.Number(), Hash: hash[:], Document: compressed}, nil
-}
--- a/io/gossip/node_test.go
+++ b/io/gossip/node_test.go
@@ -52,12 +52,25 @@
 	message.UnimplementedGossipServer
 	hash     [sha256.Size]byte
 	document []byte
+	// pause is the time before each of the two halves of the document.
+	pause time.Duration
+	// pulls counts the pulls.
+	pulls atomic.Int64
 }
 
-func (p *forgingPeer) Exchange(_ context.Context, m *message.Packet) (*message.Packet, error) {
-	if len(m.GetWant()) > 0 {
-		return &message.Packet{Document: p.document}, nil
+func (p *forgingPeer) Pull(_ *message.Want, stream grpc.ServerStreamingServer[message.Part]) error {
+	p.pulls.Add(1)
+	half := len(p.document) / 2
+	for _, part := range [][]byte{p.document[:half], p.document[half:]} {
+		time.Sleep(p.pause)
+		if err := stream.Send(&message.Part{Document: part}); err != nil {
+			return err
+		}
 	}
+	return nil
+}
+
+func (p *forgingPeer) Exchange(context.Context, *message.Packet) (*message.Packet, error) {
 	return &message.Packet{
 		From: &message.Member{Incarnation: 2, Name: "b", Counter: 1}, Number: 7, Hash: p.hash[:],
 		Digest: make([]uint32, member.DigestBuckets),
@@ -189,3 +202,47 @@
 	(<-loop.steps)() // the result of the pull
 	is.True(bytes.Equal(<-loop.documents, document))
 }
+
+// TestSlowPull guards against a pull that is given up although its parts arrive, and against pulls from a slow
+// host that are given up and repeated for ever.
+func TestSlowPull(t *testing.T) {
+	for name, test := range map[string]struct {
+		pause time.Duration
+		pulls int64
+	}{
+		"parts arrive":           {400 * time.Millisecond, 1},
+		"more time is necessary": {1200 * time.Millisecond, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			document := []byte("[document]\npreset = ordinary\n")
+			p := &forgingPeer{hash: sha256.Sum256(document), document: encode(t, document), pause: test.pause}
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			server := peer.NewServer()
+			message.RegisterGossipServer(server.Registrar(), p)
+			ended := make(chan error, 1)
+			go server.Serve(listener, ended)
+			defer func() {
+				server.Stop()
+				is.NoErr(<-ended)
+			}()
+			loop := &testLoop{steps: make(chan func()), documents: make(chan []byte, 1)}
+			state := member.New(0, rand.New(rand.NewPCG(1, 1)), member.Member{Incarnation: 1, Name: "a"}, member.WithSeeds(listener.Addr().String()))
+			conns := peer.NewConnPool()
+			defer conns.Close()
+			n := gossip.New(state, loop, conns, logr.Discard(), metric.New())
+			defer n.Stop()
+			for range 2 * test.pulls {
+				if len(loop.documents) == 0 {
+					n.Announced(config.NewVersion(7, p.hash), listener.Addr().String())
+					(<-loop.steps)() // the result of the pull
+				}
+			}
+			is.Equal(len(loop.documents), 1)
+			is.True(bytes.Equal(<-loop.documents, document))
+			is.Equal(p.pulls.Load(), test.pulls)
+		})
+	}
+}
