Wait for the first configuration instead of asking for it again and again

What callers could see: calls to the store without end, until it turns hosts away, while no configuration is published yet. Since the configuration is read apart from the targets, a read that found none was repeated at once, because its answer (404) has no revision to wait from.

Found by the trace of TestEventAfterState, which failed twice beside load on 3 runs of the package (io/edge, race detector, four cores, five busy processes): 503 instead of 200 when event 1101 was logged. The configuration came before the targets, which was not possible before, so that the host was truly not ready yet. The event announces that the configuration is in force, which it was. The test now publishes the configuration once the host knows the targets: what it checks at each event is the same, and does not depend on which read ends first.

A host without a configuration now waits for one from the revision of its targets, which is not newer than the answer.

TestNoConfigYet failed before (the change of io/edge/configwatch.go taken back).

--- a/io/edge/configwatch.go
+++ b/io/edge/configwatch.go
@@ -64,9 +64,12 @@
 			continue
 		}
 		failing, backoff = false, minBackoff
-		if raw != nil {
+		switch {
+		case raw != nil:
 			w.apply(ctx, raw)
 			sleep(ctx, w.coalesce)
+		case w.revision == 0:
+			sleep(ctx, maxBackoff) // there is no configuration yet, and no revision to wait from
 		}
 	}
 	done <- nil
@@ -109,10 +112,14 @@
 func (w *configWatcher) readNewest(ctx context.Context) (raw []byte, err error) {
 	ctx, end := w.store.begin(ctx, readTimeout)
 	defer end()
+	targetRevision := w.hub.Revision()
 	item, revision, ok, err := w.store.Get(ctx, platform.KeyConfig)
 	if err != nil {
 		return nil, err
 	}
+	if !ok {
+		revision = targetRevision // the answer has none; it is not older than this one
+	}
 	changed := ok && item.Revision > w.entryRevision
 	w.newestOnly = w.newestOnly && changed && w.entryRevision > 0
 	w.revision = max(w.revision, revision)
--- a/io/edge/event_test.go
+++ b/io/edge/event_test.go
@@ -10,6 +10,8 @@
 	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
+
+	"sassafrasward/platform"
 )
 
 // eventObserver is a log that runs a check at the moment at which an event is logged.
@@ -48,7 +50,6 @@
 	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
-	s.PublishConfig(1)
 	host := prepareHost(t, s, "e1")
 	o := &eventObserver{seen: make(map[string][]int)}
 	o.check = func() int {
@@ -61,6 +62,9 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	host.run(ctx, o.logger())
+	// The host is ready once it has both; the targets are known when it waits for changes of them.
+	host.wait(func() bool { return s.Waiting(platform.PrefixTargets) > 0 })
+	s.PublishConfig(1)
 	host.waitReady()
 	host.wait(func() bool { return len(o.results("1002")) > 0 })
 	is.Equal(o.results("1101"), []int{http.StatusOK}) // configuration accepted
--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -102,3 +102,18 @@
 	host.waitServed("/last/")
 	is.Equal(s.ConfigAnswers(), answers+1)
 }
+
+// TestNoConfigYet guards against a host that asks the store again and again while no configuration has been
+// published, and against one that does not learn of the first.
+func TestNoConfigYet(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	host, _ := startHost(t, s, "e1")
+	host.wait(func() bool { return s.Waiting(platform.PrefixTargets) > 0 })
+	calls := s.Calls()
+	time.Sleep(3 * time.Second)
+	is.True(s.Calls()-calls <= 12) // two waiting reads of a second each, and some until the revision is known
+	s.PublishConfig(1)
+	host.waitReady()
+}
