Bound the time of a read of the store and of a pull

What callers could see: requests to targets that are gone, if the store, or another host in a pull, sends a byte now and then. Since a read lasts as long as bytes arrive, such an answer kept a host from all later changes.

A read now takes 10 s at most from the time at which its answer must begin; a pull 10 s, which doubles like the time between its parts. A megabyte on a link with 1 Mbit/s takes 8 s.

TestDrippingStore failed with the bound taken away.

--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/go-logr/logr/funcr"
 	"github.com/matryer/is"
 
@@ -117,3 +119,45 @@
 	s.PublishConfig(1)
 	host.waitReady()
 }
+
+// TestDrippingStore guards against a host that learns of no change any more because the store sends a byte of an
+// answer now and then.
+func TestDrippingStore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	s := newStore(t)
+	s.PublishConfig(1)
+	s.Register(newEngine(t, "i-1", signed("old")), "plain", "ready")
+	release := make(chan struct{})
+	defer close(release)
+	var dripped atomic.Bool
+	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !strings.Contains(r.URL.RawQuery, "servers") || !strings.HasPrefix(r.URL.Path, "/kv-watch") || dripped.Swap(true) {
+			s.ServeHTTP(w, r)
+			return
+		}
+		for {
+			select {
+			case <-release:
+				return
+			case <-r.Context().Done():
+				return
+			case <-time.After(200 * time.Millisecond):
+				_, _ = w.Write([]byte(" "))
+				_ = http.NewResponseController(w).Flush()
+			}
+		}
+	}))
+	defer front.CloseClientConnections()
+	host := prepareHost(t, s, "e1")
+	host.settings = strings.Replace(host.settings, s.Address(), front.Listener.Addr().String(), 1)
+	host.run(context.Background(), logr.Discard())
+	host.waitServed("/read/")
+	s.Register(newEngine(t, "i-2", signed("new")), "plain", "ready")
+	s.Put("servers/i-1", "")
+	deadline := time.Now().Add(20 * time.Second)
+	for body := ""; body != "new"; time.Sleep(50 * time.Millisecond) {
+		is.True(time.Now().Before(deadline))
+		_, body, _ = host.call(http.MethodGet, "/read/", "r"+strconv.FormatInt(time.Now().UnixNano(), 10), nil)
+	}
+}
--- a/io/edge/storeclient.go
+++ b/io/edge/storeclient.go
@@ -15,8 +15,13 @@
 // errNoProgress ends a read of the store that gets no bytes.
 var errNoProgress = errors.New("the store sends nothing")
 
+// maxReadTime is the longest time for an answer, at which a store that sends a byte now and then is given up. A
+// megabyte takes less on a link with 1 Mbit/s.
+const maxReadTime = 10 * time.Second
+
 // storeClient is a client of the metadata store with a connection of its own. It makes one read at a time,
-// which lasts as long as bytes arrive: a large answer on a slow host or link is not read again from its start.
+// which lasts as long as bytes arrive, maxReadTime at most: a large answer on a slow host or link is not read
+// again from its start.
 type storeClient struct {
 	*platform.Store
 
@@ -41,13 +46,15 @@
 // begin returns the context of a read whose answer must begin within the timeout, and the function
 // that ends the read.
 func (s *storeClient) begin(ctx context.Context, timeout time.Duration) (readCtx context.Context, end func()) {
-	readCtx, cancel := context.WithCancelCause(ctx)
+	readCtx, cancelTimeout := context.WithTimeout(ctx, timeout+maxReadTime)
+	readCtx, cancel := context.WithCancelCause(readCtx)
 	dog := watchdog.New(timeout, func() { cancel(errNoProgress) })
 	s.dog.Store(dog)
 	return readCtx, func() {
 		s.dog.Store(nil)
 		dog.Stop()
 		cancel(nil)
+		cancelTimeout()
 	}
 }
 
--- a/io/gossip/pull.go
+++ b/io/gossip/pull.go
@@ -24,6 +24,8 @@
 	// again.
 	partTimeout  = 700 * time.Millisecond
 	maxSlowPulls = 3
+	// pullTimeout is the time for all parts, which doubles as well.
+	pullTimeout = 10 * time.Second
 	// maxCompressedBytes is above the size of any compressed document, as one that can't be compressed grows.
 	maxCompressedBytes = config.MaxBytes + config.MaxBytes/16
 )
@@ -65,9 +67,10 @@
 
 // receive receives a document from another host; nil if the host did not send one.
 func (n *Node) receive(call member.Call) (d *document) {
-	ctx, cancel := context.WithCancel(n.ctx)
+	doublings := n.slowPulls.Load()
+	ctx, cancel := context.WithTimeout(n.ctx, pullTimeout<<doublings)
 	defer cancel()
-	timeout := partTimeout << n.slowPulls.Load()
+	timeout := partTimeout << doublings
 	dog := watchdog.New(timeout, cancel)
 	conn, err := n.documentConns.Conn(call.Address())
 	if err != nil {
@@ -75,7 +78,7 @@
 	}
 	defer func() {
 		switch {
-		case !dog.Stop():
+		case !dog.Stop() || errors.Is(ctx.Err(), context.DeadlineExceeded):
 			n.slowPulls.Store(min(n.slowPulls.Load()+1, maxSlowPulls))
 		case err == nil:
 			n.slowPulls.Store(0)
