Let a test of a paused owner begin while hosts get no processor time

Trace (the output of the processes, which is kept since the entry was made): no process was stopped by the test yet. h0 wrote nothing from 19:52:49.433 to 51.531, was suspected by h1 in that time, and then served again: it had got no processor time, took that for a pause, and refused what it found in its buffers, as it has to. The refusal was true.

The command only opens a connection. It is now repeated while hosts refuse as paused or joining, like the last one of the test; it still has to be done, and the count of runs is the same.

--- a/io/integration/command_fault_test.go
+++ b/io/integration/command_fault_test.go
@@ -106,7 +106,8 @@
 func TestOwnerPaused(t *testing.T) {
 	is := is.New(t)
 	c := startCommandFleet(t, 2, false)
-	expect(t, c.send(1, deposit(c.newKey(0), 0)), outcome.Done, reason.None) // opens a connection from host 1 to host 0
+	// Opens a connection from host 1 to host 0.
+	expect(t, c.sendAfterPause(1, deposit(c.newKey(0), 0)), outcome.Done, reason.None)
 	direct, forwarded, last := c.newKey(0), c.newKey(0), c.newKey(0)
 	c.hosts[0].signal(syscall.SIGSTOP)
 	body, _ := json.Marshal(deposit(direct, shortDeadlineMs))
@@ -120,8 +121,9 @@
 	c.checkRunCount(2, last, answer) // the expired requests did not run
 }
 
-// sendAfterPause sends through host i until the host has read its socket buffers and joined
-// again after a pause; until then it refuses as paused or joining.
+// sendAfterPause sends through host i until the host, or the owner of the key, has read its socket buffers
+// and joined again after a pause; until then it refuses as paused or joining. A host that gets no
+// processor time for a while was paused as well.
 func (c *commandFleet) sendAfterPause(i int, request wire.Request) wire.Answer {
 	for {
 		answer := c.send(i, request)
