Keep a name of the platform out of a test of the host

TestDrippingStore picked the first waiting read of the targets by the path of the call, a name that belongs in platform/. It now tells it by its prefix and revision; only waiting reads of the targets have both, as the stand-in lists them in one page.

--- a/io/edge/fleet_test.go
+++ b/io/edge/fleet_test.go
@@ -132,7 +132,7 @@
 	defer close(release)
 	var dripped atomic.Bool
 	front := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !strings.Contains(r.URL.RawQuery, "servers") || !strings.HasPrefix(r.URL.Path, "/kv-watch") || dripped.Swap(true) {
+		if r.URL.Query().Get("prefix") != platform.PrefixTargets || !r.URL.Query().Has("after") || dripped.Swap(true) {
 			s.ServeHTTP(w, r)
 			return
 		}
