Evacuate availability zones on the operator's word

An operator who wrote op/evacuate/ZONE had no effect: hosts read only the targets and the configuration, and requests went on to the zone.

The hosts that read the store poll the prefix op/evacuate/ beside that of the targets, if the new setting [edge] evacuate is above 0, and add the entries to the copy that other hosts follow. core/feed.Watches combines both polls: the copy is complete up to the smaller revision, as old as the older answer, and the store counts as down while one of them fails. A stream to a follower is now driven by a count of the log's changes instead of the revision, which may stay while an item ahead of it changes. Full updates carry removals that are ahead of the revision, and these are not forgotten.

The set of targets marks those of an evacuated zone, and all that chooses a target treats them like leaving ones. A pool per zone has no group for an evacuated zone; its queued pieces go to the other targets, or end at once if the whole pool is evacuated. A request that needs a pool without another zone is refused before its first stage.

Items up to the last full read are now ignored unless a full update has them.

Ruled out: one poll of the common prefix of both (there is none but the configuration's, which is large), and the evacuations as part of the configuration, behind which they would wait.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -208,6 +208,14 @@
 	return pieces
 }
 
+// QueuedJobs returns the jobs with pieces that are not part of a call.
+func (d *Dispatcher) QueuedJobs() (ids []uint64) {
+	for _, q := range d.queue {
+		ids = append(ids, q.job.ID)
+	}
+	return ids
+}
+
 // RemoveJob removes a job that ended or was abandoned.
 func (d *Dispatcher) RemoveJob(id uint64) {
 	if q, ok := d.jobs[id]; ok {
--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -53,7 +53,7 @@
 
 // usable reports whether a target may get calls, now or once it is idle.
 func (d *Dispatcher) usable(now time.Duration, ts *targetState) bool {
-	return !ts.target.Leaving && now >= ts.backoffUntil && d.gate.Wait(now, ts.target) != selfreport.Never
+	return ts.target.AcceptsWork() && now >= ts.backoffUntil && d.gate.Wait(now, ts.target) != selfreport.Never
 }
 
 // idleAt returns when a usable target is expected to take a call: when its calls in progress have ended,
--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -17,12 +17,17 @@
 	Slots   int
 	// Leaving targets get no new work.
 	Leaving bool
+	// Evacuated targets get no new work, because their availability zone is evacuated.
+	Evacuated bool
 	// StartID identifies the start of the target's process; zero if it is not published.
 	StartID int64
 	// Revision orders the versions of the entry of one target.
 	Revision uint64
 }
 
+// AcceptsWork reports whether the target may get new work.
+func (t Target) AcceptsWork() bool { return !t.Leaving && !t.Evacuated }
+
 const (
 	// republishTime is how long a live target may take to publish its entry again after the store
 	// is back, as documented by the platform.
@@ -35,6 +40,8 @@
 // Set is the set of published targets. It is not safe for concurrent use.
 type Set struct {
 	targets *sortedmap.Map[string, Target]
+	// evacuated has the evacuated availability zones, also those without targets.
+	evacuated map[string]bool
 	// removalDue holds when a target whose entry lapsed is removed, by ID.
 	removalDue map[string]time.Duration
 	// storeDown is set while the store does not answer; storeUpSince is when the last outage ended.
@@ -49,13 +56,13 @@
 
 // New returns an empty set.
 func New() *Set {
-	return &Set{targets: sortedmap.New[string, Target](), removalDue: make(map[string]time.Duration)}
+	return &Set{targets: sortedmap.New[string, Target](), evacuated: make(map[string]bool), removalDue: make(map[string]time.Duration)}
 }
 
 // Revision returns the newest store revision that the set reflects.
 func (s *Set) Revision() uint64 { return s.revision }
 
-// Changed reports whether the targets changed since the last call.
+// Changed reports whether the targets or the evacuated zones changed since the last call.
 func (s *Set) Changed() bool {
 	changed := s.changed
 	s.changed = false
@@ -72,8 +79,41 @@
 	}
 }
 
+// Evacuate records that an availability zone is evacuated, and returns the number of its targets.
+func (s *Set) Evacuate(zone string) (targets int) {
+	s.evacuated[zone], s.changed = true, true
+	return len(s.setEvacuated(zone, true))
+}
+
+// Restore records that an availability zone is no longer evacuated, and returns its targets. It reports false
+// if the zone was not evacuated.
+func (s *Set) Restore(zone string) (targets []Target, ok bool) {
+	if !s.evacuated[zone] {
+		return nil, false
+	}
+	delete(s.evacuated, zone)
+	s.changed = true
+	return s.setEvacuated(zone, false), true
+}
+
+// EvacuatedZones returns the number of evacuated availability zones.
+func (s *Set) EvacuatedZones() int { return len(s.evacuated) }
+
+// setEvacuated marks the targets of an availability zone and returns them.
+func (s *Set) setEvacuated(zone string, evacuated bool) (targets []Target) {
+	for id, t := range s.targets.All() {
+		if t.Zone == zone {
+			t.Evacuated = evacuated
+			targets = append(targets, t)
+			s.targets.Put(id, t)
+		}
+	}
+	return targets
+}
+
 // Put adds or replaces a target. An entry that is older than the known one is ignored.
 func (s *Set) Put(t Target) {
+	t.Evacuated = s.evacuated[t.Zone]
 	s.revision = max(s.revision, t.Revision)
 	delete(s.removalDue, t.ID)
 	if old, ok := s.targets.Get(t.ID); ok && (old == t || old.Revision > t.Revision) {
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -56,3 +56,35 @@
 	is.Equal(len(set.Targets()["p"]), 1) // the removal is older than the entry
 	is.Equal(set.LeavingAddresses(), []string{"10.0.0.1:80"})
 }
+
+// TestEvacuatedZone guards against new work in an evacuated zone, also at targets that are published later, and
+// against a zone that stays unused after its evacuation.
+func TestEvacuatedZone(t *testing.T) {
+	is := is.New(t)
+	set := discovery.New()
+	set.Put(target("early", 1))
+	is.True(set.Changed())
+	is.Equal(set.Evacuate("a"), 1)
+	is.Equal(set.Evacuate("unknown"), 0)
+	is.True(set.Changed())
+	set.Put(target("late", 3))
+	other := target("other", 4)
+	other.Zone = "b"
+	set.Put(other)
+	accepting := func() (ids []string) {
+		for _, t := range set.Targets()["p"] {
+			if t.AcceptsWork() {
+				ids = append(ids, t.ID)
+			}
+		}
+		return ids
+	}
+	is.Equal(accepting(), []string{"other"})
+	is.Equal(set.EvacuatedZones(), 2)
+	targets, ok := set.Restore("a")
+	is.True(ok)
+	is.Equal(len(targets), 2)
+	is.Equal(accepting(), []string{"early", "late", "other"})
+	_, ok = set.Restore("a")
+	is.True(!ok)
+}
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -35,26 +35,32 @@
 	// complete is the oldest revision since which all removals are known.
 	complete uint64
 	revision uint64
+	// changes counts what changes the result of Since other than the revision.
+	changes uint64
 }
 
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{items: sortedmap.New[string, Item]()} }
 
-// Revision returns the revision of the store up to which the log is complete; zero if it is empty.
+// Revision returns the revision of the store up to which the log is complete; zero if it is empty. The log
+// may have newer items, because the prefixes of the keys are read apart.
 func (l *Log) Revision() uint64 { return l.revision }
 
+// Changes returns a number that grows when items or known removals change, also while the revision stays.
+func (l *Log) Changes() uint64 { return l.changes }
+
 // Apply adds the changes that are newer than the log, and returns these.
 func (l *Log) Apply(u Update) (changes []Item) {
-	if u.Full && u.Revision < l.revision {
-		return nil
-	}
+	// The missing items of an older full update tell nothing; its newer items still do.
+	u.Full = u.Full && u.Revision >= l.revision
+	complete := l.complete
 	if u.Full {
 		u.Items = append(l.missing(u), u.Items...)
 	}
 	for _, item := range u.Items {
 		old, known := l.items.Get(item.Key)
-		if known && old.Revision >= item.Revision || !known && item.Revision <= l.complete {
-			continue
+		if known && old.Revision >= item.Revision || !(u.Full && known) && item.Revision <= l.complete {
+			continue // known, or replaced or removed since
 		}
 		l.items.Put(item.Key, item)
 		if item.Deleted {
@@ -68,6 +74,9 @@
 	}
 	l.revision = max(l.revision, u.Revision)
 	l.forget()
+	if len(changes) > 0 || l.complete != complete {
+		l.changes++
+	}
 	return changes
 }
 
@@ -85,24 +94,29 @@
 	return removals
 }
 
-// forget drops the oldest removed entries above maxRemoved.
+// forget drops the oldest removed entries above maxRemoved. Removals that are newer than the revision are
+// kept: a full update up to the revision does not imply them.
 func (l *Log) forget() {
 	for len(l.removed) > maxRemoved {
 		key := l.removed[0]
+		item, ok := l.items.Get(key)
+		if ok && item.Deleted && item.Revision > l.revision {
+			return
+		}
 		l.removed = l.removed[1:]
-		if item, ok := l.items.Get(key); ok && item.Deleted {
+		if ok && item.Deleted {
 			l.complete = max(l.complete, item.Revision)
 			l.items.Delete(key)
 		}
 	}
 }
 
-// Since returns the changes after a revision. They are all entries if the removals since then are
-// not known any more.
+// Since returns the changes after a revision. They are all entries, and the removals that are newer than the
+// log's revision, if the removals since then are not known any more.
 func (l *Log) Since(revision uint64) (u Update) {
 	u = Update{Revision: l.revision, Full: revision < l.complete}
 	for _, item := range l.items.All() {
-		if u.Full && !item.Deleted || !u.Full && item.Revision > revision {
+		if u.Full && (!item.Deleted || item.Revision > l.revision) || !u.Full && item.Revision > revision {
 			u.Items = append(u.Items, item)
 		}
 	}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -138,7 +138,7 @@
 }
 
 // Choose returns the target with the lowest cost, and how long the request has to wait before it is
-// sent there. It counts the request as in flight. It reports false if every target is leaving, excluded
+// sent there. It counts the request as in flight. It reports false if every target is leaving, evacuated, excluded
 // or takes no request within r.MaxWait.
 func (c *Chooser) Choose(now time.Duration, r Request) (t discovery.Target, wait time.Duration, ok bool) {
 	longTargets := c.longPromptTargets(r)
@@ -146,7 +146,7 @@
 	var best *targetState
 	lowest := math.Inf(1)
 	for _, st := range c.targets.All() {
-		if st.target.Leaving || slices.Contains(r.Exclude, st.target.ID) {
+		if !st.target.AcceptsWork() || slices.Contains(r.Exclude, st.target.ID) {
 			continue
 		}
 		targetWait := c.gate.Wait(now, st.target)
@@ -172,14 +172,14 @@
 	return best.target, wait, true
 }
 
-// SoonestWait returns how long every target that is neither leaving nor excluded takes no request, if
+// SoonestWait returns how long every target that is neither leaving, evacuated nor excluded takes no request, if
 // some requests (ahead) are sent first; Never if it is not known when one of them does. It reports false
 // if there are no such targets.
 func (c *Chooser) SoonestWait(now time.Duration, exclude []string, ahead int) (wait time.Duration, ok bool) {
 	wait = selfreport.Never
 	rate := 0.0
 	for _, st := range c.targets.All() {
-		if !st.target.Leaving && !slices.Contains(exclude, st.target.ID) {
+		if st.target.AcceptsWork() && !slices.Contains(exclude, st.target.ID) {
 			wait, ok = min(wait, c.gate.Wait(now, st.target)), true
 			rate += c.gate.Rate(now, st.target)
 		}
@@ -191,10 +191,21 @@
 }
 
 // Usable reports whether a target that was chosen before is still one of the pool, and neither is
-// leaving nor has asked for a pause.
+// leaving or evacuated nor has asked for a pause.
 func (c *Chooser) Usable(now time.Duration, t discovery.Target) bool {
 	st, ok := c.targets.Get(t.ID)
-	return ok && !st.target.Leaving && st.target.StartID == t.StartID && c.gate.Wait(now, t) != selfreport.Never && c.gate.Paused(now, t) == 0
+	return ok && st.target.AcceptsWork() && st.target.StartID == t.StartID && c.gate.Wait(now, t) != selfreport.Never && c.gate.Paused(now, t) == 0
+}
+
+// Evacuated reports whether the pool has no target for new work because of evacuated availability zones.
+func (c *Chooser) Evacuated() (evacuated bool) {
+	for _, st := range c.targets.All() {
+		if st.target.AcceptsWork() {
+			return false
+		}
+		evacuated = evacuated || st.target.Evacuated
+	}
+	return evacuated
 }
 
 // AffinityTarget returns the target whose cache should hold the shared parts of the prompt. It
@@ -260,7 +271,7 @@
 	}
 	var available []string
 	for id, st := range c.targets.All() {
-		if !st.target.Leaving && now >= st.backoffUntil && c.gate.Wait(now, st.target) == 0 && (longTargets == nil || longTargets[id] == (r.PromptTokens >= minLongPromptTokens)) {
+		if st.target.AcceptsWork() && now >= st.backoffUntil && c.gate.Wait(now, st.target) == 0 && (longTargets == nil || longTargets[id] == (r.PromptTokens >= minLongPromptTokens)) {
 			available = append(available, id)
 		}
 	}
@@ -338,10 +349,10 @@
 // SlowdownP75 returns the estimated 75th percentile of the slowdown of requests to the pool.
 func (c *Chooser) SlowdownP75() float64 { return c.slowdownP75 }
 
-// Available returns the number of targets that are neither leaving nor in backoff.
+// Available returns the number of targets that are neither leaving, evacuated nor in backoff.
 func (c *Chooser) Available(now time.Duration) (n int) {
 	for _, st := range c.targets.All() {
-		if !st.target.Leaving && now >= st.backoffUntil {
+		if st.target.AcceptsWork() && now >= st.backoffUntil {
 			n++
 		}
 	}
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -122,6 +122,23 @@
 		if !configured[key] {
 			g.batcher.SetTargets(remainingTargets(targets[g.pool], g.name))
 		}
+		if evacuated(targets[g.pool]) {
+			d.failQueued(g)
+		}
+	}
+}
+
+// evacuated reports whether no target of a pool gets new work because of evacuated availability zones.
+func evacuated(targets []discovery.Target) bool {
+	return slices.ContainsFunc(targets, func(t discovery.Target) bool { return t.Evacuated }) && !slices.ContainsFunc(targets, discovery.Target.AcceptsWork)
+}
+
+// failQueued ends the jobs of a group that have pieces which are part of no call: no target will run them in time.
+func (d *Dispatcher) failQueued(g *group) {
+	for _, id := range g.batcher.QueuedJobs() {
+		if a, ok := g.jobs[id]; ok {
+			d.fail(g, a, FaultLate)
+		}
 	}
 }
 
@@ -135,6 +152,9 @@
 	for _, t := range targets {
 		group := ""
 		if len(targets) >= minTargetsToSplit {
+			if t.Evacuated {
+				continue // the jobs of its zone go to other groups
+			}
 			group = t.Zone
 		}
 		groups[group] = append(groups[group], t)
@@ -146,9 +166,9 @@
 }
 
 // remainingTargets returns the targets of a pool that run the jobs of a group which the pool may no
-// longer have: those of its availability zone, or all if there are none.
+// longer have: those of its availability zone, or all if there are none or the zone is evacuated.
 func remainingTargets(targets []discovery.Target, group string) []discovery.Target {
-	near := slices.DeleteFunc(slices.Clone(targets), func(t discovery.Target) bool { return t.Zone != group })
+	near := slices.DeleteFunc(slices.Clone(targets), func(t discovery.Target) bool { return t.Zone != group || t.Evacuated })
 	if len(near) == 0 {
 		return targets
 	}
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -52,8 +52,8 @@
 	// maxHosts is the largest number of live hosts that was known at a time, at least minHosts. The
 	// retry slack is divided by it.
 	maxHosts int
-	// storeRevision is the revision of the store that the targets reflect, publishedRevision that of the
-	// published ones.
+	// storeRevision is the newest revision of the store that the targets reflect, publishedRevision that of
+	// the published ones.
 	storeRevision, publishedRevision uint64
 	// settled is set from settleTime on.
 	settled  bool
@@ -121,8 +121,8 @@
 // OnChanges implements feed.Handler.
 func (c *control) OnChanges(ctx context.Context, changes []feed.Item, revision uint64) {
 	c.Post(ctx, func() {
-		c.storeRevision = revision
-		c.applyTargets(changes)
+		c.storeRevision = max(c.storeRevision, revision)
+		c.applyChanges(changes)
 		c.publishChanges()
 	})
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -16,6 +16,7 @@
 	"google.golang.org/grpc"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/feed"
 	"sassafrasward/core/member"
 	"sassafrasward/core/quota"
 	"sassafrasward/core/selfreport"
@@ -141,11 +142,11 @@
 	e.watcher = &watcher{
 		hub: e.hub, clock: e.clock, log: e.log, jitter: rand.Float64(),
 		wait:     min(s.Limits().RecoveryTime-watchSlack-watchMargin, maxWait),
-		coalesce: s.Limits().CoalesceDelay(),
-		store:    newStoreClient(s.PlatformAddress(), countCall),
+		prefixes: newPrefixWatches(s, countCall),
 	}
+	e.watcher.watches = feed.NewWatches(feed.Watch(len(e.watcher.prefixes)))
 	e.configWatcher = &configWatcher{
-		hub: e.hub, clock: e.clock, log: e.log, jitter: e.watcher.jitter, wait: e.watcher.wait, coalesce: e.watcher.coalesce,
+		hub: e.hub, clock: e.clock, log: e.log, jitter: e.watcher.jitter, wait: e.watcher.wait, coalesce: s.Limits().CoalesceDelay(),
 		store:   newStoreClient(s.PlatformAddress(), countCall),
 		reader:  e.watcher.reader.Load,
 		known:   func() bool { return e.state.Load().table != nil },
--- a/io/edge/limit.go
+++ b/io/edge/limit.go
@@ -42,6 +42,8 @@
 func (x *exchange) failWithoutTarget() {
 	wait, ok := x.choosers.soonestWait(x.pool, x.targets)
 	switch {
+	case !ok && x.choosers.evacuated(x.pool):
+		x.failEvacuated(x.pool)
 	case !ok:
 		x.detail = "no target"
 		x.fail(reason.NoTargets, targetRetryAfter)
@@ -54,6 +56,23 @@
 	}
 }
 
+// evacuatedPool returns the first of the pools that the request needs which has no target for new work because
+// of evacuated availability zones. The pool of the request itself is checked after those of its stages.
+func (x *exchange) evacuatedPool() (pool string, ok bool) {
+	for i, s := range x.route.Stages {
+		if x.request.Pieces[i] > 0 && x.choosers.evacuated(s.Pool) {
+			return s.Pool, true
+		}
+	}
+	return x.pool, x.choosers.evacuated(x.pool)
+}
+
+// failEvacuated refuses a request that needs a pool whose targets are all in evacuated availability zones.
+func (x *exchange) failEvacuated(pool string) {
+	x.detail = "all zones of pool " + pool + " are evacuated"
+	x.fail(reason.NoTargets, targetRetryAfter)
+}
+
 // targetWait returns how long no target will take the request, zero if one does now. It reports false if
 // that is longer than the caller waits.
 func (x *exchange) targetWait() (wait time.Duration, ok bool) {
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -41,6 +41,10 @@
 		x.refuse(http.StatusBadRequest, reason.InvalidField, 0)
 		return nil, false
 	}
+	if pool, ok := x.evacuatedPool(); ok {
+		x.failEvacuated(pool)
+		return nil, false
+	}
 	wait, ok := x.targetWait()
 	if !ok {
 		x.failWithoutTarget()
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -110,6 +110,13 @@
 	return p.chooser.SoonestWait(c.clock(), exclude, p.staged)
 }
 
+// evacuated reports whether the pool has no target for new work because of evacuated availability zones.
+func (c *choosers) evacuated(name string) bool {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.pool(name).chooser.Evacuated()
+}
+
 // addStaged adds to the number of requests to the pool that run their stages.
 func (c *choosers) addStaged(name string, n int) {
 	c.mutex.Lock()
@@ -117,7 +124,7 @@
 	c.pool(name).staged += n
 }
 
-// usable reports whether a chosen target of the pool is still known and not leaving.
+// usable reports whether a chosen target of the pool is still known and neither leaving nor evacuated.
 func (c *choosers) usable(name string, t discovery.Target) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -4,14 +4,17 @@
 	"context"
 	"errors"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
 
+	"sassafrasward/core/discovery"
 	"sassafrasward/core/feed"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
+	"sassafrasward/io/setting"
 	"sassafrasward/platform"
 )
 
@@ -35,9 +38,8 @@
 )
 
 // watcher reads the targets in the store with long polls while this host has to, and adds what it reads to the
-// copy that other hosts follow.
+// copy that other hosts follow. If zones are evacuated, a second goroutine reads the evacuations in the same way.
 type watcher struct {
-	store *storeClient
 	hub   *iofeed.Hub
 	clock func() time.Duration
 	log   logr.Logger
@@ -47,69 +49,164 @@
 	jitter float64
 	// wait is how long a long poll waits for changes.
 	wait time.Duration
+	// prefixes has the prefixes that are read, the first of which is that of the targets.
+	prefixes []prefixWatch
+
+	// mutex makes one of adding the items of an answer to the copy and recording how far its prefix was read,
+	// so that the revision of the copy never covers items that it lacks. Full reads are made under it as well.
+	mutex   sync.Mutex
+	watches *feed.Watches
+}
+
+// prefixWatch is the long poll of one prefix.
+type prefixWatch struct {
+	watch  feed.Watch
+	prefix string
+	// name is what the prefix has, for the log.
+	name  string
+	store *storeClient
 	// coalesce is the delay after a read with changes, so that the next read returns more of them.
 	coalesce time.Duration
-	// lastRead is when the last read ended, failing whether it failed.
-	lastRead time.Duration
-	failing  bool
 }
 
-// run reads the store until the context ends, then sends nil on done. If the store has compacted
-// the last revision, it reads everything again.
+// newPrefixWatches returns the watches of a host: that of the targets, and that of the evacuations if the
+// settings enable it. Evacuations are rare and binding, so that their reads are not delayed after a change.
+func newPrefixWatches(s setting.Settings, countCall func()) (watches []prefixWatch) {
+	watches = []prefixWatch{{
+		watch: feed.Targets, prefix: platform.PrefixTargets, name: "targets", store: newStoreClient(s.PlatformAddress(), countCall), coalesce: s.Limits().CoalesceDelay(),
+	}}
+	if s.Limits().MaxEvacuationDelay > 0 {
+		watches = append(watches, prefixWatch{
+			watch: feed.Evacuations, prefix: platform.PrefixEvacuations, name: "evacuations", store: newStoreClient(s.PlatformAddress(), countCall),
+		})
+	}
+	return watches
+}
+
+// run reads the prefixes until the context ends, then sends nil on done.
 func (w *watcher) run(ctx context.Context, done chan<- error) {
-	backoff := minBackoff
-	compacted := false
+	var others sync.WaitGroup
+	for _, p := range w.prefixes[1:] {
+		others.Go(func() { w.poll(ctx, p) })
+	}
+	w.poll(ctx, w.prefixes[0])
+	others.Wait()
+	done <- nil
+}
+
+// poll reads one prefix until the context ends.
+func (w *watcher) poll(ctx context.Context, p prefixWatch) {
+	backoff, failing, lastRead := minBackoff, false, time.Duration(0)
 	for ctx.Err() == nil {
-		if wait := w.readIn(); wait > 0 {
-			w.hub.StoreUnread()
+		if wait := w.readIn(lastRead); wait > 0 {
+			w.stopped(p)
 			sleep(ctx, min(wait, idleCheck))
 			continue
 		}
-		u, err := w.read(ctx, compacted)
-		w.lastRead = w.clock()
-		compacted = errors.Is(err, platform.ErrCompacted)
-		switch {
-		case compacted:
-		case err != nil:
-			if !w.failing && ctx.Err() == nil {
-				event.LogError(w.log, event.StoreReadFailed, err, "entries", "targets", "revision", w.hub.Revision())
+		delay, err := w.read(ctx, p)
+		lastRead = w.clock()
+		if err != nil {
+			if !failing && ctx.Err() == nil {
+				event.LogError(w.log, event.StoreReadFailed, err, "entries", p.name, "revision", w.hub.Revision())
 			}
-			w.failing = true
-			w.hub.StoreFailed(ctx, err)
+			failing = true
+			w.failed(ctx, p, err)
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
-		default:
-			backoff, w.failing = minBackoff, false
-			w.hub.StoreResponded(ctx, u)
-			if len(u.Items) > 0 {
-				sleep(ctx, w.coalesce)
-			}
+			continue
+		}
+		backoff, failing = minBackoff, false
+		if delay > 0 {
+			sleep(ctx, delay)
 		}
 	}
-	done <- nil
 }
 
 // readIn returns the time after which the store has to be read, zero for now.
-func (w *watcher) readIn() time.Duration {
+func (w *watcher) readIn(lastRead time.Duration) time.Duration {
 	return feed.ReadState{
-		Reader: w.reader.Load(), Empty: w.hub.Revision() == 0, Down: w.hub.DownElsewhere(), Age: w.hub.Age(), SinceRead: w.clock() - w.lastRead, Jitter: w.jitter,
+		Reader: w.reader.Load(), Empty: w.hub.Revision() == 0, Down: w.hub.DownElsewhere(), Age: w.hub.Age(), SinceRead: w.clock() - lastRead, Jitter: w.jitter,
 	}.ReadIn()
 }
 
-// read returns the changes after the revision of the copy, or everything if there is none or the
-// store no longer has the changes.
-func (w *watcher) read(ctx context.Context, compacted bool) (u feed.Update, err error) {
-	revision := w.hub.Revision()
-	if revision == 0 || compacted {
-		return w.readAll(ctx)
+// read adds the changes of a prefix after the revision up to which it is known to the copy, or all entries of
+// all prefixes if there is no copy or the store no longer has the changes. It returns the delay of the next read.
+func (w *watcher) read(ctx context.Context, p prefixWatch) (delay time.Duration, err error) {
+	after := w.after(p)
+	if after == 0 {
+		return w.readAll(ctx, p, after)
 	}
-	ctx, end := w.store.begin(ctx, w.wait+watchSlack)
-	defer end()
-	items, newRevision, err := w.store.Watch(ctx, platform.PrefixTargets, revision, w.wait)
-	if err != nil {
-		return feed.Update{}, err
+	readCtx, end := p.store.begin(ctx, w.wait+watchSlack)
+	items, revision, err := p.store.Watch(readCtx, p.prefix, after, w.wait)
+	end()
+	switch {
+	case errors.Is(err, platform.ErrCompacted):
+		return w.readAll(ctx, p, after)
+	case err != nil:
+		return 0, err
+	}
+	if len(items) > 0 {
+		delay = p.coalesce
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	complete := w.watches.Read(p.watch, w.clock(), max(revision, after), w.hub.Revision())
+	w.add(ctx, feed.Update{Items: entries(items), Revision: complete})
+	return delay, nil
+}
+
+// after returns the revision from which a prefix is read; zero without a copy.
+func (w *watcher) after(p prefixWatch) (revision uint64) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.watches.After(p.watch, w.hub.Revision())
+}
+
+// readAll adds all entries of all prefixes, unless another watch has done so since the revision after was found.
+// It returns the delay of the next read, which keeps a store that has dropped the changes since this very read from
+// being read without a pause.
+func (w *watcher) readAll(ctx context.Context, p prefixWatch, after uint64) (delay time.Duration, err error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.watches.After(p.watch, w.hub.Revision()) > after {
+		return 0, nil
+	}
+	u := feed.Update{Full: true}
+	for _, other := range w.prefixes {
+		readCtx, end := p.store.begin(ctx, readTimeout)
+		items, revision, err := p.store.List(readCtx, other.prefix)
+		end()
+		if err != nil {
+			return 0, err
+		}
+		if u.Items = append(u.Items, entries(items)...); u.Revision == 0 || revision < u.Revision {
+			u.Revision = revision
+		}
 	}
-	return feed.Update{Items: entries(items), Revision: max(newRevision, revision)}, nil
+	w.watches.ReadAll(w.clock(), u.Revision)
+	w.add(ctx, u)
+	return max(p.coalesce, minBackoff), nil
+}
+
+// add adds what was read to the copy. The mutex is held.
+func (w *watcher) add(ctx context.Context, u feed.Update) {
+	w.hub.StoreRead(ctx, w.watches.CurrentAt(), w.watches.Err(), u)
+}
+
+// failed records a failed read of a prefix.
+func (w *watcher) failed(ctx context.Context, p prefixWatch, err error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.watches.Failed(p.watch, err)
+	w.hub.StoreFailed(ctx, err)
+}
+
+// stopped records that this host does not read a prefix at present.
+func (w *watcher) stopped(p prefixWatch) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.watches.Stopped(p.watch)
+	w.hub.StoreUnread()
 }
 
 // entries converts the items of the store to entries of the copy.
@@ -120,17 +217,6 @@
 	return list
 }
 
-// readAll returns all targets.
-func (w *watcher) readAll(ctx context.Context) (u feed.Update, err error) {
-	ctx, end := w.store.begin(ctx, readTimeout)
-	defer end()
-	items, revision, err := w.store.List(ctx, platform.PrefixTargets)
-	if err != nil {
-		return feed.Update{}, err
-	}
-	return feed.Update{Items: entries(items), Full: true, Revision: revision}, nil
-}
-
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
@@ -141,25 +227,54 @@
 	}
 }
 
-// applyTargets applies changed target entries to the known targets. An invalid entry counts as
-// removed.
-func (c *control) applyTargets(changes []feed.Item) {
-	now := c.clock()
+// applyChanges applies changed entries of the copy.
+func (c *control) applyChanges(changes []feed.Item) {
 	for _, item := range changes {
-		id, ok := strings.CutPrefix(item.Key, platform.PrefixTargets)
+		c.storeRevision = max(c.storeRevision, item.Revision)
 		switch {
-		case !ok:
-			continue
-		case item.Deleted:
-			c.targetSet.Remove(now, id, item.Revision)
-			continue
-		}
-		t, err := platform.DecodeTarget(platform.Item(item))
-		if err != nil {
-			event.LogError(c.log, event.EntryIgnored, err, "key", item.Key, "revision", item.Revision)
-			c.targetSet.Remove(now, id, item.Revision)
-			continue
+		case strings.HasPrefix(item.Key, platform.PrefixTargets):
+			c.applyTarget(item)
+		case strings.HasPrefix(item.Key, platform.PrefixEvacuations):
+			c.applyEvacuation(item)
 		}
-		c.targetSet.Put(t)
 	}
 }
+
+// applyTarget applies a changed target entry to the known targets. An invalid entry counts as removed.
+func (c *control) applyTarget(item feed.Item) {
+	now, id := c.clock(), strings.TrimPrefix(item.Key, platform.PrefixTargets)
+	if item.Deleted {
+		c.targetSet.Remove(now, id, item.Revision)
+		return
+	}
+	t, err := platform.DecodeTarget(platform.Item(item))
+	if err != nil {
+		event.LogError(c.log, event.EntryIgnored, err, "key", item.Key, "revision", item.Revision)
+		c.targetSet.Remove(now, id, item.Revision)
+		return
+	}
+	c.targetSet.Put(t)
+}
+
+// applyEvacuation applies the begin or the end of the evacuation of an availability zone.
+func (c *control) applyEvacuation(item feed.Item) {
+	zone, err := platform.EvacuatedZone(item.Key)
+	if err != nil {
+		event.LogError(c.log, event.EntryIgnored, err, "revision", item.Revision)
+		return
+	}
+	if !item.Deleted {
+		targets := c.targetSet.Evacuate(zone)
+		c.announcements.Add(event.ZoneEvacuated, "zone", zone, "targets", targets, "revision", item.Revision)
+	} else if targets, ok := c.targetSet.Restore(zone); ok {
+		c.zoneRestored(targets)
+		c.announcements.Add(event.ZoneRestored, "zone", zone, "targets", len(targets), "revision", item.Revision)
+	}
+	c.metrics.Gauge("zones.evacuated").Update(int64(c.targetSet.EvacuatedZones()))
+}
+
+// zoneRestored is called on the control goroutine with the targets of an availability zone whose evacuation has
+// ended, before they get work.
+func (c *control) zoneRestored(targets []discovery.Target) {
+	c.metrics.Counter("targets.restored").Inc(int64(len(targets)))
+}
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -432,3 +432,27 @@
 	}
 	is.Equal(b.hub.Revision(), uint64(500))
 }
+
+// TestChangeAtSameRevision guards against a follower that gets a change only once the revision of the copy moves:
+// the reader's watch of the evacuations is ahead of that of the targets.
+func TestChangeAtSameRevision(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b := startHost(t), startHost(t)
+	a.publish("x", "1", 1)
+	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
+	wait(t, func() bool { return b.get("x") == "1" })
+	ahead := func(value string, revision uint64) {
+		a.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: "y", Value: []byte(value), Revision: revision}}, Revision: 1})
+	}
+	ahead("5", 5)
+	wait(t, func() bool { return b.get("y") == "5" })
+	ahead("6", 6)
+	wait(t, func() bool { return b.get("y") == "6" })
+	is.Equal(b.hub.Revision(), uint64(1))
+	is.Equal(a.followed.Load(), int64(1)) // all on one link
+	c := startHost(t)
+	c.publish("x", "1", 1)
+	c.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
+	wait(t, func() bool { return c.get("y") == "6" }) // a follower that begins at the same revision
+}
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -262,7 +262,11 @@
 		return err
 	}
 	u := feed.Update{Items: items, Full: m.GetFull(), Revision: m.GetRevision()}
-	f.hub.apply(ctx, address, time.Duration(m.GetAge())*time.Millisecond, m.GetDown(), u)
+	var down error
+	if m.GetDown() {
+		down = errStoreDown
+	}
+	f.hub.apply(ctx, address, time.Duration(m.GetAge())*time.Millisecond, down, u)
 	if hash := m.GetHash(); len(hash) == sha256.Size {
 		f.hub.announced(ctx, address, config.NewVersion(m.GetNumber(), [sha256.Size]byte(hash)))
 	}
--- a/io/feed/hub.go
+++ b/io/feed/hub.go
@@ -47,9 +47,10 @@
 	changed chan struct{}
 	// version is that of the configuration in force on this host.
 	version config.Version
-	// encodings has the encoded changes since the revisions that followers have, up to encodedRevision.
-	encodings       map[uint64]*encoding
-	encodedRevision uint64
+	// encodings has the encoded changes since the revisions that followers have, as of the number of changes
+	// of the log encodedChanges.
+	encodings      map[uint64]*encoding
+	encodedChanges uint64
 }
 
 // encoding has changes in the form in which all followers with the same revision receive them.
@@ -117,7 +118,13 @@
 
 // StoreResponded adds what this host read from the store.
 func (h *Hub) StoreResponded(ctx context.Context, u feed.Update) {
-	h.apply(ctx, storeSource, 0, false, u)
+	h.apply(ctx, storeSource, 0, nil, u)
+}
+
+// StoreRead adds what one of several watches of this host read from the store. The copy was current at a time;
+// err is the error of another watch, to which the store does not respond.
+func (h *Hub) StoreRead(ctx context.Context, currentAt time.Duration, err error, u feed.Update) {
+	h.apply(ctx, storeSource, h.clock()-currentAt, err, u)
 }
 
 // StoreFailed records a failed read of the store.
@@ -130,9 +137,9 @@
 // StoreUnread records that this host does not read the store at present.
 func (h *Hub) StoreUnread() { h.gone(storeSource) }
 
-// apply adds an update of a source whose copy was current age ago. down is set if the store does not
-// respond to the source.
-func (h *Hub) apply(ctx context.Context, source string, age time.Duration, down bool, u feed.Update) {
+// apply adds an update of a source whose copy was current age ago. err is set if the store does not respond
+// to the source.
+func (h *Hub) apply(ctx context.Context, source string, age time.Duration, err error, u feed.Update) {
 	h.order.Lock()
 	defer h.order.Unlock()
 	h.mutex.Lock()
@@ -140,7 +147,7 @@
 	changes := h.log.Apply(u)
 	revision := h.log.Revision()
 	changed := len(changes) > 0 || empty && revision > 0
-	recovered := !down && h.freshness.Succeeded(source, h.clock()-age)
+	recovered := err == nil && h.freshness.Succeeded(source, h.clock()-age)
 	if changed || recovered {
 		h.notify()
 	}
@@ -151,8 +158,8 @@
 	if changed {
 		h.handler.OnChanges(ctx, changes, revision)
 	}
-	if down {
-		h.fail(ctx, source, errStoreDown)
+	if err != nil {
+		h.fail(ctx, source, err)
 	}
 }
 
--- a/io/feed/server.go
+++ b/io/feed/server.go
@@ -15,6 +15,9 @@
 // heartbeatInterval is the time between two updates to a follower while there are no changes.
 const heartbeatInterval = 1 * time.Second
 
+// nothingSent is the number of changes of a follower that got no update yet. Logs count from zero.
+const nothingSent = ^uint64(0)
+
 // service serves the copy of a hub to other hosts.
 type service struct {
 	message.UnimplementedFeedServer
@@ -33,8 +36,9 @@
 	}
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
+	sent := nothingSent
 	for {
-		update, changed, err := s.hub.update(revision)
+		update, changed, err := s.hub.update(revision, &sent)
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -52,8 +56,9 @@
 	}
 }
 
-// update returns the changes after a revision, and a channel that is closed at the next change.
-func (h *Hub) update(revision uint64) (m *message.Update, changed <-chan struct{}, err error) {
+// update returns the changes after a revision, and a channel that is closed at the next change. There are none
+// if nothing has changed since the last update to the follower; sent is the number of changes as of that update.
+func (h *Hub) update(revision uint64, sent *uint64) (m *message.Update, changed <-chan struct{}, err error) {
 	h.mutex.Lock()
 	m = &message.Update{
 		Revision: h.log.Revision(), Age: h.freshness.Age(h.clock()).Milliseconds(), Down: h.freshness.Down(), Number: h.version.Number(),
@@ -64,8 +69,8 @@
 	}
 	changed = h.changed
 	var e *encoding
-	if revision != m.GetRevision() {
-		e = h.encodingSince(revision)
+	if changes := h.log.Changes(); *sent != changes {
+		*sent, e = changes, h.encodingSince(revision)
 	}
 	h.mutex.Unlock()
 	if e == nil {
@@ -83,8 +88,8 @@
 // encodingSince returns the encoding of the changes after a revision. The mutex is held; the changes are
 // encoded without it.
 func (h *Hub) encodingSince(revision uint64) *encoding {
-	if current := h.log.Revision(); h.encodedRevision != current {
-		h.encodedRevision = current
+	if current := h.log.Changes(); h.encodedChanges != current {
+		h.encodedChanges = current
 		clear(h.encodings)
 	}
 	e, ok := h.encodings[revision]
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -45,6 +45,9 @@
 	// MaxLeaveDelay is the time after which a leaving target must get no new work, and
 	// MaxApplyDelay the time after which a published configuration must be in force.
 	MaxLeaveDelay, MaxApplyDelay time.Duration
+	// MaxEvacuationDelay is the time after which the targets of an evacuated availability zone must get no
+	// new work; zero if zones are never evacuated.
+	MaxEvacuationDelay time.Duration
 	// The retry budget of all hosts together: in each RetryWindow, they may make as many retries
 	// as RetryRatio times the number of requests, plus RetryAllowance.
 	RetryRatio     float64
@@ -197,6 +200,11 @@
 		s.limits.MaxApplyDelay = time.Duration(n * float64(time.Millisecond))
 		return ok && n >= 500
 	}},
+	{"edge", "evacuate", "0", "0 or more (milliseconds)", "time after which the targets of an evacuated availability zone get no new work; with 0, evacuations are not read from the store", func(s *Settings, v string) bool {
+		n, ok := parseNumber(v)
+		s.limits.MaxEvacuationDelay = time.Duration(n * float64(time.Millisecond))
+		return ok
+	}},
 	{"edge", "ratio", "0.1", "0 or more", "retries that all hosts together may make, as a ratio of the requests", func(s *Settings, v string) (ok bool) {
 		s.limits.RetryRatio, ok = parseNumber(v)
 		return ok
