Share the rate of cold targets between hosts

Cause: a target that has just started takes few requests a second and crashes at a rate well above that. Hosts knew nothing of it and sent to a new target like to any other.

The gate allows a host its share of the cold rate: integer rates for the first hosts in the order of rendezvous hashing, evenly spaced, without saved allowance. Two full shares stay within the bound where nine tenths of the rate allow it; otherwise hosts believed dead keep theirs. A part of the fleet with less than half of the known hosts uses only what its hosts hold among all, so that any number of parts stays within the bound, not just two. Hosts that have not settled have no share. Nothing changes without WithColdBound.

Ruled out: token buckets as for stated limits, which save up a burst; a share for each host, which with 300 hosts would be a request in half a minute for each; to let hosts book requests for the end of a cold time without a rate, which would arrive at once.

Tests in virtual time with 1 to 300 hosts, five rates, parts, joins and departures; with the rule for small parts, the loss of unused time or the offsets of first requests removed, they fail.

--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -21,6 +21,8 @@
 	StartID int64
 	// Revision orders the versions of the entry of one target.
 	Revision uint64
+	// ColdFor is how long the target still took few requests only when its entry was written.
+	ColdFor time.Duration
 }
 
 const (
--- a/core/member/fact.go
+++ b/core/member/fact.go
@@ -164,7 +164,8 @@
 func (c Crash) withTTL(ttl time.Duration) Crash { c.TTL = ttl; return c }
 func (c Crash) checksum() uint64                { return hash("", c.Fingerprint, c.Observer, c.Crashes, c.Cleared) }
 
-// Report is the fact that a target has stated that it leaves, or how many requests a second it takes.
+// Report is the fact that a target has stated that it leaves, how many requests a second it takes, or for how
+// long it is cold.
 type Report struct {
 	// Target is the ID of the target, StartID the start of its process.
 	Target  string
@@ -176,7 +177,9 @@
 	// Limited is set if the target has a limit, and Limit is in thousandths of requests per second.
 	Limited bool
 	Limit   uint64
-	TTL     time.Duration
+	// Cold is the remaining cold time of the target when the fact was published; zero if it is not known.
+	Cold time.Duration
+	TTL  time.Duration
 }
 
 // Age returns how long ago the fact was published.
@@ -190,7 +193,7 @@
 // Merge returns the fact that takes precedence: the newer one, otherwise the stricter one. A target that
 // leaves stays leaving.
 func (r Report) Merge(o Report) Report {
-	c := cmp.Or(cmp.Compare(r.Version, o.Version), compareBool(r.Limited, o.Limited), cmp.Compare(o.Limit, r.Limit))
+	c := cmp.Or(cmp.Compare(r.Version, o.Version), compareBool(r.Limited, o.Limited), cmp.Compare(o.Limit, r.Limit), cmp.Compare(r.Cold, o.Cold))
 	merged := later(c, r, o, r.TTL, o.TTL)
 	merged.Leaving = r.Leaving || o.Leaving
 	return merged
@@ -209,7 +212,10 @@
 	if r.Leaving {
 		flags |= 2
 	}
-	return hash(r.Target, uint64(r.StartID), r.Version, flags, r.Limit)
+	if r.Cold == 0 {
+		return hash(r.Target, uint64(r.StartID), r.Version, flags, r.Limit) // as hosts that don't know of cold times
+	}
+	return hash(r.Target, uint64(r.StartID), r.Version, flags, r.Limit, uint64(r.Cold.Milliseconds()))
 }
 
 // Handover is the fact that a stopping host passed the finished records of an incarnation to
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -93,6 +93,17 @@
 	Model *Model
 	// Batch is nil unless the targets process pieces of stages.
 	Batch *Batch
+	// SlowStart is nil unless targets that have started take few requests for some time.
+	SlowStart *SlowStart
+}
+
+// SlowStart describes how targets start.
+type SlowStart struct {
+	// Duration is the cold time: how long after its start a target is slow.
+	Duration time.Duration
+	// Rate is the number of requests a second that a cold target takes from all hosts together. It is
+	// above zero.
+	Rate float64
 }
 
 // Model describes the model engines of a pool. All values are per engine.
--- a/core/selfreport/fact_string.go
+++ b/core/selfreport/fact_string.go
@@ -11,11 +11,12 @@
 	_ = x[Leaving-0]
 	_ = x[Limit-1]
 	_ = x[Wait-2]
+	_ = x[Cold-3]
 }
 
-const _Fact_name = "leavinglimitwait"
+const _Fact_name = "leavinglimitwaitcold"
 
-var _Fact_index = [...]uint8{0, 7, 12, 16}
+var _Fact_index = [...]uint8{0, 7, 12, 16, 20}
 
 func (i Fact) String() string {
 	idx := int(i) - 0
--- a/core/selfreport/record.go
+++ b/core/selfreport/record.go
@@ -22,14 +22,17 @@
 	leaving bool
 	// limit is in requests per second; negative for none.
 	limit float64
+	// cold is the remaining cold time when the target stated it; zero if it is not known.
+	cold time.Duration
 	// age is the time since the target stated it, as far as the host that has the record knows.
 	age time.Duration
 }
 
 // NewRecord returns a record of the target with the ID, whose process has the start ID. The limit is in
-// requests per second, and negative for none.
-func NewRecord(id string, startID int64, version uint64, leaving bool, limit float64, age time.Duration) Record {
-	return Record{id: id, startID: startID, version: version, leaving: leaving, limit: limit, age: age}
+// requests per second, and negative for none. Cold is the remaining cold time at the given age, zero if it is
+// not known.
+func NewRecord(id string, startID int64, version uint64, leaving bool, limit float64, cold, age time.Duration) Record {
+	return Record{id: id, startID: startID, version: version, leaving: leaving, limit: limit, cold: cold, age: age}
 }
 
 // ID returns the ID of the target.
@@ -46,3 +49,6 @@
 
 // Limit returns the limit in requests per second; negative for none.
 func (r Record) Limit() float64 { return r.limit }
+
+// Cold returns the remaining cold time when the target stated it; zero if it is not known.
+func (r Record) Cold() time.Duration { return r.cold }
--- a/core/selfreport/statement.go
+++ b/core/selfreport/statement.go
@@ -19,6 +19,8 @@
 	Limit // limit
 	// Wait is how long the target wants no requests from the host that it refused.
 	Wait // wait
+	// Cold is how long the target, which has started, takes few requests only.
+	Cold // cold
 )
 
 const (
@@ -39,6 +41,9 @@
 	Limit float64
 	// Wait is at most MaxWait; zero if the answer asks for none.
 	Wait time.Duration
+	// ColdStated is set if the answer has the remaining cold time Cold.
+	ColdStated bool
+	Cold       time.Duration
 	// Unreadable is the number of facts whose values can't be read. They state nothing.
 	Unreadable int
 }
@@ -48,7 +53,7 @@
 	target discovery.Target
 	fact   Fact
 	// value is 1 or 0 for Leaving, requests per second for Limit (negative for none) and seconds for
-	// Wait.
+	// Wait and Cold.
 	value float64
 	// age is the time since the fact last changed; negative if it was not stated before.
 	age time.Duration
@@ -61,7 +66,7 @@
 func (c Change) Fact() Fact { return c.fact }
 
 // Value returns the new value: 1 or 0 for Leaving, requests per second for Limit (negative if the
-// target no longer has one) and seconds for Wait.
+// target no longer has one) and seconds for Wait and Cold.
 func (c Change) Value() float64 { return c.value }
 
 // Age returns how long the previous value held; negative if the fact was not stated before.
--- a/core/selfreport/table.go
+++ b/core/selfreport/table.go
@@ -48,6 +48,7 @@
 	published time.Duration
 	pause     pause
 
+	cold   coldState
 	bucket bucket
 	// hostsVersion and shareLimit are those for which the share of the bucket was computed.
 	hostsVersion uint64
@@ -63,11 +64,22 @@
 	reports map[incarnation]*report
 	// records has the records to send to other hosts.
 	records []Record
+	slow    slowStarts
 }
 
+// Option configures a Table.
+type Option func(*Table)
+
+// WithColdBound bounds the requests to cold targets.
+func WithColdBound(bound ColdBound) Option { return func(t *Table) { t.slow.bound = bound } }
+
 // New returns the empty table of the host with the name.
-func New(self string) *Table {
-	return &Table{hosts: newHostList(self, nil), hostsVersion: 1, reports: make(map[incarnation]*report)}
+func New(self string, options ...Option) *Table {
+	t := &Table{hosts: newHostList(self, nil), hostsVersion: 1, reports: make(map[incarnation]*report), slow: newSlowStarts(self, ColdBound{})}
+	for _, o := range options {
+		o(t)
+	}
+	return t
 }
 
 // Len returns the number of targets that have stated anything.
@@ -103,7 +115,7 @@
 func (t *Table) Observe(now time.Duration, target discovery.Target, s Statement) (changes []Change) {
 	r, known := t.reports[incarnationOf(target)]
 	if !known {
-		if !s.Leaving && !s.Limited && s.Wait <= 0 {
+		if !s.Leaving && !s.Limited && s.Wait <= 0 && (s.Cold <= 0 || !t.slow.enabled()) {
 			return nil
 		}
 		r = t.add(target)
@@ -120,7 +132,13 @@
 		r.heard = now
 		changes = append(changes, r.setLimit(now, limit)...)
 	}
-	if len(changes) > 0 || limit >= 0 && now-r.published >= refreshInterval {
+	notable := false
+	if s.ColdStated {
+		var cold []Change
+		cold, notable = t.observeCold(now, r, s.Cold)
+		changes = append(changes, cold...)
+	}
+	if notable || len(changes) > 0 || limit >= 0 && now-r.published >= refreshInterval {
 		t.publish(now, r)
 	}
 	if s.Wait <= 0 {
@@ -142,7 +160,7 @@
 func (t *Table) publish(now time.Duration, r *report) {
 	r.version++
 	r.published = now
-	t.records = append(t.records, NewRecord(r.target.ID, r.target.StartID, r.version, r.leaving(now), r.limit, 0))
+	t.records = append(t.records, NewRecord(r.target.ID, r.target.StartID, r.version, r.leaving(now), r.limit, r.recordedCold(now), 0))
 }
 
 func (r *report) leaving(now time.Duration) bool { return now < r.leavingUntil }
@@ -187,7 +205,7 @@
 func (t *Table) Merge(now time.Duration, target discovery.Target, record Record) (changes []Change) {
 	r, known := t.reports[incarnationOf(target)]
 	if !known {
-		if record.limit < 0 && !record.leaving {
+		if record.limit < 0 && !record.leaving && (record.cold <= record.age || !t.slow.enabled()) {
 			return nil
 		}
 		r = t.add(target)
@@ -199,6 +217,7 @@
 		return changes
 	}
 	r.version, r.published, r.heard = record.version, now-record.age, max(r.heard, now-record.age)
+	changes = append(changes, t.mergeCold(now, r, record)...)
 	return append(changes, r.setLimit(now, record.limit)...)
 }
 
@@ -210,10 +229,15 @@
 		return 0
 	case r.leaving(now):
 		return Never
-	case t.limited(now, r, senders):
-		return max(r.bucket.wait(now), r.pause.wait(now))
 	}
-	return r.pause.wait(now)
+	wait := r.pause.wait(now)
+	if t.limited(now, r, senders) {
+		wait = max(wait, r.bucket.wait(now))
+	}
+	if t.isCold(now, r, senders) {
+		wait = max(wait, r.cold.wait(now))
+	}
+	return wait
 }
 
 // Paused returns how long the target wants no requests from this host, whatever its limit is.
@@ -234,6 +258,9 @@
 	if t.limited(now, r, senders) {
 		r.bucket.take(now)
 	}
+	if t.isCold(now, r, senders) {
+		r.cold.take(now)
+	}
 }
 
 // Rate returns how many requests a second this host may send to a target; infinite without a limit.
@@ -244,10 +271,15 @@
 		return math.Inf(1)
 	case r.leaving(now):
 		return 0
-	case t.limited(now, r, senders):
-		return r.bucket.share.rate()
 	}
-	return math.Inf(1)
+	rate := math.Inf(1)
+	if t.limited(now, r, senders) {
+		rate = r.bucket.share.rate()
+	}
+	if t.isCold(now, r, senders) {
+		rate = min(rate, r.cold.share.rate())
+	}
+	return rate
 }
 
 // limited reports whether a target has a limit that holds, and brings its bucket up to date.
--- a/io/gossip/codec.go
+++ b/io/gossip/codec.go
@@ -31,7 +31,7 @@
 		m.Crashes = append(m.Crashes, &message.Crash{Fingerprint: f.Fingerprint, Observer: f.Observer, Part: f.Part, Crashes: f.Crashes, Cleared: f.Cleared, Life: encodeTTL(f.TTL)})
 	}
 	for _, f := range p.Reports {
-		m.Reports = append(m.Reports, &message.Report{Target: f.Target, Start: f.StartID, Version: f.Version, Leaving: f.Leaving, Limited: f.Limited, Limit: f.Limit, Life: encodeTTL(f.TTL)})
+		m.Reports = append(m.Reports, &message.Report{Target: f.Target, Start: f.StartID, Version: f.Version, Leaving: f.Leaving, Limited: f.Limited, Limit: f.Limit, Cold: encodeTTL(f.Cold), Life: encodeTTL(f.TTL)})
 	}
 	for _, f := range p.Handovers {
 		m.Handovers = append(m.Handovers, &message.Handover{Owner: f.Owner, Successor: f.Successor, Host: f.Host, Life: encodeTTL(f.TTL)})
@@ -73,7 +73,7 @@
 		p.Crashes = append(p.Crashes, member.Crash{Fingerprint: f.GetFingerprint(), Observer: f.GetObserver(), Part: f.GetPart(), Crashes: f.GetCrashes(), Cleared: f.GetCleared(), TTL: decodeTTL(f.GetLife())})
 	}
 	for _, f := range m.GetReports() {
-		p.Reports = append(p.Reports, member.Report{Target: f.GetTarget(), StartID: f.GetStart(), Version: f.GetVersion(), Leaving: f.GetLeaving(), Limited: f.GetLimited(), Limit: f.GetLimit(), TTL: decodeTTL(f.GetLife())})
+		p.Reports = append(p.Reports, member.Report{Target: f.GetTarget(), StartID: f.GetStart(), Version: f.GetVersion(), Leaving: f.GetLeaving(), Limited: f.GetLimited(), Limit: f.GetLimit(), Cold: decodeTTL(min(f.GetCold(), maxColdMillis)), TTL: decodeTTL(f.GetLife())})
 	}
 	for _, f := range m.GetHandovers() {
 		p.Handovers = append(p.Handovers, member.Handover{Owner: f.GetOwner(), Successor: f.GetSuccessor(), Host: f.GetHost(), TTL: decodeTTL(f.GetLife())})
@@ -91,5 +91,8 @@
 	}
 }
 
+// maxColdMillis is above all cold times that hosts send. A larger one could overflow a duration.
+const maxColdMillis = uint64(time.Hour / time.Millisecond)
+
 func encodeTTL(d time.Duration) uint64  { return uint64(d.Milliseconds()) }
 func decodeTTL(ms uint64) time.Duration { return time.Duration(ms) * time.Millisecond }
--- a/io/gossip/report.go
+++ b/io/gossip/report.go
@@ -14,7 +14,7 @@
 func ReportFact(r selfreport.Record) member.Report {
 	return member.Report{
 		Target: r.ID(), StartID: r.StartID(), Version: r.Version(), Leaving: r.Leaving(), Limited: r.Limit() >= 0,
-		Limit: uint64(math.Round(max(r.Limit(), 0) * limitUnits)),
+		Limit: uint64(math.Round(max(r.Limit(), 0) * limitUnits)), Cold: r.Cold(),
 	}
 }
 
@@ -24,5 +24,5 @@
 	if r.Limited {
 		limit = min(float64(r.Limit)/limitUnits, selfreport.MaxLimit)
 	}
-	return selfreport.NewRecord(r.Target, r.StartID, r.Version, r.Leaving, limit, r.Age())
+	return selfreport.NewRecord(r.Target, r.StartID, r.Version, r.Leaving, limit, r.Cold, r.Age())
 }
