Read slow starts from entries, the configuration and answers

Cause: the share rule for cold targets had no input.

The settings [edge] coldfactor and coldslack turn the bound on; a deployment without them gets no line of settings. Hosts that are joining count as live for the shares, and hosts believed dead that had not drained are passed on as such.

If a host has no share in a cold pool in time, it refuses at once with the end of the cold time as the retry delay. A refused connection makes the target count as cold on all hosts until it answers; the host that gets the answer asks for its health once. The dispatching host starts calls when the rate allows them and not only with its tick of 50 ms, and releases of results at cold targets wait for their turn. Registry.StartCold is for zones that are taken back.

Ruled out: to take the cold time of a health check as an ordinary answer, which without a limit would end the limit of the target.

--- a/core/batch/target.go
+++ b/core/batch/target.go
@@ -68,6 +68,23 @@
 	return at
 }
 
+// NextTurn returns how long no target takes a call only because of the rates at which targets take them. It
+// reports false if no pieces are queued, or if there is no such target.
+func (d *Dispatcher) NextTurn(now time.Duration) (wait time.Duration, ok bool) {
+	if len(d.queue) == 0 {
+		return 0, false
+	}
+	for _, ts := range d.targets.All() {
+		if !d.usable(now, ts) || now < ts.fullUntil || ts.runningCalls() >= max(d.spec.Slots, 1) {
+			continue
+		}
+		if w := d.gate.Wait(now, ts.target); w > 0 && (!ok || w < wait) {
+			wait, ok = w, true
+		}
+	}
+	return wait, ok
+}
+
 // currentSlowdown returns the slowdown, decayed towards 1 since its last update.
 func (ts *targetState) currentSlowdown(now time.Duration) float64 {
 	return 1 + (ts.slowdown-1)*math.Exp2(-float64(now-ts.slowdownTime)/float64(slowdownHalfLife))
--- a/core/selfreport/cold.go
+++ b/core/selfreport/cold.go
@@ -38,7 +38,7 @@
 type ColdBound struct{ Factor, Slack float64 }
 
 // most returns the largest number of requests in a second.
-func (b ColdBound) most(rate float64) int { return max(int(b.Factor*rate+b.Slack), 0) }
+func (b ColdBound) most(rate float64) int { return int(min(b.Factor*rate+b.Slack, MaxLimit)) }
 
 // budget returns how many requests all hosts that know of each other may send to a cold target in any one
 // second. If keepDead is false, two parts of the fleet may use it at the same time; otherwise only one may,
--- a/core/selfreport/cold_test.go
+++ b/core/selfreport/cold_test.go
@@ -443,7 +443,7 @@
 	tables["a"].Refused(30*time.Second, gone)
 	is.True(tables["a"].Answered(31*time.Second, gone))
 	tell(31*time.Second, "a", "b")
-	tables["a"].Observe(31*time.Second, gone, selfreport.Statement{ColdStated: true})
+	tables["a"].ObserveHealth(31*time.Second, gone, selfreport.Statement{ColdStated: true})
 	is.Equal(tables["a"].ColdFor(31*time.Second, gone), time.Duration(0))
 	is.Equal(tell(31*time.Second, "a", "b"), 1)
 	is.True(tables["b"].ColdFor(31100*time.Millisecond, gone) == 0)
--- a/core/selfreport/slowstart.go
+++ b/core/selfreport/slowstart.go
@@ -1,6 +1,7 @@
 package selfreport
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -42,8 +43,10 @@
 
 // SetSlowStarts sets the pools whose targets start slowly.
 func (t *Table) SetSlowStarts(pools map[string]route.SlowStart) {
-	t.slow.pools = pools
-	t.slow.version++
+	if !maps.Equal(pools, t.slow.pools) {
+		t.slow.pools = pools
+		t.slow.version++
+	}
 }
 
 // StartEntries starts the cold times that new revisions of the targets' entries state.
@@ -131,6 +134,23 @@
 	return true
 }
 
+// ObserveHealth records the remaining cold time that a target has stated in its answer to a health check. Such
+// an answer says nothing about the other facts.
+func (t *Table) ObserveHealth(now time.Duration, target discovery.Target, s Statement) (changes []Change) {
+	r, ok := t.reports[incarnationOf(target)]
+	if !s.ColdStated || !ok && s.Cold <= 0 || !t.slow.enabled() {
+		return nil
+	}
+	if !ok {
+		r = t.add(target)
+	}
+	changes, notable := t.observeCold(now, r, s.Cold)
+	if notable {
+		t.publish(now, r)
+	}
+	return changes
+}
+
 // observeCold records the remaining cold time that a target has stated, and reports whether the other hosts
 // have to be told.
 func (t *Table) observeCold(now time.Duration, r *report, remaining time.Duration) (changes []Change, notable bool) {
--- a/io/dispatch/call.go
+++ b/io/dispatch/call.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
+	"syscall"
 	"time"
 
 	"sassafrasward/core/batch"
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/io/event"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
@@ -26,6 +29,23 @@
 			"expected", c.Expected.Milliseconds(), "waiting", g.batcher.Waiting())
 		d.running.Go(func() { d.call(g, c, pieces, items) })
 	}
+	d.startNextInTime(g, now)
+}
+
+// startNextInTime starts the calls that wait for the rate of a target as soon as that allows it. The next
+// tick may be so much later that a cold target gets far fewer calls than it takes.
+func (d *Dispatcher) startNextInTime(g *group, now time.Duration) {
+	wait, ok := g.batcher.NextTurn(now)
+	if !ok || g.waking || wait >= tickInterval {
+		return
+	}
+	g.waking = true
+	time.AfterFunc(wait, func() {
+		d.mutex.Lock()
+		defer d.mutex.Unlock()
+		g.waking = false
+		d.startCalls(g)
+	})
 }
 
 // pieces returns the pieces to send for the active items, those whose jobs have not ended, and
@@ -176,6 +196,12 @@
 		d.reports.Observe(t, answer.Statement)
 	}
 	switch {
+	case status != 0 && status != http.StatusMisdirectedRequest:
+		d.reports.Answered(t, selfreport.OneHost)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		d.reports.Refused(t)
+	}
+	switch {
 	case err != nil:
 		return nil, batch.Failed, err
 	case status == http.StatusOK:
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -63,6 +63,8 @@
 	toFree  map[string][]string
 	freeing map[string]bool
 	spec    route.Batch
+	// waking is set while a timer runs that starts calls which wait for the rate of a target.
+	waking bool
 }
 
 // Dispatcher dispatches jobs to the targets of pools on this host. It is safe for concurrent use.
--- a/io/dispatch/free.go
+++ b/io/dispatch/free.go
@@ -50,6 +50,9 @@
 		target, ttl := g.results[handles[0]].target, g.spec.ResultTTL
 		d.mutex.Unlock()
 		err := d.awaitPause(target, ttl)
+		if err == nil {
+			err = d.awaitTurn(target, ttl)
+		}
 		if err == nil {
 			err = d.postFree(target, address, handles)
 		}
@@ -76,7 +79,24 @@
 // awaitPause waits for the end of the pause that a target has asked for, unless the results there expire
 // within the pause.
 func (d *Dispatcher) awaitPause(target discovery.Target, ttl time.Duration) (err error) {
-	wait := d.gate.Paused(d.clock(), target)
+	return d.sleepWithin(d.gate.Paused(d.clock(), target), ttl)
+}
+
+// awaitTurn counts a release call towards the limit of the target, so that fewer other calls follow. If the
+// target is cold, it waits until the call may be sent.
+func (d *Dispatcher) awaitTurn(target discovery.Target, ttl time.Duration) (err error) {
+	now, wait := d.clock(), time.Duration(0)
+	if _, cold := d.reports.SoonestWarm([]discovery.Target{target}); cold {
+		wait = d.gate.Wait(now, target)
+	}
+	if wait < ttl {
+		d.gate.Take(now, target)
+	}
+	return d.sleepWithin(wait, ttl)
+}
+
+// sleepWithin waits, or returns errPaused if the results expire before.
+func (d *Dispatcher) sleepWithin(wait, ttl time.Duration) (err error) {
 	switch {
 	case wait == 0:
 		return nil
@@ -93,8 +113,7 @@
 	}
 }
 
-// postFree sends one release call to a target. The call counts towards the limit of the target, so that
-// fewer other calls follow.
+// postFree sends one release call to a target.
 func (d *Dispatcher) postFree(target discovery.Target, address string, handles []string) (err error) {
 	ctx, cancel := context.WithTimeout(d.ctx, time.Second)
 	defer cancel()
@@ -102,7 +121,6 @@
 	if err != nil {
 		return err
 	}
-	d.gate.Take(d.clock(), target)
 	status, answer, _, err := d.send(ctx, "", address, platform.PathFree, body, false)
 	if err == nil && status == http.StatusServiceUnavailable {
 		d.reports.Observe(target, answer.Statement)
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -11,6 +11,7 @@
 	"sassafrasward/core/hostselect"
 	"sassafrasward/core/member"
 	"sassafrasward/core/route"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/io/dispatch"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
@@ -221,12 +222,45 @@
 	seeds := c.settings.Seeds()
 	readers := feed.Readers(hosts)
 	c.settled = c.settled || c.clock() >= settleTime
+	c.updateFleet()
 	first := len(seeds) == 0 || slices.Contains(seeds, self.Address)
 	reader := first && !c.settled || c.settled && slices.ContainsFunc(readers, func(h feed.Host) bool { return h.Name == self.Name })
 	c.watcher.reader.Store(reader)
 	c.follower.SetPlan(iofeed.Plan{Reader: reader, Upstreams: feed.Upstreams(self, readers, seeds)})
 }
 
+// updateFleet sets the hosts among which the rates of cold targets are shared. A host without seeds that knows
+// no other is a fleet of one from its start.
+func (c *control) updateFleet() {
+	var f selfreport.Fleet
+	live := make(map[string]bool)
+	members := c.node.Snapshot().Members()
+	for _, m := range members {
+		if m.Liveness != member.Dead {
+			f.Live = append(f.Live, m.Name)
+			live[m.Name] = true
+		}
+	}
+	for _, m := range members {
+		if m.Liveness == member.Dead && m.Lifecycle != member.Draining && !live[m.Name] {
+			f.Dead = append(f.Dead, m.Name)
+		}
+	}
+	f.Settled = c.settled || len(c.settings.Seeds()) == 0 && len(members) <= 1
+	c.reports.SetFleet(f)
+}
+
+// updateSlowStarts sets the pools whose targets start slowly.
+func (c *control) updateSlowStarts() {
+	pools := make(map[string]route.SlowStart)
+	for _, name := range c.table.Pools() {
+		if p, _ := c.table.Pool(name); p.SlowStart != nil {
+			pools[name] = *p.SlowStart
+		}
+	}
+	c.reports.SetSlowStarts(pools)
+}
+
 // updateSlack sets this host's share of the retry slack.
 func (c *control) updateSlack() {
 	live := 0
@@ -250,9 +284,13 @@
 			c.zones[t.Address] = t.Zone
 		}
 	}
-	c.choosers.configure(c.targets)
+	if c.table != nil {
+		c.updateSlowStarts()
+	}
+	// A target must not be chosen before its cold time is known.
 	c.reports.Retain(c.targets)
 	c.mergeReports()
+	c.choosers.configure(c.targets)
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -105,7 +105,10 @@
 	e.state.Store(&state{})
 	b := settings.Limits()
 	newQuota := func() *quota.Quota { return quota.New(b.RetryWindow, b.RetryRatio, b.RetryAllowance/minHosts) }
-	e.reports = ioselfreport.New(settings.Host(), e.clock, log, e.metrics)
+	e.reports = ioselfreport.New(settings.Host(), e.clock, log, e.metrics, selfreport.WithColdBound(selfreport.ColdBound{Factor: b.ColdFactor, Slack: b.ColdSlack}))
+	e.reports.OnBack(func(t discovery.Target, senders selfreport.Senders) {
+		e.background.Go(func() { e.askColdTime(t, senders) })
+	})
 	e.choosers = newChoosers(e.clock, e.reports.Gate(selfreport.AllHosts), newQuota)
 	e.conns = transport.New(func() { e.metrics.Counter("target.connections").Inc(1) })
 	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -15,6 +15,7 @@
 	"sassafrasward/core/pick"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/route"
+	"sassafrasward/core/selfreport"
 	"sassafrasward/core/suspect"
 	"sassafrasward/io/event"
 	"sassafrasward/io/transport"
@@ -119,7 +120,11 @@
 				request: x.request.ID, fingerprint: x.fingerprint, prompt: x.prompt, target: t,
 				progress: suspect.NewProgress(a.response != nil, a.events, x.clock()-a.answered), events: a.events,
 			}
-			x.background.Go(func() { x.suspects.recordDisconnect(x.ctx, d) })
+			x.background.Go(func() {
+				if x.suspects.recordDisconnect(x.ctx, d) {
+					x.reports.Refused(d.target)
+				}
+			})
 		}
 		x.targets = append(x.targets, t.ID)
 		if v == unreached {
@@ -331,6 +336,9 @@
 		Match:         x.match,
 	})
 	if a.err != nil {
+		if refusesConnection(a.err) {
+			x.reports.Refused(a.target)
+		}
 		if !transport.MaybeSent(a.err) {
 			return unreached
 		}
@@ -340,6 +348,9 @@
 	a.answered = x.clock()
 	answer := platform.ReadResponse(a.response.Status, a.response.Header)
 	x.reports.Observe(a.target, answer.Statement)
+	if a.response.Status != http.StatusMisdirectedRequest {
+		x.reports.Answered(a.target, selfreport.AllHosts)
+	}
 	if answer.NotRun {
 		a.inputsGone = answer.InputsGone
 		a.response.Close(false)
--- a/io/edge/limit.go
+++ b/io/edge/limit.go
@@ -3,11 +3,15 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
+	"slices"
 	"time"
 
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/selfreport"
+	"sassafrasward/io/transport"
+	"sassafrasward/platform"
 )
 
 const (
@@ -15,6 +19,9 @@
 	// only targets that take no more requests. Other hosts may have a part in their limits.
 	minLimitRetryAfter = 200 * time.Millisecond
 	maxLimitRetryAfter = 3 * time.Second
+	// maxHealthWait is how long a health check waits for its place in the share of a cold target. It is the
+	// time between two requests of a host with the smallest share.
+	maxHealthWait = 1100 * time.Millisecond
 	// retrySpread is the fraction by which retry delays differ, so that callers don't return together.
 	retrySpread = 0.5
 )
@@ -31,20 +38,25 @@
 }
 
 // awaitTarget waits until the request may be sent to the target. It reports false if the target can no
-// longer be used, or if the context has ended.
+// longer be used, if the time for which the request was booked has been missed, or if the context has ended.
 func (x *exchange) awaitTarget(ctx context.Context, t discovery.Target, wait time.Duration) bool {
 	x.recordDecision("waits %dms for target %s", wait.Milliseconds(), t.ID)
+	booked := x.clock()
 	sleep(ctx, wait)
-	return ctx.Err() == nil && x.choosers.usable(x.pool, t)
+	return ctx.Err() == nil && x.choosers.usable(x.pool, t) && x.reports.MaySend(t, booked, booked+wait)
 }
 
 // failWithoutTarget refuses a request for which there is no target.
 func (x *exchange) failWithoutTarget() {
-	wait, ok := x.choosers.soonestWait(x.pool, x.targets)
+	wait, cold, ok := x.soonestTarget(x.targets)
 	switch {
 	case !ok:
 		x.detail = "no target"
 		x.fail(reason.NoTargets, targetRetryAfter)
+	case cold:
+		x.detail = "targets are cold and take no requests of this host for " + wait.Round(time.Millisecond).String()
+		x.metrics.Counter("target.cold.refused").Inc(1)
+		x.fail(reason.TargetsLimited, limitRetryAfter(wait))
 	case wait == selfreport.Never:
 		x.detail = "no target takes requests of this host"
 		x.fail(reason.TargetsLimited, limitRetryAfter(targetRetryAfter))
@@ -57,13 +69,61 @@
 // targetWait returns how long no target will take the request, zero if one does now. It reports false if
 // that is longer than the caller waits.
 func (x *exchange) targetWait() (wait time.Duration, ok bool) {
-	wait, ok = x.choosers.soonestWait(x.pool, nil)
+	wait, _, ok = x.soonestTarget(nil)
 	if !ok {
 		return 0, true // the pool may have targets once they are needed
 	}
 	return wait, wait <= x.startDeadline-x.clock()-x.firstEventTime()
 }
 
+// soonestTarget returns how long no target of the pool takes the request. Cold is set if that is until the first
+// of the targets is warm: this host has no share in the cold ones before. It reports false if there are no targets
+// other than the excluded ones.
+func (x *exchange) soonestTarget(exclude []string) (wait time.Duration, cold, ok bool) {
+	wait, ok = x.choosers.soonestWait(x.pool, exclude)
+	if wait == 0 || !ok {
+		return wait, false, ok
+	}
+	targets := slices.DeleteFunc(slices.Clone(x.state.Load().targets[x.pool]), func(t discovery.Target) bool {
+		return t.Leaving || slices.Contains(exclude, t.ID)
+	})
+	if warm, found := x.reports.SoonestWarm(targets); found && warm < wait {
+		return warm, true, true
+	}
+	return wait, false, true
+}
+
+// askColdTime asks a target that is back for its health once: the answer states for how long it is cold.
+func (e *Edge) askColdTime(t discovery.Target, senders selfreport.Senders) {
+	table, gate := e.state.Load().table, e.reports.Gate(senders)
+	p, ok := table.Pool(t.Pool)
+	if !ok || p.HealthPath == "" {
+		return
+	}
+	now := e.clock()
+	wait := gate.Wait(now, t)
+	if wait > maxHealthWait {
+		return // the cold time of the pool holds
+	}
+	gate.Take(now, t)
+	sleep(e.ctx, wait)
+	if !e.reports.MaySend(t, now, now+wait) {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.ctx, healthTimeout)
+	defer cancel()
+	response, err := e.conns.Do(ctx, t.Address, transport.Request{
+		Method: http.MethodGet, URI: p.HealthPath, Host: t.Address, Header: platform.HealthHeader(t.ID), NewConnection: true,
+	})
+	if err != nil {
+		return
+	}
+	defer response.Close(false)
+	if platform.IsHealthOf(t.ID, response.Status, response.Header) {
+		e.reports.ObserveHealth(t, platform.ReadResponse(response.Status, response.Header).Statement)
+	}
+}
+
 // limitRetryAfter returns the retry delay for a caller whose request found no target for the time of
 // the wait.
 func limitRetryAfter(wait time.Duration) time.Duration {
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -151,8 +151,8 @@
 // recordDisconnect records that a target closed the connection while it ran the request: as a
 // crash if the target no longer accepts connections, otherwise as a disconnect. Parts of prompts are
 // suspected only if the target has certainly ended: many requests share them, and what breaks
-// connections may break many.
-func (s *suspects) recordDisconnect(ctx context.Context, d disconnect) {
+// connections may break many. It reports whether the target has certainly ended.
+func (s *suspects) recordDisconnect(ctx context.Context, d disconnect) (ended bool) {
 	err := probe(ctx, d.target.Address)
 	event.Log(s.log, event.CrashObserved, "request", d.request, "target", d.target.ID, "parts", partNames(d.prompt),
 		"progress", d.progress.String(), "events", d.events, "accepts", err == nil, "error", errorText(err))
@@ -164,9 +164,10 @@
 	} else {
 		s.table.RecordDisconnect(now, d.fingerprint)
 	}
-	if refusesConnection(err) {
+	if ended = refusesConnection(err); ended {
 		s.parts.RecordCrash(now, crashID(d.target), d.progress, partIDs(d.prompt))
 	}
+	return ended
 }
 
 // crashID identifies the end of one process of a target. It is equal on all hosts.
--- a/io/selfreport/registry.go
+++ b/io/selfreport/registry.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/route"
 	"sassafrasward/core/selfreport"
 	"sassafrasward/io/event"
 	"sassafrasward/io/metric"
@@ -25,15 +26,25 @@
 	// the mutex.
 	size atomic.Int64
 
+	// onBack is called when a target answers again after its process had ended.
+	onBack func(target discovery.Target, senders selfreport.Senders)
+
 	mutex sync.Mutex
 	table *selfreport.Table
 }
 
 // New returns the empty registry of the host with the name.
-func New(self string, clock func() time.Duration, log logr.Logger, metrics *metric.Metrics) *Registry {
-	return &Registry{clock: clock, log: log, metrics: metrics, changed: make(chan struct{}, 1), table: selfreport.New(self)}
+func New(self string, clock func() time.Duration, log logr.Logger, metrics *metric.Metrics, options ...selfreport.Option) *Registry {
+	return &Registry{
+		clock: clock, log: log, metrics: metrics, changed: make(chan struct{}, 1), table: selfreport.New(self, options...),
+		onBack: func(discovery.Target, selfreport.Senders) {},
+	}
 }
 
+// OnBack sets the function that is called when a target answers again after its process had ended. It is set
+// before the registry is used, and must not block.
+func (r *Registry) OnBack(f func(target discovery.Target, senders selfreport.Senders)) { r.onBack = f }
+
 // Changed receives a value when there are records to send to other hosts.
 func (r *Registry) Changed() <-chan struct{} { return r.changed }
 
@@ -51,6 +62,11 @@
 	outgoing := r.table.HasRecords()
 	r.mutex.Unlock()
 	r.record(changes, "answer")
+	r.announce(outgoing)
+}
+
+// announce tells the control goroutine if there are records to send.
+func (r *Registry) announce(outgoing bool) {
 	if !outgoing {
 		return
 	}
@@ -60,6 +76,95 @@
 	}
 }
 
+// update changes the table, and logs and announces what follows.
+func (r *Registry) update(source string, change func(now time.Duration) []selfreport.Change) {
+	r.mutex.Lock()
+	changes := change(r.clock())
+	r.size.Store(int64(r.table.Len()))
+	outgoing := r.table.HasRecords()
+	r.mutex.Unlock()
+	r.record(changes, source)
+	r.announce(outgoing)
+}
+
+// Refused records that a target refuses connections, so that its process has ended.
+func (r *Registry) Refused(target discovery.Target) {
+	r.update("refusal", func(now time.Duration) []selfreport.Change { return r.table.Refused(now, target) })
+}
+
+// Answered records that a target, and not another process at its address, answered a request.
+func (r *Registry) Answered(target discovery.Target, senders selfreport.Senders) {
+	if r.size.Load() == 0 {
+		return
+	}
+	r.mutex.Lock()
+	back := r.table.Answered(r.clock(), target)
+	r.mutex.Unlock()
+	if !back {
+		return
+	}
+	r.announce(true)
+	r.metrics.Counter("target.back").Inc(1)
+	event.Log(r.log, event.TargetBack, "target", target.ID, "pool", target.Pool)
+	r.onBack(target, senders)
+}
+
+// ObserveHealth records the cold time that a target states in its answer to a health check.
+func (r *Registry) ObserveHealth(target discovery.Target, s selfreport.Statement) {
+	r.update("answer", func(now time.Duration) []selfreport.Change { return r.table.ObserveHealth(now, target, s) })
+}
+
+// StartCold makes targets count as cold for the whole cold time of their pool, on this host. It is for
+// events that all hosts learn of by themselves, such as the end of an evacuation.
+func (r *Registry) StartCold(targets []discovery.Target) {
+	r.update("zone", func(now time.Duration) []selfreport.Change { return r.table.StartCold(now, targets) })
+}
+
+// SetFleet sets the hosts among which the rates of cold targets are shared.
+func (r *Registry) SetFleet(f selfreport.Fleet) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.table.SetFleet(f)
+}
+
+// SetSlowStarts sets the pools whose targets start slowly.
+func (r *Registry) SetSlowStarts(pools map[string]route.SlowStart) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.table.SetSlowStarts(pools)
+}
+
+// SoonestWarm returns the shortest rest of a cold time of the targets. It reports false if none is cold.
+func (r *Registry) SoonestWarm(targets []discovery.Target) (rest time.Duration, ok bool) {
+	if r.size.Load() == 0 {
+		return 0, false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.clock()
+	for _, t := range targets {
+		if cold := r.table.ColdFor(now, t); cold > 0 && (!ok || cold < rest) {
+			rest, ok = cold, true
+		}
+	}
+	return rest, ok
+}
+
+// MaySend reports whether a request to a target, booked at a time to be sent at the time due, may still be
+// sent.
+func (r *Registry) MaySend(target discovery.Target, booked, due time.Duration) bool {
+	if r.size.Load() == 0 {
+		return true
+	}
+	r.mutex.Lock()
+	maySend := r.table.MaySend(r.clock(), target, booked, due)
+	r.mutex.Unlock()
+	if !maySend {
+		r.metrics.Counter("target.cold.missed").Inc(1)
+	}
+	return maySend
+}
+
 // Merge records what another host was told by a target.
 func (r *Registry) Merge(target discovery.Target, record selfreport.Record) {
 	r.mutex.Lock()
@@ -83,12 +188,13 @@
 	r.table.SetHosts(names)
 }
 
-// Retain removes the statements of all targets that are not in the lists.
+// Retain removes the statements of all targets that are not in the lists, and starts the cold times that new
+// entries of the others state.
 func (r *Registry) Retain(targets map[string][]discovery.Target) {
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	r.table.Retain(targets)
-	r.size.Store(int64(r.table.Len()))
+	r.update("entry", func(now time.Duration) []selfreport.Change {
+		r.table.Retain(targets)
+		return r.table.StartEntries(now, targets)
+	})
 }
 
 // record logs and counts changes that come from an answer or from another host.
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -50,6 +50,9 @@
 	RetryRatio     float64
 	RetryAllowance float64
 	RetryWindow    time.Duration
+	// The requests that a cold target gets from all hosts together in any one second are at most ColdFactor
+	// times the cold rate of its pool, plus ColdSlack. There is no bound if ColdFactor is zero.
+	ColdFactor, ColdSlack float64
 }
 
 // coalesceFraction is the fraction of the time limit for applying a change that is spent on
@@ -208,6 +211,14 @@
 	{"edge", "window", "10", "above 0 (seconds)", "window in which retries are counted", func(s *Settings, v string) bool {
 		return parseSeconds(&s.limits.RetryWindow, v) && s.limits.RetryWindow >= time.Second
 	}},
+	{"edge", "coldfactor", "0", "0 or more", "requests a second that a cold target gets from all hosts together at most, as a ratio of its pool's cold rate; 0 for no bound", func(s *Settings, v string) (ok bool) {
+		s.limits.ColdFactor, ok = parseNumber(v)
+		return ok
+	}},
+	{"edge", "coldslack", "0", "0 or more", "requests that a cold target gets in any second beyond that ratio", func(s *Settings, v string) (ok bool) {
+		s.limits.ColdSlack, ok = parseNumber(v)
+		return ok
+	}},
 	{"platform", "address", "", "an IP address and port other than 0", "address of the configuration service and host list", func(s *Settings, v string) bool {
 		s.platformAddress = v
 		return isRemote(v)
