--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -60,6 +60,7 @@
 	choosers *choosers
 	conns    *transport.Pool
 	reports  *ioselfreport.Registry
+	dialPeer PeerDialer
 	// peers has the connections for jobs, gossipPeers those for gossip, documentPeers those for
 	// configurations, and feedPeers those to the hosts that this one follows. They are separate because
 	// gossip and the follower close a connection when a call fails, which would cut off the other calls
@@ -93,9 +94,22 @@
 	cancel, cancelRequests context.CancelFunc
 }
 
+// PeerDialer connects to another host.
+type PeerDialer func(ctx context.Context, address string) (net.Conn, error)
+
+// Option configures an Edge.
+type Option func(*Edge)
+
+// WithPeerDialer sets how the host connects to other hosts, for tests of networks that fail.
+func WithPeerDialer(dial PeerDialer) Option { return func(e *Edge) { e.dialPeer = dial } }
+
 // New returns an edge host with the settings. Run starts it.
-func New(settings setting.Settings, log logr.Logger) *Edge {
+func New(settings setting.Settings, log logr.Logger, options ...Option) *Edge {
 	e := &Edge{settings: settings, log: log, metrics: metric.New(), start: time.Now(), pauses: pause.New(wallClock())}
+	e.dialPeer = func(ctx context.Context, address string) (net.Conn, error) { return transport.Dial(ctx, "tcp", address) }
+	for _, o := range options {
+		o(e)
+	}
 	e.ctx, e.cancel = context.WithCancel(context.Background())
 	e.requestsCtx, e.cancelRequests = context.WithCancel(e.ctx)
 	e.memory = newMemory(settings.MemoryLimit())
@@ -111,9 +125,7 @@
 	})
 	e.choosers = newChoosers(e.clock, e.reports.Gate(selfreport.AllHosts), newQuota)
 	e.conns = transport.New(func() { e.metrics.Counter("target.connections").Inc(1) })
-	dial := grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
-		return transport.Dial(ctx, "tcp", address)
-	})
+	dial := grpc.WithContextDialer(e.dialPeer)
 	e.peers, e.gossipPeers, e.documentPeers, e.feedPeers = peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial), peer.NewConnPool(dial)
 	e.server = peer.NewServer()
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
--- a/io/edge/host_test.go
+++ b/io/edge/host_test.go
@@ -54,6 +54,8 @@
 	address, ready, directory, peer string
 	stop                            context.CancelFunc
 	done                            chan error
+	// options configure the host.
+	options []edge.Option
 }
 
 // startHost runs a host with the name on the store until the end of the test. It returns the host
@@ -87,7 +89,7 @@
 		host.t.Fatal(err)
 	}
 	ctx, stop := context.WithCancel(ctx)
-	e := edge.New(settings, log)
+	e := edge.New(settings, log, host.options...)
 	go func() { host.done <- e.Run(ctx) }()
 	host.t.Cleanup(func() {
 		stop()
