--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -104,6 +104,8 @@
 	targets *sortedmap.Map[string, *targetState]
 	// gate knows which targets take requests.
 	gate selfreport.Gate
+	// coldGate is the gate if it knows which targets are cold, otherwise nil.
+	coldGate selfreport.ColdGate
 	// slowdownP75 is the estimated 75th percentile of the slowdown of the requests to the pool.
 	slowdownP75 float64
 }
@@ -112,7 +114,12 @@
 type Option func(*Chooser)
 
 // WithGate makes the chooser ask the gate before it chooses a target.
-func WithGate(gate selfreport.Gate) Option { return func(c *Chooser) { c.gate = gate } }
+func WithGate(gate selfreport.Gate) Option {
+	return func(c *Chooser) {
+		c.gate = gate
+		c.coldGate, _ = gate.(selfreport.ColdGate)
+	}
+}
 
 // New returns a chooser without targets. Without WithGate, all targets take all requests.
 func New(options ...Option) *Chooser {
@@ -154,6 +161,9 @@
 			continue
 		}
 		cost := c.cost(now, st, r) + targetWait.Seconds()*costPerWaitSecond
+		if c.coldGate != nil && c.coldGate.Cold(now, st.target) {
+			cost += coldCost
+		}
 		if r.PromptTokens > 0 && longTargets != nil && longTargets[st.target.ID] != (r.PromptTokens >= minLongPromptTokens) {
 			cost += promptClassCost
 		}
@@ -207,6 +217,10 @@
 	return st.target, true
 }
 
+// coldCost is the cost of a target that has just started and is slow, in units of load. Requests go to warm targets
+// as long as these have less to do; a larger cost would leave the rate of cold targets unused in a burst.
+const coldCost = 3
+
 // minRequestLoad is the minimum load of a request, so that each one in flight counts.
 const minRequestLoad = 0.1
 
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -10,6 +10,7 @@
 
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/pick"
+	"sassafrasward/core/selfreport"
 )
 
 func targets(n int) (list []discovery.Target) {
@@ -202,3 +203,31 @@
 	is.Equal(c.Available(0), 0) // still in backoff
 	c.Abandon("unknown", 1)
 }
+
+// coldTargets is a gate without limits that knows cold targets by their IDs.
+type coldTargets struct {
+	selfreport.OpenGate
+	ids map[string]bool
+}
+
+func (g coldTargets) Cold(_ time.Duration, t discovery.Target) bool { return g.ids[t.ID] }
+
+// TestColdTargets guards against requests to targets that have just started while warm ones have little to do, and
+// against cold targets that stay unused when the warm ones are busy.
+func TestColdTargets(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(3, 3))
+	c := pick.New(pick.WithGate(coldTargets{ids: map[string]bool{"i-0": true}}))
+	c.SetTargets(targets(3))
+	used := make(map[string]int)
+	for range 4 { // two for each warm target
+		target, _, _ := c.Choose(0, pick.Request{Load: 1, TieBreak: random.Float64()})
+		used[target.ID]++
+	}
+	is.Equal(used["i-0"], 0)
+	for range 8 {
+		target, _, _ := c.Choose(0, pick.Request{Load: 1, TieBreak: random.Float64()})
+		used[target.ID]++
+	}
+	is.True(used["i-0"] >= 1)
+}
--- a/core/selfreport/gate.go
+++ b/core/selfreport/gate.go
@@ -37,6 +37,13 @@
 	Rate(now time.Duration, t discovery.Target) float64
 }
 
+// ColdGate is a Gate that knows which targets are cold: they have just started and are slow.
+type ColdGate interface {
+	Gate
+	// Cold reports whether a target is cold.
+	Cold(now time.Duration, t discovery.Target) bool
+}
+
 // OpenGate is a Gate without limits.
 type OpenGate struct{}
 
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -287,10 +287,10 @@
 	if c.table != nil {
 		c.updateSlowStarts()
 	}
-	// A target must not be chosen before its cold time is known.
+	c.reports.StartEntries(c.targets)
+	c.choosers.configure(c.targets)
 	c.reports.Retain(c.targets)
 	c.mergeReports()
-	c.choosers.configure(c.targets)
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -106,7 +106,9 @@
 // New returns an edge host with the settings. Run starts it.
 func New(settings setting.Settings, log logr.Logger, options ...Option) *Edge {
 	e := &Edge{settings: settings, log: log, metrics: metric.New(), start: time.Now(), pauses: pause.New(wallClock())}
-	e.dialPeer = func(ctx context.Context, address string) (net.Conn, error) { return transport.Dial(ctx, "tcp", address) }
+	e.dialPeer = func(ctx context.Context, address string) (net.Conn, error) {
+		return transport.Dial(ctx, "tcp", address)
+	}
 	for _, o := range options {
 		o(e)
 	}
--- a/io/selfreport/registry.go
+++ b/io/selfreport/registry.go
@@ -188,13 +188,18 @@
 	r.table.SetHosts(names)
 }
 
-// Retain removes the statements of all targets that are not in the lists, and starts the cold times that new
-// entries of the others state.
+// StartEntries starts the cold times that new entries of the targets state. It is called before any of them can be
+// chosen.
+func (r *Registry) StartEntries(targets map[string][]discovery.Target) {
+	r.update("entry", func(now time.Duration) []selfreport.Change { return r.table.StartEntries(now, targets) })
+}
+
+// Retain removes the statements of all targets that are not in the lists.
 func (r *Registry) Retain(targets map[string][]discovery.Target) {
-	r.update("entry", func(now time.Duration) []selfreport.Change {
-		r.table.Retain(targets)
-		return r.table.StartEntries(now, targets)
-	})
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.table.Retain(targets)
+	r.size.Store(int64(r.table.Len()))
 }
 
 // record logs and counts changes that come from an answer or from another host.
@@ -211,7 +216,7 @@
 	return gate{registry: r, senders: senders}
 }
 
-// gate implements selfreport.Gate.
+// gate implements selfreport.ColdGate.
 type gate struct {
 	registry *Registry
 	senders  selfreport.Senders
@@ -256,3 +261,13 @@
 	defer g.registry.mutex.Unlock()
 	return g.registry.table.Rate(now, t, g.senders)
 }
+
+// Cold implements selfreport.ColdGate.
+func (g gate) Cold(now time.Duration, t discovery.Target) bool {
+	if g.registry.size.Load() == 0 {
+		return false
+	}
+	g.registry.mutex.Lock()
+	defer g.registry.mutex.Unlock()
+	return g.registry.table.ColdFor(now, t) > 0
+}
