--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -23,6 +23,8 @@
 	StartID int64
 	// Revision orders the versions of the entry of one target.
 	Revision uint64
+	// ColdFor is how long the target still took few requests only when its entry was written.
+	ColdFor time.Duration
 }
 
 // AcceptsWork reports whether the target may get new work.
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -274,7 +274,8 @@
 }
 
 // zoneRestored is called on the control goroutine with the targets of an availability zone whose evacuation has
-// ended, before they get work.
+// ended, before they get work. They may be cold before their entries say so.
 func (c *control) zoneRestored(targets []discovery.Target) {
+	c.reports.StartCold(targets)
 	c.metrics.Counter("targets.restored").Inc(int64(len(targets)))
 }
