Gather releases of results at cold targets

Cause: releases count towards the rate of a cold target, and each call was followed by one: on loopback a target that takes nine requests a second got 16 calls in 4 s.

Change: at a cold target, results are gathered for half a second before they are released, and all that came until the turn of the release go with it. A test with commands, streams and pieces.

Ruled out: not to count releases, since the bound is on all requests; to hold them until the target is warm, since results would fill its memory.

--- a/io/dispatch/free.go
+++ b/io/dispatch/free.go
@@ -41,7 +41,6 @@
 	for {
 		d.mutex.Lock()
 		handles := g.toFree[address]
-		delete(g.toFree, address)
 		if len(handles) == 0 {
 			delete(g.freeing, address)
 			d.mutex.Unlock()
@@ -53,6 +52,10 @@
 		if err == nil {
 			err = d.awaitTurn(target, ttl)
 		}
+		d.mutex.Lock()
+		handles = g.toFree[address] // with those that came during the wait
+		delete(g.toFree, address)
+		d.mutex.Unlock()
 		if err == nil {
 			err = d.postFree(target, address, handles)
 		}
@@ -82,16 +85,26 @@
 	return d.sleepWithin(d.gate.Paused(d.clock(), target), ttl)
 }
 
+// coldFreeInterval is the time for which results at a cold target are gathered before they are released. The release
+// counts as one of the few requests that such a target takes.
+const coldFreeInterval = 500 * time.Millisecond
+
 // awaitTurn counts a release call towards the limit of the target, so that fewer other calls follow. If the
-// target is cold, it waits until the call may be sent.
+// target is cold, it waits for more results to release, and until the call may be sent.
 func (d *Dispatcher) awaitTurn(target discovery.Target, ttl time.Duration) (err error) {
-	now, wait := d.clock(), time.Duration(0)
-	if _, cold := d.reports.SoonestWarm([]discovery.Target{target}); cold {
-		wait = d.gate.Wait(now, target)
+	if _, cold := d.reports.SoonestWarm([]discovery.Target{target}); !cold {
+		d.gate.Take(d.clock(), target)
+		return nil
+	}
+	if err = d.sleepWithin(coldFreeInterval, ttl); err != nil {
+		return err
 	}
-	if wait < ttl {
-		d.gate.Take(now, target)
+	now := d.clock()
+	wait := d.gate.Wait(now, target)
+	if wait+coldFreeInterval >= ttl {
+		return errPaused
 	}
+	d.gate.Take(now, target)
 	return d.sleepWithin(wait, ttl)
 }
 
--- a/io/edge/slowstart_test.go
+++ b/io/edge/slowstart_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -103,11 +104,14 @@
 // between two times.
 func checkCold(t *testing.T, e *standin.Target, from, to time.Time) {
 	t.Helper()
-	most, received := mostIn(e, from, time.Second), 0
-	for _, r := range e.Received() {
-		if r.At.After(from) && r.At.Before(to) {
-			received++
+	most, received := 0, 0
+	times := slices.DeleteFunc(e.Arrivals(), func(at time.Time) bool { return at.Before(from) || at.After(to) })
+	for first := range times {
+		inSecond := slices.IndexFunc(times[first:], func(at time.Time) bool { return at.Sub(times[first]) > time.Second })
+		if inSecond < 0 {
+			inSecond = len(times) - first
 		}
+		most, received = max(most, inSecond), received+1
 	}
 	t.Logf("at most %d requests in a second, %d in %v", most, received, to.Sub(from))
 	if most > coldBound {
@@ -195,3 +199,40 @@
 	is.True(time.Duration(l.longest.Load()) < time.Second) // the objective is 300 ms
 	is.True(mostIn(target, time.Time{}, time.Second) <= coldBound)
 }
+
+// TestColdTargetOfEachKind guards against requests of any kind that don't count towards the rate of a cold target:
+// commands, streams, and calls with pieces together with the releases of their results.
+func TestColdTargetOfEachKind(t *testing.T) {
+	t.Parallel()
+	for name, test := range map[string]struct {
+		path, pool string
+		change     func(r *http.Request)
+	}{
+		"commands": {"/write/", "plain", nil},
+		"streams":  {"/chat/", "model", nil},
+		"pieces":   {"/plan/", "pieces", standin.SetPieces},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newStore(t)
+			hosts, _ := startColdFleet(t, s, 3)
+			answer := signed("ok")
+			if test.pool != "plain" {
+				answer = func(w http.ResponseWriter, _ *http.Request) { events(w, 1, 2, true) }
+			}
+			if test.pool == "pieces" {
+				s.Register(newEngine(t, "m-1", answer), "model", "ready")
+			}
+			l := startLoad(hosts, 60, http.MethodPost, test.path, test.change)
+			defer l.end()
+			target := newEngine(t, "i-1", answer)
+			began := time.Now()
+			s.RegisterCold(target, test.pool, coldTime)
+			time.Sleep(4 * time.Second)
+			checkCold(t, target, began, began.Add(4*time.Second))
+			t.Logf("%d results released", target.FreedResults())
+			// Once it is warm, the target gets more.
+			hosts[0].wait(func() bool { return mostIn(target, time.Now().Add(-time.Second), time.Second) > int(coldRate)+5 })
+		})
+	}
+}
