--- a/core/feed/watches_test.go
+++ b/core/feed/watches_test.go
@@ -63,7 +63,9 @@
 }
 
 // follow starts a stream from another host.
-func (r *reader) follow(from *reader) { r.link = &link{from: from, revision: r.log.Revision(), sent: 1 << 62} }
+func (r *reader) follow(from *reader) {
+	r.link = &link{from: from, revision: r.log.Revision(), sent: 1 << 62}
+}
 
 // receive gets one update of the followed host, as the stream of io/feed sends it.
 func (r *reader) receive() {
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -260,7 +260,7 @@
 func (c *control) applyEvacuation(item feed.Item) {
 	zone, err := platform.EvacuatedZone(item.Key)
 	if err != nil {
-		event.LogError(c.log, event.EntryIgnored, err, "revision", item.Revision)
+		event.LogError(c.log, event.EvacuationIgnored, err, "revision", item.Revision)
 		return
 	}
 	if !item.Deleted {
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -68,6 +68,7 @@
 	LinkEnded          = register(1208, 0, "link ended", "A host that this one followed for the entries of the store does not respond any more, or sent no update in time (accepted is false).")
 	ZoneEvacuated      = register(1209, 0, "zone evacuated", "The operator evacuates an availability zone: its targets (number) get no new work. Zero targets may mean that the zone is misspelt. The line has the revision of the entry.")
 	ZoneRestored       = register(1210, 0, "zone restored", "The evacuation of an availability zone has ended: its targets (number) get work again.")
+	EvacuationIgnored  = register(1211, 0, "evacuation ignored", "A key of an evacuation names no availability zone; nothing is evacuated by it.")
 	RequestEnded       = register(1302, 0, "request ended", "A request ended; the line has its route, target, attempts, times and the reason of a refusal or failure.")
 	RequestRepeated    = register(1303, 0, "request repeated", "A request is sent to another target after the previous one failed.")
 	TargetStated       = register(1304, 0, "target stated", "What a target states about itself changed (fact): that it leaves (leaving), the requests a second that it takes from all hosts together (limit, negative once it has none) or the seconds for which it wants no requests from this host (wait). The line has the new value, for how many milliseconds the one before held (age, negative if there was none), and whether an answer or another host told it (source).")
