Keep requests within the home regions of their route and tenant

Routes and tenants may now have allowedRegions, which the decoder ignored: requests went to all targets, and the directory named all hosts.

route.AllowedZones computes the zones that a request may use from both sets and the regions of the settings (zones, region). The zones go with the choice of a target, with the times to wait, and with each job to the host that dispatches a pool (field zones of Job). A pool without a target there refuses at once and says so. For the name of a host with such routes, the directory names the hosts in the home regions and in the caller's.

Without home regions the zones are nil, and each check is one comparison.

Ruled out: lists of targets instead of zones, which change with each target and would make jobs large.

--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"sassafrasward/core/route"
 )
 
 // Offer queues a job or refuses it. For an accepted job, wait is the expected time until the
@@ -69,7 +71,7 @@
 // overload compares the arrival rate with the throughput of the pool. It returns the increase
 // of the waits per unit of time and the fraction of the throughput available to late jobs.
 func (d *Dispatcher) overload(now time.Duration) (growth, spare float64) {
-	rate := d.throughput(now)
+	rate := d.throughput(now, nil)
 	if rate == 0 {
 		return 0, 1
 	}
@@ -102,11 +104,11 @@
 }
 
 // throughput returns the pieces per second that the pool processes with full calls, at most
-// the measured throughput; zero if no target can be used.
-func (d *Dispatcher) throughput(now time.Duration) (rate float64) {
+// the measured throughput, at the targets in the zones (nil for all); zero if no target can be used.
+func (d *Dispatcher) throughput(now time.Duration, zones []string) (rate float64) {
 	full := d.nominalDuration(d.spec.MaxPieces)
 	for _, ts := range d.targets.All() {
-		if d.usable(now, ts) {
+		if d.usable(now, ts) && route.ZoneAllowed(zones, ts.target.Zone) {
 			calls := min(1/(full.Seconds()*d.expectedSlowdown(now, ts)), d.gate.Rate(now, ts.target))
 			rate += float64(d.spec.MaxPieces) * calls
 		}
@@ -121,11 +123,11 @@
 func (d *Dispatcher) expectedEnd(now time.Duration, j Job) time.Duration {
 	firstIdle := time.Duration(1<<62 - 1)
 	for _, ts := range d.targets.All() {
-		if d.usable(now, ts) {
+		if d.usable(now, ts) && route.ZoneAllowed(j.Zones, ts.target.Zone) {
 			firstIdle = min(firstIdle, d.idleAt(now, ts))
 		}
 	}
-	rate := d.throughput(now)
+	rate := d.throughput(now, j.Zones)
 	if rate == 0 {
 		return now + maxRetryAfter + j.Deadline
 	}
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -87,6 +87,8 @@
 	// WaitForZone is set if the transfer from another zone costs more than a short wait.
 	Zone        string
 	WaitForZone bool
+	// Zones has the zones of targets that may run the job; nil for all.
+	Zones []string
 	// HasPriorWork is set if earlier stages of the request have run. A refusal wastes them.
 	HasPriorWork bool
 }
@@ -227,7 +229,7 @@
 // InfeasibleJobs returns the queued jobs that can no longer meet their deadlines. On-time jobs
 // are assumed to start now, late jobs after the on-time jobs and the late jobs before them.
 func (d *Dispatcher) InfeasibleJobs(now time.Duration) (ids []uint64) {
-	rate := d.throughput(now)
+	rate := d.throughput(now, nil)
 	_, spare := d.overload(now)
 	ahead := 0
 	for _, q := range d.queue {
--- a/core/batch/choose.go
+++ b/core/batch/choose.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"sassafrasward/core/route"
 )
 
 // NextCalls returns the calls to be sent now and counts them as in progress.
@@ -103,6 +105,7 @@
 	var rest []*queuedJob
 	for _, q := range queue {
 		switch {
+		case !route.ZoneAllowed(q.job.Zones, ts.target.Zone):
 		case !q.job.WaitForZone || q.job.Zone == ts.target.Zone:
 			list = append(list, q)
 		case !d.waitsForZone(now, q.job, idleZones):
@@ -113,7 +116,8 @@
 }
 
 // idleTargets returns the targets that can take a call, best first. A slow target is left out
-// if the other targets are expected to finish the whole backlog before it can finish a call.
+// if the other targets are expected to finish the whole backlog before it can finish a call, unless
+// a job is restricted to its zone.
 func (d *Dispatcher) idleTargets(now time.Duration, zone string) (list []*targetState) {
 	full := float64(d.nominalDuration(d.spec.MaxPieces))
 	soonest, fast := time.Duration(1<<62-1), 0
@@ -134,7 +138,7 @@
 	backlogDone := soonest + time.Duration(rounds*full)
 	list = slices.DeleteFunc(list, func(ts *targetState) bool {
 		slowdown := d.expectedSlowdown(now, ts)
-		return slowdown > slowThreshold && now+time.Duration(full*slowdown) > backlogDone
+		return slowdown > slowThreshold && now+time.Duration(full*slowdown) > backlogDone && !d.hasJobFor(ts.target.Zone)
 	})
 	slices.SortStableFunc(list, func(a, b *targetState) int {
 		slowA, slowB := d.expectedSlowdown(now, a) > slowThreshold, d.expectedSlowdown(now, b) > slowThreshold
@@ -144,6 +148,12 @@
 	return list
 }
 
+// hasJobFor reports whether a queued job is restricted to some zones that include the given one. Targets elsewhere
+// can't run it instead.
+func (d *Dispatcher) hasJobFor(zone string) bool {
+	return slices.ContainsFunc(d.queue, func(q *queuedJob) bool { return slices.Contains(q.job.Zones, zone) })
+}
+
 func compareBool(a, b bool) int {
 	if a == b {
 		return 0
--- a/core/batch/load_test.go
+++ b/core/batch/load_test.go
@@ -555,3 +555,36 @@
 	is.Equal(d.UsedMemory(time.Second, "t0"), int64(200_000))
 	is.Equal(len(d.NextCalls(time.Second)[0].Items), 16)
 }
+
+// TestZonesOfJobs guards against pieces that run outside the zones of their job, jobs that wait for a zone without
+// targets, and a restricted job that a slow target in its zone never gets because faster ones elsewhere are idle.
+func TestZonesOfJobs(t *testing.T) {
+	is := is.New(t)
+	d := batch.New(route.Batch{Slots: 1, MaxPieces: 4, CallTime: 100 * time.Millisecond, PieceTime: 10 * time.Millisecond, ResultMemory: 1e6, ResultTTL: time.Second})
+	d.SetTargets([]discovery.Target{{ID: "a", Zone: "a"}, {ID: "b", Zone: "b"}})
+	job := func(id uint64, zones ...string) batch.Job {
+		return batch.Job{ID: id, Pieces: 4, Bytes: 1, SoftDeadline: 5 * time.Second, Deadline: 5 * time.Second, Zones: zones}
+	}
+	_, ok := d.Offer(0, job(1, "b"))
+	is.True(ok)
+	_, ok = d.Offer(0, job(2, "b"))
+	is.True(ok)
+	calls := d.NextCalls(0)
+	is.Equal(len(calls), 1)
+	is.Equal(calls[0].Target.Zone, "b")
+	_, ok = d.Offer(0, job(3, "c"))
+	is.True(!ok) // refused at once
+	_, ok = d.Offer(0, job(4))
+	is.True(ok)
+	other := d.NextCalls(0)
+	is.Equal(len(other), 1)
+	is.Equal(other[0].Target.Zone, "a")
+	is.Equal(other[0].Items[0].Job, uint64(4))
+	const slow = 600 * time.Millisecond // four times the nominal duration
+	d.FinishPartialCall(slow/4, other[0].ID, other[0].Items, false)
+	d.FinishPartialCall(slow, calls[0].ID, calls[0].Items, false)
+	calls = d.NextCalls(slow)
+	is.Equal(len(calls), 1)
+	is.Equal(calls[0].Target.Zone, "b")
+	is.Equal(calls[0].Items[0].Job, uint64(2))
+}
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/route"
 	"sassafrasward/core/selfreport"
 	"sassafrasward/core/sortedmap"
 )
@@ -76,6 +77,8 @@
 	Exclude []string
 	// TieBreak is uniform in [0, 1) and breaks ties between targets of similar cost.
 	TieBreak float64
+	// Zones has the zones of targets that the request may use; nil for all.
+	Zones []string
 	// MaxWait is how long the request may wait for a target that takes no requests now.
 	MaxWait time.Duration
 }
@@ -146,7 +149,7 @@
 	var best *targetState
 	lowest := math.Inf(1)
 	for _, st := range c.targets.All() {
-		if !st.target.AcceptsWork() || slices.Contains(r.Exclude, st.target.ID) {
+		if !st.target.AcceptsWork() || slices.Contains(r.Exclude, st.target.ID) || !route.ZoneAllowed(r.Zones, st.target.Zone) {
 			continue
 		}
 		targetWait := c.gate.Wait(now, st.target)
@@ -172,14 +175,14 @@
 	return best.target, wait, true
 }
 
-// SoonestWait returns how long every target that is neither leaving, evacuated nor excluded takes no request, if
+// SoonestWait returns how long every target that is neither leaving, evacuated nor excluded, in the zones (nil for all), takes no request, if
 // some requests (ahead) are sent first; Never if it is not known when one of them does. It reports false
 // if there are no such targets.
-func (c *Chooser) SoonestWait(now time.Duration, exclude []string, ahead int) (wait time.Duration, ok bool) {
+func (c *Chooser) SoonestWait(now time.Duration, exclude, zones []string, ahead int) (wait time.Duration, ok bool) {
 	wait = selfreport.Never
 	rate := 0.0
 	for _, st := range c.targets.All() {
-		if st.target.AcceptsWork() && !slices.Contains(exclude, st.target.ID) {
+		if st.target.AcceptsWork() && !slices.Contains(exclude, st.target.ID) && route.ZoneAllowed(zones, st.target.Zone) {
 			wait, ok = min(wait, c.gate.Wait(now, st.target)), true
 			rate += c.gate.Rate(now, st.target)
 		}
@@ -197,15 +200,38 @@
 	return ok && st.target.AcceptsWork() && st.target.StartID == t.StartID && c.gate.Wait(now, t) != selfreport.Never && c.gate.Paused(now, t) == 0
 }
 
-// Evacuated reports whether the pool has no target for new work because of evacuated availability zones.
-func (c *Chooser) Evacuated() (evacuated bool) {
+// Closure is the reason for which a pool has no target for a request that is known in advance to last.
+type Closure int
+
+// The closures.
+const (
+	// Open means that the pool has targets, or that it lacks them for another reason.
+	Open Closure = iota
+	// Evacuated means that the zones that the request may use are evacuated.
+	Evacuated
+	// OutsideHomes means that all targets are in zones that the request may not use.
+	OutsideHomes
+)
+
+// Closed returns whether the pool is closed to requests that may use the zones; nil for all.
+func (c *Chooser) Closed(zones []string) Closure {
+	allowed, evacuated := false, false
 	for _, st := range c.targets.All() {
+		if !route.ZoneAllowed(zones, st.target.Zone) {
+			continue
+		}
 		if st.target.AcceptsWork() {
-			return false
+			return Open
 		}
-		evacuated = evacuated || st.target.Evacuated
+		allowed, evacuated = true, evacuated || st.target.Evacuated
+	}
+	switch {
+	case evacuated:
+		return Evacuated
+	case !allowed && c.targets.Len() > 0:
+		return OutsideHomes
 	}
-	return evacuated
+	return Open
 }
 
 // AffinityTarget returns the target whose cache should hold the shared parts of the prompt. It
@@ -271,7 +297,7 @@
 	}
 	var available []string
 	for id, st := range c.targets.All() {
-		if st.target.AcceptsWork() && now >= st.backoffUntil && c.gate.Wait(now, st.target) == 0 && (longTargets == nil || longTargets[id] == (r.PromptTokens >= minLongPromptTokens)) {
+		if st.target.AcceptsWork() && route.ZoneAllowed(r.Zones, st.target.Zone) && now >= st.backoffUntil && c.gate.Wait(now, st.target) == 0 && (longTargets == nil || longTargets[id] == (r.PromptTokens >= minLongPromptTokens)) {
 			available = append(available, id)
 		}
 	}
--- a/core/pick/pick_test.go
+++ b/core/pick/pick_test.go
@@ -202,3 +202,42 @@
 	is.Equal(c.Available(0), 0) // still in backoff
 	c.Abandon("unknown", 1)
 }
+
+// TestZones guards against a target outside the zones that a request may use, by load, prefix affinity or the time to
+// wait, and against a pool that counts as open though nothing in these zones takes work.
+func TestZones(t *testing.T) {
+	is := is.New(t)
+	c := pick.New()
+	var targets []discovery.Target
+	for i, zone := range []string{"a", "a", "b", "b", "c"} {
+		targets = append(targets, discovery.Target{ID: fmt.Sprintf("t%d", i), Zone: zone, Slots: 1})
+	}
+	c.SetTargets(targets)
+	is.Equal(c.Closed(nil), pick.Open)
+	is.Equal(c.Closed([]string{"a"}), pick.Open)
+	is.Equal(c.Closed([]string{}), pick.OutsideHomes)
+	for n := range 50 {
+		r := pick.Request{Load: 1, TieBreak: float64(n) / 50, FirstPrefix: uint64(n), LastPrefix: uint64(n), SharedTokens: 5000, PromptTokens: 6000, Zones: []string{"a"}}
+		chosen, _, ok := c.Choose(0, r)
+		is.True(ok)
+		is.Equal(chosen.Zone, "a")
+		near, ok := c.AffinityTarget(0, r)
+		is.True(ok)
+		is.Equal(near.Zone, "a")
+	}
+	for i := range targets {
+		targets[i].Evacuated = targets[i].Zone == "a"
+	}
+	c.SetTargets(targets)
+	is.Equal(c.Closed(nil), pick.Open)
+	is.Equal(c.Closed([]string{"a"}), pick.Evacuated)
+	is.Equal(c.Closed([]string{"d"}), pick.OutsideHomes)
+	is.True(!c.Usable(0, targets[0])) // checked right before a send
+	_, _, ok := c.Choose(0, pick.Request{Zones: []string{"a"}})
+	is.True(!ok)
+	_, ok = c.SoonestWait(0, nil, []string{"a"}, 0)
+	is.True(!ok)
+	chosen, _, ok := c.Choose(0, pick.Request{})
+	is.True(ok)
+	is.True(chosen.Zone != "a")
+}
--- a/core/route/route.go
+++ b/core/route/route.go
@@ -64,6 +64,8 @@
 	// Split has at least one entry with a positive weight.
 	Split  []WeightedPool
 	Stages []Stage
+	// Homes has the home regions; empty for no restriction.
+	Homes []string
 }
 
 // WeightedPool is a pool with its weight in the traffic split of a route.
@@ -124,6 +126,8 @@
 	// Priority overrides that of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Homes has the home regions; empty for no restriction.
+	Homes []string
 }
 
 // Limits are the limits for requests and connections of callers.
@@ -222,10 +226,7 @@
 // Lookup returns the route of the host name with the longest matching prefix of the path. The
 // host name may have a port.
 func (t *Table) Lookup(host, path string) (r Route, ok bool) {
-	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
-		host = host[:i]
-	}
-	for _, i := range t.byHost[strings.ToLower(host)] {
+	for _, i := range t.byHost[normalizeHost(host)] {
 		if strings.HasPrefix(path, t.routes[i].Prefix) {
 			return t.routes[i], true
 		}
@@ -233,6 +234,14 @@
 	return Route{}, false
 }
 
+// normalizeHost returns a host name in lower case, without a port.
+func normalizeHost(host string) string {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:i]
+	}
+	return strings.ToLower(host)
+}
+
 // ChoosePool selects a pool according to the weights of the route. The argument is a random
 // number in [0, 1).
 func (r Route) ChoosePool(fraction float64) (pool string) {
--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -64,9 +64,13 @@
 
 // ChooseGroup returns the group of the pool's targets for a job whose results are preferred in a
 // zone, and the backlog there. It compares the group of the zone with a random one and takes the
-// zone's unless a new job waits more than maxZoneDelay longer there.
-func (c *Client) ChooseGroup(pool, zone string) (group string, backlog admit.Backlog) {
+// zone's unless a new job waits more than maxZoneDelay longer there. It leaves out the groups of zones that the job
+// may not use; zones is nil for all.
+func (c *Client) ChooseGroup(pool, zone string, zones []string) (group string, backlog admit.Backlog) {
 	groups := c.dispatcher.Groups(pool)
+	if zones != nil {
+		groups = slices.DeleteFunc(slices.Clone(groups), func(g string) bool { return g != "" && !slices.Contains(zones, g) })
+	}
 	if len(groups) == 0 {
 		return "", admit.Backlog{}
 	}
@@ -308,7 +312,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.SoftDeadlineIn.Milliseconds(), Left: j.DeadlineIn.Milliseconds(), Rank: int32(j.Priority), Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone,
+		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone, Zones: j.Zones,
 	}
 }
 
@@ -317,7 +321,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), SoftDeadlineIn: milliseconds(m.GetAim()), DeadlineIn: milliseconds(m.GetLeft()), Priority: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(), Zones: m.GetZones(),
 	}
 }
 
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -236,7 +236,7 @@
 	d.lastID++
 	wait, ok = g.batcher.Offer(now, batch.Job{
 		ID: d.lastID, Arrived: now - j.Age, Priority: j.Priority, SoftDeadline: now + j.SoftDeadlineIn, Deadline: now + j.DeadlineIn, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
-		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone,
+		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone, Zones: j.Zones,
 	})
 	if !ok {
 		return nil, wait, false
--- a/io/dispatch/job.go
+++ b/io/dispatch/job.go
@@ -34,6 +34,8 @@
 	// WaitForZone is set if enough data would move between zones that waiting for a target in
 	// Zone is worthwhile.
 	WaitForZone bool
+	// Zones has the availability zones of targets that may run the job; nil for all.
+	Zones []string
 	// HasPriorWork is set if earlier stages of the request have run.
 	HasPriorWork bool
 	// OnInputsRead, if not nil, is called at most once, when the targets have read all inputs.
--- a/io/edge/admission.go
+++ b/io/edge/admission.go
@@ -41,7 +41,7 @@
 		if !ok || pool.Batch == nil || x.request.Pieces[i] == 0 {
 			continue
 		}
-		_, backlog := x.dispatchClient.ChooseGroup(stage.Pool, x.zone())
+		_, backlog := x.dispatchClient.ChooseGroup(stage.Pool, x.zone(), x.zones)
 		part := admit.Stage{Height: x.route.Height(i), Backlog: backlog, ServiceTime: pool.Batch.CallTime + time.Duration(min(x.request.Pieces[i], pool.Batch.MaxPieces))*pool.Batch.PieceTime}
 		if len(stage.DependsOn) > 0 {
 			part.InputTTL = pool.Batch.ResultTTL - ttlMargin
--- a/io/edge/directory.go
+++ b/io/edge/directory.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
 	"time"
 
+	"sassafrasward/core/route"
 	"sassafrasward/platform"
 )
 
@@ -30,7 +32,7 @@
 
 // serveDirectory serves the addresses of the hosts that callers should use.
 func (e *Edge) serveDirectory(w http.ResponseWriter, r *http.Request) {
-	addresses := e.addresses()
+	addresses := e.addresses(platform.ReadResolveQuery(r))
 	if r.URL.Path != platform.PathResolve || len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -40,23 +42,52 @@
 	}
 }
 
-// addresses returns the addresses of the live hosts, or those of the suspected ones if no host
-// is known to be alive.
-func (e *Edge) addresses() (addresses []string) {
-	var suspected []string
-	for _, h := range e.state.Load().hosts {
-		if h.Suspected {
+// addresses returns the addresses of the live hosts that a caller is to use, or those of the suspected ones if no
+// host is known to be alive. If routes of the host name have home regions, these are the hosts in the caller's region
+// and in the home regions of all such routes, as long as there is one.
+func (e *Edge) addresses(q platform.ResolveQuery) (addresses []string) {
+	s := e.state.Load()
+	alive, suspected, near := []string{}, []string{}, []string{}
+	inHomes := e.homeFilter(s.table, q)
+	for _, h := range s.hosts {
+		switch {
+		case h.Suspected:
 			suspected = append(suspected, h.Address)
-		} else {
-			addresses = append(addresses, h.Address)
+		case inHomes != nil && inHomes(h.Zone):
+			near = append(near, h.Address)
+		default:
+			alive = append(alive, h.Address)
 		}
 	}
-	if len(addresses) == 0 {
-		addresses = suspected
+	for _, addresses = range [][]string{near, alive, suspected} {
+		if len(addresses) > 0 {
+			break
+		}
 	}
 	return addresses[:min(len(addresses), maxAddresses)]
 }
 
+// homeFilter returns whether requests of a caller may go to hosts in a zone; nil if no route of the host name has home
+// regions. Callers that don't state their region are in that of their zone.
+func (e *Edge) homeFilter(t *route.Table, q platform.ResolveQuery) (inHomes func(zone string) bool) {
+	if t == nil {
+		return nil
+	}
+	homes, ok := t.HostHomes(q.Host)
+	if !ok {
+		return nil
+	}
+	regions := e.settings.ZoneRegions()
+	caller := cmp.Or(q.Region, regions[q.Zone])
+	return func(zone string) bool {
+		region := regions[zone]
+		if region == "" && zone == e.settings.Zone() {
+			region = e.settings.Region()
+		}
+		return region != "" && (region == caller || slices.Contains(homes, region))
+	}
+}
+
 // serveMetrics writes all counters and gauges as text, one per line.
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
 	values := e.metrics.Values()
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -262,7 +262,7 @@
 
 // promptPickRequest returns the parameters for choosing a target that don't depend on the inputs.
 func (x *exchange) promptPickRequest() pick.Request {
-	h := pick.Request{Exclude: x.targets, TieBreak: rand.Float64(), Load: 1, PromptTokens: x.request.PromptTokens}
+	h := pick.Request{Exclude: x.targets, Zones: x.zones, TieBreak: rand.Float64(), Load: 1, PromptTokens: x.request.PromptTokens}
 	if shared := x.request.SharedParts(); len(shared) > 0 {
 		h.FirstPrefix, h.LastPrefix = shared[0].ID, shared[len(shared)-1].ID
 		for _, p := range shared {
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -76,6 +76,9 @@
 	workspace string
 	// pool is the pool that runs the request.
 	pool string
+	// zones has the availability zones of targets that the request may use, by the home regions of its route
+	// and workspace; nil for all.
+	zones []string
 	// priority is that of the route, plus that of the workspace weighted by workspaceWeight.
 	priority int
 	// decision is the result of admission control for a request with stages.
@@ -224,17 +227,19 @@
 		return false
 	}
 	x.priority = x.route.Priority
+	var homes []string
 	if t.RequiresKeys() && !x.route.Public {
 		w, ok := t.Workspace(x.request.APIKey)
 		if !ok {
 			x.refuse(http.StatusUnauthorized, reason.UnknownWorkspace, 0)
 			return false
 		}
-		x.workspace = w.Name
+		x.workspace, homes = w.Name, w.Homes
 		if w.HasPriority {
 			x.priority += workspaceWeight * w.Priority
 		}
 	}
+	x.zones = route.AllowedZones(x.settings.ZoneRegions(), x.route.Homes, homes)
 	if !x.readBody(t.Limits().BodyBytes) {
 		return false
 	}
--- a/io/edge/limit.go
+++ b/io/edge/limit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/pick"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/selfreport"
 )
@@ -40,10 +41,10 @@
 
 // failWithoutTarget refuses a request for which there is no target.
 func (x *exchange) failWithoutTarget() {
-	wait, ok := x.choosers.soonestWait(x.pool, x.targets)
+	wait, ok := x.choosers.soonestWait(x.pool, x.targets, x.zones)
 	switch {
-	case !ok && x.choosers.evacuated(x.pool):
-		x.failEvacuated(x.pool)
+	case !ok && x.choosers.closed(x.pool, x.zones) != pick.Open:
+		x.failClosed(x.pool, x.choosers.closed(x.pool, x.zones))
 	case !ok:
 		x.detail = "no target"
 		x.fail(reason.NoTargets, targetRetryAfter)
@@ -56,27 +57,36 @@
 	}
 }
 
-// evacuatedPool returns the first of the pools that the request needs which has no target for new work because
-// of evacuated availability zones. The pool of the request itself is checked after those of its stages.
-func (x *exchange) evacuatedPool() (pool string, ok bool) {
+// closedPool returns the first of the pools that the request needs which is closed to it. The pool of the request
+// itself is checked after those of its stages.
+func (x *exchange) closedPool() (pool string, why pick.Closure) {
+	if x.zones != nil && len(x.zones) == 0 {
+		return x.pool, pick.OutsideHomes // whether or not the targets of its stages are known here
+	}
 	for i, s := range x.route.Stages {
-		if x.request.Pieces[i] > 0 && x.choosers.evacuated(s.Pool) {
-			return s.Pool, true
+		if why = x.choosers.closed(s.Pool, x.zones); why != pick.Open && x.request.Pieces[i] > 0 {
+			return s.Pool, why
 		}
 	}
-	return x.pool, x.choosers.evacuated(x.pool)
+	return x.pool, x.choosers.closed(x.pool, x.zones)
 }
 
-// failEvacuated refuses a request that needs a pool whose targets are all in evacuated availability zones.
-func (x *exchange) failEvacuated(pool string) {
+// failClosed refuses a request that needs a pool which is closed to it.
+func (x *exchange) failClosed(pool string, why pick.Closure) {
 	x.detail = "all zones of pool " + pool + " are evacuated"
+	switch {
+	case why == pick.OutsideHomes:
+		x.detail = "pool " + pool + " has no target in the home regions"
+	case x.zones != nil:
+		x.detail = "all zones of pool " + pool + " in the home regions are evacuated"
+	}
 	x.fail(reason.NoTargets, targetRetryAfter)
 }
 
 // targetWait returns how long no target will take the request, zero if one does now. It reports false if
 // that is longer than the caller waits.
 func (x *exchange) targetWait() (wait time.Duration, ok bool) {
-	wait, ok = x.choosers.soonestWait(x.pool, nil)
+	wait, ok = x.choosers.soonestWait(x.pool, nil, x.zones)
 	if !ok {
 		return 0, true // the pool may have targets once they are needed
 	}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"sassafrasward/core/admit"
+	"sassafrasward/core/pick"
 	"sassafrasward/core/reason"
+	"sassafrasward/core/route"
 	"sassafrasward/io/dispatch"
 	"sassafrasward/platform"
 )
@@ -41,8 +43,8 @@
 		x.refuse(http.StatusBadRequest, reason.InvalidField, 0)
 		return nil, false
 	}
-	if pool, ok := x.evacuatedPool(); ok {
-		x.failEvacuated(pool)
+	if pool, why := x.closedPool(); why != pick.Open {
+		x.failClosed(pool, why)
 		return nil, false
 	}
 	wait, ok := x.targetWait()
@@ -278,7 +280,10 @@
 		j.SoftDeadlineIn = 0
 	}
 	j.Zone, j.WaitForZone = x.placement(i)
-	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone)
+	if j.Zones = x.zones; !route.ZoneAllowed(x.zones, j.Zone) {
+		j.Zone, j.WaitForZone = "", false
+	}
+	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone, j.Zones)
 	if len(stage.DependsOn) == 0 {
 		j.Key = x.request.PieceKey
 		return j
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -103,18 +103,18 @@
 
 // soonestWait returns how long no target of the pool takes a request, after those that run their stages
 // now; see pick.Chooser.SoonestWait.
-func (c *choosers) soonestWait(name string, exclude []string) (wait time.Duration, ok bool) {
+func (c *choosers) soonestWait(name string, exclude, zones []string) (wait time.Duration, ok bool) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	p := c.pool(name)
-	return p.chooser.SoonestWait(c.clock(), exclude, p.staged)
+	return p.chooser.SoonestWait(c.clock(), exclude, zones, p.staged)
 }
 
-// evacuated reports whether the pool has no target for new work because of evacuated availability zones.
-func (c *choosers) evacuated(name string) bool {
+// closed returns whether the pool is closed to requests that may use the zones; see pick.Chooser.Closed.
+func (c *choosers) closed(name string, zones []string) pick.Closure {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.pool(name).chooser.Evacuated()
+	return c.pool(name).chooser.Closed(zones)
 }
 
 // addStaged adds to the number of requests to the pool that run their stages.
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -32,6 +32,10 @@
 	// memoryLimit is in bytes; zero for none.
 	memoryLimit int64
 	limits      Limits
+	// region is the region of the host, empty if it is not known. zoneRegions has the regions of the
+	// availability zones.
+	region      string
+	zoneRegions map[string]string
 }
 
 // Limits holds the time limits and the retry budget of an edge host.
@@ -77,6 +81,12 @@
 // MemoryLimit returns the memory limit of the process in bytes; zero for none.
 func (s Settings) MemoryLimit() int64 { return s.memoryLimit }
 
+// Region returns the region of the host; empty if it is not known.
+func (s Settings) Region() string { return s.region }
+
+// ZoneRegions returns the regions of the availability zones that are known. The map is not changed.
+func (s Settings) ZoneRegions() map[string]string { return s.zoneRegions }
+
 // Limits returns the time limits and the retry budget of an edge host.
 func (s Settings) Limits() Limits { return s.limits }
 
@@ -205,6 +215,15 @@
 		s.limits.MaxEvacuationDelay = time.Duration(n * float64(time.Millisecond))
 		return ok
 	}},
+	{"edge", "region", "none", "none, or a name without blanks", "region of the host", func(s *Settings, v string) bool {
+		if v != "none" {
+			s.region = v
+		}
+		return !strings.ContainsAny(v, " \t,")
+	}},
+	{"edge", "zones", "none", "none, or pairs zone:region separated by commas", "regions of the availability zones; a zone that is not listed is in no home region", func(s *Settings, v string) bool {
+		return v == "none" || parseZones(s, v)
+	}},
 	{"edge", "ratio", "0.1", "0 or more", "retries that all hosts together may make, as a ratio of the requests", func(s *Settings, v string) (ok bool) {
 		s.limits.RetryRatio, ok = parseNumber(v)
 		return ok
@@ -253,6 +272,20 @@
 	return isAddress(v)
 }
 
+// parseZones sets the regions of zones from a list of pairs, and reports whether each is complete and no zone is
+// listed twice.
+func parseZones(s *Settings, v string) bool {
+	s.zoneRegions = make(map[string]string)
+	for part := range strings.SplitSeq(v, ",") {
+		zone, region, ok := strings.Cut(strings.TrimSpace(part), ":")
+		if _, known := s.zoneRegions[zone]; !ok || known || zone == "" || region == "" || strings.ContainsAny(part, "\t") {
+			return false
+		}
+		s.zoneRegions[zone] = region
+	}
+	return true
+}
+
 // parseNumber parses a number that is neither negative nor 1e12 or more.
 func parseNumber(v string) (n float64, ok bool) {
 	n, err := strconv.ParseFloat(v, 64)
--- a/io/setting/setting_test.go
+++ b/io/setting/setting_test.go
@@ -37,6 +37,26 @@
 	is.Equal(s.Seeds(), []string{"10.0.0.2:8102", "[::1]:8102"})
 }
 
+// TestZones guards against settings of deployments without evacuations and regions that switch something on, as the
+// template renders them, and against wrong regions.
+func TestZones(t *testing.T) {
+	is := is.New(t)
+	s, err := setting.Parse([]byte(valid + "[edge]\nregion = \nzones = \n\n"))
+	is.NoErr(err)
+	is.Equal(s.Limits().MaxEvacuationDelay, time.Duration(0))
+	is.Equal(s.Region(), "")
+	is.Equal(len(s.ZoneRegions()), 0)
+	s, err = setting.Parse([]byte(valid + "[edge]\nregion = north\nzones = a:north,b:south\nevacuate = 5000\n"))
+	is.NoErr(err)
+	is.Equal(s.Limits().MaxEvacuationDelay, 5*time.Second)
+	is.Equal(s.Region(), "north")
+	is.Equal(s.ZoneRegions(), map[string]string{"a": "north", "b": "south"})
+	for _, zones := range []string{"a", "a:", ":north", "a:north,a:south", "a:north,"} {
+		_, err = setting.Parse([]byte(valid + "[edge]\nzones = " + zones + "\n"))
+		is.True(err != nil)
+	}
+}
+
 // TestInvalidSettings guards against accepting an invalid settings file, and against a diagnostic
 // without the section and key of the error.
 func TestInvalidSettings(t *testing.T) {
