End queued pieces whose home regions are all evacuated

Only pieces of a pool without any zone left were ended at once; those that home regions restrict to evacuated zones waited until they were late.

--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -210,14 +210,26 @@
 	return pieces
 }
 
-// QueuedJobs returns the jobs with pieces that are not part of a call.
-func (d *Dispatcher) QueuedJobs() (ids []uint64) {
+// StrandedJobs returns the queued jobs for which no target accepts work.
+func (d *Dispatcher) StrandedJobs() (ids []uint64) {
 	for _, q := range d.queue {
-		ids = append(ids, q.job.ID)
+		if !d.accepts(q.job) {
+			ids = append(ids, q.job.ID)
+		}
 	}
 	return ids
 }
 
+// accepts reports whether a target in the zones of a job accepts work.
+func (d *Dispatcher) accepts(j Job) bool {
+	for _, ts := range d.targets.All() {
+		if ts.target.AcceptsWork() && route.ZoneAllowed(j.Zones, ts.target.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveJob removes a job that ended or was abandoned.
 func (d *Dispatcher) RemoveJob(id uint64) {
 	if q, ok := d.jobs[id]; ok {
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -122,20 +122,15 @@
 		if !configured[key] {
 			g.batcher.SetTargets(remainingTargets(targets[g.pool], g.name))
 		}
-		if evacuated(targets[g.pool]) {
-			d.failQueued(g)
+		if slices.ContainsFunc(targets[g.pool], func(t discovery.Target) bool { return t.Evacuated }) {
+			d.failStranded(g)
 		}
 	}
 }
 
-// evacuated reports whether no target of a pool gets new work because of evacuated availability zones.
-func evacuated(targets []discovery.Target) bool {
-	return slices.ContainsFunc(targets, func(t discovery.Target) bool { return t.Evacuated }) && !slices.ContainsFunc(targets, discovery.Target.AcceptsWork)
-}
-
-// failQueued ends the jobs of a group that have pieces which are part of no call: no target will run them in time.
-func (d *Dispatcher) failQueued(g *group) {
-	for _, id := range g.batcher.QueuedJobs() {
+// failStranded ends the queued jobs of a group that no target will run while zones are evacuated.
+func (d *Dispatcher) failStranded(g *group) {
+	for _, id := range g.batcher.StrandedJobs() {
 		if a, ok := g.jobs[id]; ok {
 			d.fail(g, a, FaultLate)
 		}
--- a/io/dispatch/evacuate_test.go
+++ b/io/dispatch/evacuate_test.go
@@ -27,12 +27,14 @@
 	for name, test := range map[string]struct {
 		zones     string // one letter per target
 		evacuated string
+		allowed   []string // the zones of the jobs
 		fault     dispatch.Fault
 	}{
-		"one group":    {zones: "aaabbb", evacuated: "a"},
-		"zone groups":  {zones: "aaaaaabbbbbb", evacuated: "a"},
-		"all of small": {zones: "aabb", evacuated: "ab", fault: dispatch.FaultLate},
-		"all of large": {zones: "aaaaaabbbbbb", evacuated: "ab", fault: dispatch.FaultLate},
+		"one group":              {zones: "aaabbb", evacuated: "a"},
+		"zone groups":            {zones: "aaaaaabbbbbb", evacuated: "a"},
+		"all of the jobs' zones": {zones: "aabbcc", evacuated: "ab", allowed: []string{"a", "b"}, fault: dispatch.FaultLate},
+		"all of small":           {zones: "aabb", evacuated: "ab", fault: dispatch.FaultLate},
+		"all of large":           {zones: "aaaaaabbbbbb", evacuated: "ab", fault: dispatch.FaultLate},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -59,7 +61,7 @@
 			submit := func(n int) (a *dispatch.ActiveJob, ok bool) {
 				groups := d.Groups("pieces")
 				a, _, ok = d.Submit(dispatch.Job{
-					Pool: "pieces", Group: groups[n%len(groups)], Request: fmt.Sprintf("r%d", n), Pieces: 4, Key: "k", SoftDeadlineIn: 5 * time.Minute, DeadlineIn: 5 * time.Minute,
+					Pool: "pieces", Group: groups[n%len(groups)], Request: fmt.Sprintf("r%d", n), Pieces: 4, Key: "k", SoftDeadlineIn: 5 * time.Minute, DeadlineIn: 5 * time.Minute, Zones: test.allowed,
 				})
 				return a, ok
 			}
