--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -87,6 +87,8 @@
 	// WaitForZone is set if the transfer from another zone costs more than a short wait.
 	Zone        string
 	WaitForZone bool
+	// Zones has the zones of targets that may run the job; nil for all.
+	Zones []string
 	// HasPriorWork is set if earlier stages of the request have run. A refusal wastes them.
 	HasPriorWork bool
 }
@@ -208,14 +210,26 @@
 	return pieces
 }
 
-// QueuedJobs returns the jobs with pieces that are not part of a call.
-func (d *Dispatcher) QueuedJobs() (ids []uint64) {
+// StrandedJobs returns the queued jobs for which no target accepts work.
+func (d *Dispatcher) StrandedJobs() (ids []uint64) {
 	for _, q := range d.queue {
-		ids = append(ids, q.job.ID)
+		if !d.accepts(q.job) {
+			ids = append(ids, q.job.ID)
+		}
 	}
 	return ids
 }
 
+// accepts reports whether a target in the zones of a job accepts work.
+func (d *Dispatcher) accepts(j Job) bool {
+	for _, ts := range d.targets.All() {
+		if ts.target.AcceptsWork() && route.ZoneAllowed(j.Zones, ts.target.Zone) {
+			return true
+		}
+	}
+	return false
+}
+
 // RemoveJob removes a job that ended or was abandoned.
 func (d *Dispatcher) RemoveJob(id uint64) {
 	if q, ok := d.jobs[id]; ok {
@@ -227,7 +241,7 @@
 // InfeasibleJobs returns the queued jobs that can no longer meet their deadlines. On-time jobs
 // are assumed to start now, late jobs after the on-time jobs and the late jobs before them.
 func (d *Dispatcher) InfeasibleJobs(now time.Duration) (ids []uint64) {
-	rate := d.throughput(now)
+	rate := d.throughput(now, nil)
 	_, spare := d.overload(now)
 	ahead := 0
 	for _, q := range d.queue {
--- a/io/edge/limit.go
+++ b/io/edge/limit.go
@@ -8,7 +8,9 @@
 	"time"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/pick"
 	"sassafrasward/core/reason"
+	"sassafrasward/core/route"
 	"sassafrasward/core/selfreport"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
@@ -50,8 +52,8 @@
 func (x *exchange) failWithoutTarget() {
 	wait, cold, ok := x.soonestTarget(x.targets)
 	switch {
-	case !ok && x.choosers.evacuated(x.pool):
-		x.failEvacuated(x.pool)
+	case !ok && x.choosers.closed(x.pool, x.zones) != pick.Open:
+		x.failClosed(x.pool, x.choosers.closed(x.pool, x.zones))
 	case !ok:
 		x.detail = "no target"
 		x.fail(reason.NoTargets, targetRetryAfter)
@@ -68,20 +70,29 @@
 	}
 }
 
-// evacuatedPool returns the first of the pools that the request needs which has no target for new work because
-// of evacuated availability zones. The pool of the request itself is checked after those of its stages.
-func (x *exchange) evacuatedPool() (pool string, ok bool) {
+// closedPool returns the first of the pools that the request needs which is closed to it. The pool of the request
+// itself is checked after those of its stages.
+func (x *exchange) closedPool() (pool string, why pick.Closure) {
+	if x.zones != nil && len(x.zones) == 0 {
+		return x.pool, pick.OutsideHomes // whether or not the targets of its stages are known here
+	}
 	for i, s := range x.route.Stages {
-		if x.request.Pieces[i] > 0 && x.choosers.evacuated(s.Pool) {
-			return s.Pool, true
+		if why = x.choosers.closed(s.Pool, x.zones); why != pick.Open && x.request.Pieces[i] > 0 {
+			return s.Pool, why
 		}
 	}
-	return x.pool, x.choosers.evacuated(x.pool)
+	return x.pool, x.choosers.closed(x.pool, x.zones)
 }
 
-// failEvacuated refuses a request that needs a pool whose targets are all in evacuated availability zones.
-func (x *exchange) failEvacuated(pool string) {
+// failClosed refuses a request that needs a pool which is closed to it.
+func (x *exchange) failClosed(pool string, why pick.Closure) {
 	x.detail = "all zones of pool " + pool + " are evacuated"
+	switch {
+	case why == pick.OutsideHomes:
+		x.detail = "pool " + pool + " has no target in the home regions"
+	case x.zones != nil:
+		x.detail = "all zones of pool " + pool + " in the home regions are evacuated"
+	}
 	x.fail(reason.NoTargets, targetRetryAfter)
 }
 
@@ -99,12 +110,12 @@
 // of the targets is warm: this host has no share in the cold ones before. It reports false if there are no targets
 // other than the excluded ones.
 func (x *exchange) soonestTarget(exclude []string) (wait time.Duration, cold, ok bool) {
-	wait, ok = x.choosers.soonestWait(x.pool, exclude)
+	wait, ok = x.choosers.soonestWait(x.pool, exclude, x.zones)
 	if wait == 0 || !ok {
 		return wait, false, ok
 	}
 	targets := slices.DeleteFunc(slices.Clone(x.state.Load().targets[x.pool]), func(t discovery.Target) bool {
-		return t.Leaving || slices.Contains(exclude, t.ID)
+		return !t.AcceptsWork() || slices.Contains(exclude, t.ID) || !route.ZoneAllowed(x.zones, t.Zone)
 	})
 	if warm, found := x.reports.SoonestWarm(targets); found && warm < wait {
 		return warm, true, true
