Check a configuration before it is published

Operators had no way to see mistakes in the JSON of a platform's configuration: hosts reject it as a whole with the first error, or accept entries that never match.

Keys are never printed.

Ruled out: rejecting on warnings, as the examples of the platform have pools that only other versions use.

--- a/core/route/route.go
+++ b/core/route/route.go
@@ -189,6 +189,12 @@
 // Version returns the number of the configuration.
 func (t *Table) Version() uint64 { return t.version }
 
+// Routes returns the routes in the order of the configuration. The list must not be changed.
+func (t *Table) Routes() []Route { return t.routes }
+
+// Workspaces returns the workspaces in the order of the configuration. The list must not be changed.
+func (t *Table) Workspaces() []Workspace { return t.workspaces }
+
 // Pool returns the published pool with the name.
 func (t *Table) Pool(name string) (p Pool, ok bool) {
 	p, ok = t.pools[name]
--- a/io/cli/check.go
+++ b/io/cli/check.go
@@ -13,17 +13,28 @@
 	"sassafrasward/io/setting"
 )
 
-// checkCommand validates a settings file, a configuration or both.
+// checkCommand validates a settings file and configurations.
 type checkCommand struct {
-	env      *environment
-	Settings string `long:"settings" description:"settings file of a host (INI)"`
-	Config   string `long:"config" description:"published configuration (INI); - reads standard input"`
+	env       *environment
+	Settings  string `long:"settings" description:"settings file of a host (INI)"`
+	Config    string `long:"config" description:"published configuration (INI); - reads standard input"`
+	Published string `long:"published" description:"configuration to publish on a platform with routes (JSON); - reads standard input"`
+	InForce   string `long:"inforce" description:"configuration in force with which the one to publish is compared (JSON)"`
+	Store     string `long:"store" description:"address of the metadata store from which the configuration in force is read"`
+	JSON      bool   `long:"json" description:"print the findings of --published as JSON"`
 }
 
 // Execute implements flags.Commander.
 func (c *checkCommand) Execute([]string) (err error) {
-	if c.Settings == "" && c.Config == "" {
-		return &flags.Error{Type: flags.ErrRequired, Message: "one of --settings and --config is required"}
+	switch {
+	case c.Settings == "" && c.Config == "" && c.Published == "":
+		return &flags.Error{Type: flags.ErrRequired, Message: "one of --settings, --config and --published is required"}
+	case c.Config == "-" && c.Published == "-":
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "only one of --config and --published can read standard input"}
+	case c.Published == "" && (c.InForce != "" || c.Store != "" || c.JSON):
+		return &flags.Error{Type: flags.ErrRequired, Message: "--inforce, --store and --json need --published"}
+	case c.InForce != "" && c.Store != "":
+		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "--inforce and --store exclude each other"}
 	}
 	if c.Settings != "" {
 		_, err = setting.Load(c.Settings)
@@ -32,6 +43,9 @@
 	if c.Config != "" {
 		err = errors.Join(err, c.checkConfig())
 	}
+	if c.Published != "" {
+		err = errors.Join(err, c.checkPublished())
+	}
 	return err
 }
 
--- a/io/cli/cli_test.go
+++ b/io/cli/cli_test.go
@@ -38,6 +38,9 @@
 	return path
 }
 
+// published is a configuration of a platform with routes.
+const published = `{"version":3,"routes":[{"name":"r","host":"h.example","prefix":"/p/","kind":"idempotent","timeoutMs":4000,"sloMs":300,"service":"s","maxAttempts":2}],"services":[{"name":"s","maxConnections":5}],"limits":{}}`
+
 // TestExitCodes guards against exit codes other than the documented ones, and against a
 // diagnostic that is printed without file, section, key, value and allowed range.
 func TestExitCodes(t *testing.T) {
@@ -48,16 +51,24 @@
 		code int
 		want []string
 	}{
-		"no command":        {code: 2},
-		"help":              {args: []string{"check", "--help"}, want: []string{"sassafrasward check --settings host.ini"}},
-		"check nothing":     {args: []string{"check"}, code: 2},
-		"check absent":      {args: []string{"check", "--config", "/nonexistent"}, code: 1},
-		"good settings":     {args: []string{"check", "--settings", good}},
-		"bad settings":      {args: []string{"check", "--settings", bad}, code: 2, want: []string{bad, "[platform]", "address", `"x"`, "an IP address and port other than 0"}},
-		"serve bad":         {args: []string{"serve", "--settings", bad}, code: 2, want: []string{bad, "[platform]"}},
-		"good config":       {in: configuration, args: []string{"check", "--config", "-"}},
-		"bad config":        {in: configuration + "hedge = 101\n", args: []string{"check", "--config", "-"}, code: 2, want: []string{"-:", "[preset peak]", "hedge", `"101"`, "0 to 100 (percent)"}},
-		"both bad":          {in: "[x]\n", args: []string{"check", "--config", "-", "--settings", bad}, code: 2, want: []string{bad, "[x]"}},
+		"no command":    {code: 2},
+		"help":          {args: []string{"check", "--help"}, want: []string{"sassafrasward check --settings host.ini"}},
+		"check nothing": {args: []string{"check"}, code: 2},
+		"check absent":  {args: []string{"check", "--config", "/nonexistent"}, code: 1},
+		"good settings": {args: []string{"check", "--settings", good}},
+		"bad settings":  {args: []string{"check", "--settings", bad}, code: 2, want: []string{bad, "[platform]", "address", `"x"`, "an IP address and port other than 0"}},
+		"serve bad":     {args: []string{"serve", "--settings", bad}, code: 2, want: []string{bad, "[platform]"}},
+		"good config":   {in: configuration, args: []string{"check", "--config", "-"}},
+		"bad config":    {in: configuration + "hedge = 101\n", args: []string{"check", "--config", "-"}, code: 2, want: []string{"-:", "[preset peak]", "hedge", `"101"`, "0 to 100 (percent)"}},
+		"both bad":      {in: "[x]\n", args: []string{"check", "--config", "-", "--settings", bad}, code: 2, want: []string{bad, "[x]"}},
+		"bad published": {in: `{"version":3,
+"routes":[{"name":"r","host":"h","prefix":"/p/","kind":"odd"}]}`, args: []string{"check", "--published", "-"}, code: 2, want: []string{`error: routes[0] "r": route "r" has the unknown kind "odd"`}},
+		"broken published":  {in: "{\n\"version\": x}", args: []string{"check", "--published", "-"}, code: 2, want: []string{"error: line 2, column"}},
+		"good published":    {in: published, args: []string{"check", "--published", "-", "--json"}, want: []string{`"findings": []`}},
+		"published changes": {in: strings.NewReplacer(`"version":3`, `"version":4`, `"timeoutMs":4000`, `"timeoutMs":5000`).Replace(published), args: []string{"check", "--published", "-", "--inforce", writeFile(t, published)}, want: []string{`route "r": changed: Timeout: 4s -> 5s`}},
+		"published again":   {in: published, args: []string{"check", "--published", "-", "--inforce", writeFile(t, published)}, code: 2, want: []string{"error: version: 3 does not replace version 3"}},
+		"no store":          {in: published, args: []string{"check", "--published", "-", "--store", "127.0.0.1:1"}, code: 1, want: []string{"configuration in force"}},
+		"json alone":        {args: []string{"check", "--config", "-", "--json"}, code: 2},
 		"preset unknown":    {in: configuration, args: []string{"preset", "--config", "-", "absent"}, code: 2, want: []string{`"absent"`, "ordinary, peak"}},
 		"preset broken":     {in: "[", args: []string{"preset", "--config", "-", "peak"}, code: 2},
 		"preset sourceless": {args: []string{"preset", "peak"}, code: 2},
--- a/io/cli/help.go
+++ b/io/cli/help.go
@@ -17,10 +17,14 @@
 Example:
   sassafrasward explain 9c41d07be2a35f68 e1.log e2.log`
 
-const checkHelp = `Checks a settings file, a configuration or both, and prints each error on one line with file, section, key, value and allowed range. Exits with 2 if there is an error.
+const checkHelp = `Checks a settings file and configurations, and prints each error on one line with file, section, key, value and allowed range. Exits with 2 if there is an error.
+
+With --published, checks the JSON of a configuration before it is sent to a platform with routes: errors with their places, entries that can never match and limits that contradict each other. With --inforce or --store, also prints what it changes of the version in force; of API keys, only how many are added and removed. Warnings leave the exit code at 0; it is 2 if there is an error, and 1 if a file or the store can't be read.
 
 Examples:
   sassafrasward check --settings host.ini
+  sassafrasward check --published next.json --inforce current.json
+  sassafrasward check --published next.json --store 10.0.0.9:8200 --json
   sassafrasward check --config published.ini
   sassafrasward check --config - < published.ini`
 
