Bound the memory and the connections that callers make a host hold

Clients outside our control took a process over its memory. Causes: bodies up to 16 KB and heads did not count; larger bodies counted with their length, while io.ReadAll held up to twice that; after status 413 the HTTP server waits 0.5 s while the kernel receives up to 32 MB for each connection; a refused body was read to its end; nothing bounded the number of connections.

core/callermem accounts for connections, heads and bodies together and decides what is granted, what waits, what is refused and which connection yields (idle beyond the time of reuse, then stalled, then slower). io/edge/callers.go wires it to the listener; bodies are read into parts as they arrive, hashed and sent as they are (transport.Request.More). Refusals go out at once; the rest is discarded for 2 s at most, then the connection is closed. Receive buffers are 16 KB, larger while a large body arrives. New setting [edge] descriptors, 0 for none; the directory, the readiness check and the metrics have bounds of their own. Event 1305, gauges and counters callers.*.

Ruled out: pooled buffers, since an attempt that was given up may still write its body; reserving the announced length, which a few silent connections use up. Found on the way: bytes that a large receive buffer keeps must not count as released by an interrupted body, or others wait for it until its connection is closed (2 s).

--- a/io/edge/directory.go
+++ b/io/edge/directory.go
@@ -59,6 +59,7 @@
 
 // serveMetrics writes all counters and gauges as text, one per line.
 func (e *Edge) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	e.callers.record(e.metrics)
 	values := e.metrics.Values()
 	names := make([]string, 0, len(values))
 	for name := range values {
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -36,7 +36,8 @@
 
 const (
 	// heapFraction is the fraction of the process's memory limit that is left to the Go heap. The
-	// rest is for stacks, code and bytes that were received but not read yet.
+	// rest is for code and for bytes that were received but not read yet (unreadFraction). callerFraction and
+	// responseFraction are parts of it: a tenth is left for the state of the host.
 	heapFraction = 0.6
 	// streamAcceptTime is how long after the stop signal a host still accepts streams that may be cut
 	// off when it stops. The platform excuses those that callers sent within 3 s; the difference is for
@@ -86,6 +87,8 @@
 	// background tracks goroutines that may outlive their request; they end with ctx.
 	background sync.WaitGroup
 	memory     memory
+	// callers has the connections of callers, nil without bounds.
+	callers *callers
 	// pauses tells, on the clock wallClock, whether this host stood still.
 	pauses *pause.Detector
 	// ctx ends all calls of the process, and requestsCtx the requests of callers.
@@ -102,6 +105,7 @@
 	if m := settings.MemoryLimit(); m > 0 {
 		debug.SetMemoryLimit(int64(heapFraction * float64(m)))
 	}
+	e.callers = e.newCallers(callerLimits(settings))
 	e.state.Store(&state{})
 	b := settings.Limits()
 	newQuota := func() *quota.Quota { return quota.New(b.RetryWindow, b.RetryRatio, b.RetryAllowance/minHosts) }
@@ -199,7 +203,7 @@
 		if err != nil {
 			return err
 		}
-		go func() { ends <- s.Serve(l) }()
+		go func() { ends <- s.Serve(s.callers.listener(l)) }()
 	}
 	go e.server.Serve(peerListener, ends)
 	go e.control.run(e.ctx, ends)
@@ -225,17 +229,30 @@
 	return err
 }
 
+// boundedServer is an HTTP server with the bounds for its connections.
+type boundedServer struct {
+	*http.Server
+
+	callers *callers
+}
+
 // servers returns the HTTP servers of the host. The first one serves callers.
-func (e *Edge) servers() (servers []*http.Server) {
-	servers = append(servers, e.frontend.server(e.settings.CallerAddress()))
+func (e *Edge) servers() (servers []boundedServer) {
+	servers = append(servers, boundedServer{e.frontend.server(e.settings.CallerAddress()), e.callers})
 	for _, s := range []struct {
-		address string
-		handler http.HandlerFunc
+		address             string
+		handler             http.HandlerFunc
+		descriptors, memory float64
 	}{
-		{e.settings.ReadyAddress(), e.serveReady}, {e.settings.DirectoryAddress(), e.serveDirectory}, {e.settings.MetricsAddress(), e.serveMetrics},
+		{e.settings.ReadyAddress(), e.serveReady, statusDescriptors, statusMemory},
+		{e.settings.DirectoryAddress(), e.serveDirectory, directoryDescriptors, directoryMemory},
+		{e.settings.MetricsAddress(), e.serveMetrics, statusDescriptors, statusMemory},
 	} {
 		if s.address != "" {
-			servers = append(servers, &http.Server{Addr: s.address, Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout})
+			servers = append(servers, boundedServer{&http.Server{
+				Addr: s.address, Handler: s.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxStatusHeader,
+				ConnState: connState,
+			}, e.newCallers(statusLimits(e.settings, s.descriptors, s.memory))})
 		}
 	}
 	return servers
@@ -250,7 +267,7 @@
 // drain removes the host from address responses, serves callers with cached addresses until
 // there are none or the grace period is almost over, and shuts the servers down. Jobs of other hosts
 // that are in progress run to their end.
-func (e *Edge) drain(servers []*http.Server) (err error) {
+func (e *Edge) drain(servers []boundedServer) (err error) {
 	began := e.clock()
 	stop := e.stopTime(began)
 	e.frontend.drainStart.Store(int64(began))
@@ -279,7 +296,7 @@
 
 // shutdown stops a server from accepting connections, and waits for its requests to end, at most for
 // the timeout.
-func shutdown(s *http.Server, timeout time.Duration) (err error) {
+func shutdown(s boundedServer, timeout time.Duration) (err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
 	defer cancel()
 	if err = s.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -326,7 +326,7 @@
 		forwarded.Priority = x.priority
 	}
 	a.response, a.err = x.conns.Do(ctx, a.target.Address, transport.Request{
-		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: forwarded.Header(x.r.Header), Body: x.body,
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: forwarded.Header(x.r.Header), Body: x.body.first(), More: x.body.rest(),
 		NewConnection: x.route.Kind != route.Idempotent,
 		Match:         x.match,
 	})
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strings"
@@ -25,8 +23,6 @@
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 64 << 10
 	defaultMaxBody = 4 << 20
-	// bodyTimeout is how long a caller may take to send the request body.
-	bodyTimeout = 10 * time.Second
 	// startRetryAfter is the retry delay for callers of a host that is starting while others serve,
 	// and fleetRetryAfter that while no other host serves either: about the time in which a fleet
 	// starts.
@@ -58,7 +54,7 @@
 func (f *frontend) server(address string) *http.Server {
 	return &http.Server{
 		Addr: address, Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+		DisableGeneralOptionsHandler: true, ConnContext: connContext, ConnState: connState,
 	}
 }
 
@@ -80,10 +76,12 @@
 	priority int
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
-	// body is the body of the request until no attempt needs it any more; reserved is the memory that
-	// is reserved for it, in bytes.
-	body     []byte
-	reserved int64
+	// conn is the connection of the caller, nil if connections are not bounded.
+	conn *callerConn
+	// body is the body of the request until no attempt needs it any more; bodyRead is set once it was read
+	// to its end.
+	body     body
+	bodyRead bool
 	// fingerprint identifies equal requests, see computeFingerprint. prompt has the first parts of the
 	// prompt, at most maxSuspectParts, that other requests may have as well.
 	fingerprint uint64
@@ -128,7 +126,8 @@
 	f.running.Add(1)
 	f.lastArrival.Store(int64(now))
 	defer f.running.Add(-1)
-	x := &exchange{frontend: f, w: w, r: r, arrived: now}
+	x := &exchange{frontend: f, w: w, r: r, arrived: now, conn: connOf(r)}
+	x.conn.startRequest()
 	if f.drainStart.Load() > 0 {
 		w.Header().Set("Connection", "close")
 	}
@@ -269,70 +268,13 @@
 	return false
 }
 
-// readBody reads the whole body, so that the request can be retried.
-func (x *exchange) readBody(limit int) bool {
-	if x.r.ContentLength == 0 && (x.r.Method == http.MethodGet || x.r.Method == http.MethodHead) {
-		return true
-	}
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	controller := http.NewResponseController(x.w)
-	// A connection that doesn't support deadlines is read without one.
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
-	// Reset the deadline; otherwise the server's background read would hit it while the caller
-	// waits for the response, and treat the connection as closed.
-	defer func() { _ = controller.SetReadDeadline(time.Time{}) }()
-	size := min(x.r.ContentLength, int64(limit))
-	if size < 0 {
-		size = int64(limit)
-	}
-	reader, fits := http.MaxBytesReader(x.w, x.r.Body, int64(limit)), x.reserveBody(size)
-	var body []byte
-	var err error
-	if fits {
-		body, err = readAll(reader, x.r.ContentLength)
-	} else {
-		// A caller that is still sending could miss the response if its connection were closed.
-		_, err = io.Copy(io.Discard, reader)
-	}
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		x.refuse(http.StatusRequestEntityTooLarge, reason.BodyTooLarge, 0)
-		return false
-	case err != nil:
-		x.why, x.detail = reason.CallerGone, err.Error()
-		panic(http.ErrAbortHandler) // the caller stopped sending the body
-	}
-	if !fits {
-		x.refuse(http.StatusServiceUnavailable, reason.MemoryLow, memoryRetryAfter)
-		return false
-	}
-	x.body = body
-	return true
-}
-
-// readAll reads to the end; with a known length the buffer is allocated once.
-func readAll(r io.Reader, length int64) (body []byte, err error) {
-	if length > 0 && length <= defaultMaxBody {
-		body = make([]byte, length)
-		_, err = io.ReadFull(r, body)
-		return body, err
-	}
-	body, err = io.ReadAll(r)
-	if body == nil {
-		body = []byte{}
-	}
-	return body, err
-}
-
 // refuse writes an empty response with a status that this host, not a target, decided on.
 func (x *exchange) refuse(status int, why reason.Reason, retry time.Duration) {
 	x.status, x.why = status, why
 	if x.committed {
 		panic(http.ErrAbortHandler) // the response must not look complete
 	}
+	x.boundRest()
 	h := x.w.Header()
 	platform.SetRefusalHeader(h, x.request.ID, retry)
 	h.Set("Content-Length", "0")
--- a/io/edge/host_test.go
+++ b/io/edge/host_test.go
@@ -45,7 +45,7 @@
 
 // testHost is an edge host under test and the stand-in of its store.
 type testHost struct {
-	t     *testing.T
+	t     testing.TB
 	store *standin.Store
 	// settings is the text of the settings file.
 	settings string
@@ -68,7 +68,7 @@
 }
 
 // prepareHost returns a host with the name on the store that does not run yet.
-func prepareHost(t *testing.T, s *standin.Store, name string, seeds ...string) (host *testHost) {
+func prepareHost(t testing.TB, s *standin.Store, name string, seeds ...string) (host *testHost) {
 	t.Helper()
 	host = &testHost{t: t, store: s, address: loopback.FreeAddress(), peer: loopback.FreeAddress(), ready: loopback.FreeAddress(), directory: loopback.FreeAddress(), done: make(chan error, 1)}
 	host.settings = fmt.Sprintf("[host]\nname = %s\nzone = a\ncaller = %s\npeer = %s\n[edge]\nready = %s\ndirectory = %s\ngrace = 3\n[platform]\naddress = %s\n[join]\nmode = alone\n",
--- a/io/edge/suspect.go
+++ b/io/edge/suspect.go
@@ -251,6 +251,8 @@
 	for _, part := range []string{x.r.Method, x.r.Host, x.r.RequestURI, x.request.APIKey} {
 		_, _ = d.WriteString(part + "\x00") // writes to a hash never fail
 	}
-	_, _ = d.Write(x.body)
+	for _, part := range x.body {
+		_, _ = d.Write(part)
+	}
 	return d.Sum64()
 }
--- a/io/integration/edge_crowd_test.go
+++ b/io/integration/edge_crowd_test.go
@@ -19,7 +19,6 @@
 	"github.com/matryer/is"
 
 	"sassafrasward/io/loopback"
-	"sassafrasward/io/setting"
 	"sassafrasward/platform/standin"
 )
 
@@ -170,11 +169,7 @@
 	t.Cleanup(plain.Stop)
 	store.Register(plain, "plain", "ready")
 	h = &edgeHost{t: t, caller: loopback.FreeAddress(), plain: plain}
-	limits := fmt.Sprintf("memory = %d\n", crowdMemory)
-	// A program without the setting has no bound on connections, and fails the rows that need it.
-	if slices.ContainsFunc(setting.Keys(), func(k setting.Key) bool { return k.Section() == "edge" && k.Name() == "descriptors" }) {
-		limits += fmt.Sprintf("descriptors = %d\n", crowdDescriptors)
-	}
+	limits := fmt.Sprintf("memory = %d\ndescriptors = %d\n", crowdMemory, crowdDescriptors)
 	settings := filepath.Join(t.TempDir(), "host.ini")
 	text := fmt.Sprintf("[host]\nname = e1\nzone = a\ncaller = %s\npeer = %s\n[edge]\n%s[platform]\naddress = %s\n[join]\nmode = alone\n",
 		h.caller, loopback.FreeAddress(), limits, store.Address())
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -31,6 +31,8 @@
 	readyAddress, directoryAddress, metricsAddress string
 	// memoryLimit is in bytes; zero for none.
 	memoryLimit int64
+	// descriptors is the limit of open descriptors; zero for none.
+	descriptors int
 	limits      Limits
 }
 
@@ -74,6 +76,9 @@
 // MemoryLimit returns the memory limit of the process in bytes; zero for none.
 func (s Settings) MemoryLimit() int64 { return s.memoryLimit }
 
+// Descriptors returns the limit of open descriptors of the process; zero for none.
+func (s Settings) Descriptors() int { return s.descriptors }
+
 // Limits returns the time limits and the retry budget of an edge host.
 func (s Settings) Limits() Limits { return s.limits }
 
@@ -176,6 +181,11 @@
 		s.memoryLimit = int64(n * bytesPerMB)
 		return ok
 	}},
+	{"edge", "descriptors", "0", "0, or 100 or more", "limit of open descriptors of the process; 0 for none", func(s *Settings, v string) bool {
+		n, ok := parseNumber(v)
+		s.descriptors = int(n)
+		return ok && (n == 0 || n >= minDescriptors)
+	}},
 	{"edge", "grace", "10", "0 or more (seconds)", "time between the signal to stop and the kill", func(s *Settings, v string) bool {
 		return parseSeconds(&s.limits.GracePeriod, v)
 	}},
@@ -232,6 +242,10 @@
 	}},
 }
 
+// minDescriptors is the smallest limit of open descriptors: less leaves too few for targets, other hosts and
+// the store.
+const minDescriptors = 100
+
 // bytesPerMB converts the memory limit, which the settings file states in MB.
 const bytesPerMB = 1e6
 
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -58,6 +58,8 @@
 	Header http.Header
 	// Body is sent with a Content-Length header; if nil, neither is sent.
 	Body []byte
+	// More has the parts of the body that follow Body.
+	More [][]byte
 	// NewConnection requests a new connection instead of an idle one.
 	NewConnection bool
 	// Match tells whether a response with the given status and headers belongs to this request; nil
@@ -194,7 +196,7 @@
 func (p *Pool) roundTrip(c *conn, r Request, stop func() bool) (response *Response, err error) {
 	written := make(chan error, 1)
 	head := head(r)
-	if len(r.Body) <= maxInlineBody {
+	if len(r.Body) <= maxInlineBody && len(r.More) == 0 {
 		_, err := c.Write(append(head, r.Body...))
 		written <- err
 		if err != nil {
@@ -202,7 +204,7 @@
 		}
 	} else {
 		go func() {
-			buffers := net.Buffers{head, r.Body}
+			buffers := append(net.Buffers{head, r.Body}, r.More...)
 			_, err := buffers.WriteTo(c)
 			written <- err
 		}()
@@ -274,7 +276,11 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", r.Method, r.URI, r.Host)
 	_ = r.Header.Write(&b) // writes to a bytes.Buffer never fail
 	if r.Body != nil {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+		length := len(r.Body)
+		for _, part := range r.More {
+			length += len(part)
+		}
+		b.WriteString("Content-Length: " + strconv.Itoa(length) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
