--- a/io/edge/callers.go
+++ b/io/edge/callers.go
@@ -32,6 +32,11 @@
 	unreadBytes        = 2 * receiveBuffer
 	largeReceiveBuffer = 64 << 10
 	largeUnreadBytes   = 2 * largeReceiveBuffer
+	// backlogFraction times the bound on connections, at least minBacklog, is how many more may wait to be
+	// accepted. They have receive buffers as well, and the usual backlog of 4,096 could fill 100 MB on a host
+	// without processor time.
+	backlogFraction = 0.25
+	minBacklog      = 16
 	// largeBody is the size in bytes from which on a body gets the large receive buffer.
 	largeBody = middlePart + largePart
 	// callerDescriptors is the fraction of the descriptors for connections of callers: each request in
@@ -149,6 +154,7 @@
 	}
 	if t, ok := inner.(*net.TCPListener); ok && l.boundUnread {
 		setReceiveBuffer(t, receiveBuffer) // accepted connections inherit it
+		setBacklog(t, max(int(backlogFraction*float64(l.ledger.Limits().Conns)), minBacklog))
 	}
 	return &callerListener{Listener: inner, callers: l}
 }
@@ -166,6 +172,17 @@
 	})
 }
 
+// setBacklog sets how many connections may wait to be accepted. A failure leaves the backlog as it is.
+func setBacklog(s syscall.Conn, conns int) {
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		_ = unix.Listen(int(fd), conns) // on a socket that listens already it changes the backlog
+	})
+}
+
 // Accept implements net.Listener. Connections without room are closed.
 func (l *callerListener) Accept() (net.Conn, error) {
 	for {
