Gossip the estimates of targets

Cause: an estimate is of use only where other hosts know it within seconds.

It goes by regular packets only, without a flood and without a part in the digest; a host that has just started gets all of them with its first repair.

Ruled out: a flood like that of other facts, since there would be one each 200 ms, 40 packets a second per host; the ID and start of the target in the fact, which are twice the size of the rest; a part in the digest, by which nearly every repair would send members and other facts.

--- a/core/member/fact_string.go
+++ b/core/member/fact_string.go
@@ -24,6 +24,7 @@
 	}
 	return _Liveness_name[_Liveness_index[idx]:_Liveness_index[idx+1]]
 }
+
 func _() {
 	// An "invalid array index" compiler error signifies that the constant values have changed.
 	// Re-run the stringer command to generate them again.
--- a/core/member/failure.go
+++ b/core/member/failure.go
@@ -243,6 +243,7 @@
 	if len(dead) > 0 {
 		s.neighbourIDs, s.watch.ranked = nil, nil
 	}
+	s.estimates.expire(now)
 	removed := len(dead) + len(s.leavings.expire(now)) + len(s.crashes.expire(now)) + len(s.handovers.expire(now))
 	if removed > 0 {
 		s.changed = true
--- a/core/member/gossip.go
+++ b/core/member/gossip.go
@@ -30,6 +30,7 @@
 	p.Crashes = s.crashes.takePending(now, maxPacketFacts)
 	p.Reports = s.reports.takePending(now, maxPacketFacts)
 	p.Handovers = s.handovers.takePending(now, maxPacketFacts)
+	p.Estimates = s.estimates.takePending(now, maxPacketFacts)
 	if m, ok := s.members.get(to); ok && m.Liveness != Alive {
 		p.Members = append(p.Members, m)
 	}
@@ -85,6 +86,9 @@
 	p.Crashes = append(p.Crashes, s.crashes.inBuckets(now, mask)...)
 	p.Reports = append(p.Reports, s.reports.inBuckets(now, mask)...)
 	p.Handovers = append(p.Handovers, s.handovers.inBuckets(now, mask)...)
+	if mask == allBuckets {
+		p.Estimates = append(p.Estimates, s.estimates.inBuckets(now, mask)...) // for a host that has just started
+	}
 }
 
 // Answered handles the answer to an Exchange.
@@ -128,6 +132,9 @@
 	for _, r := range p.Reports {
 		s.mergeReport(now, r, bulk)
 	}
+	for _, e := range p.Estimates {
+		s.mergeEstimate(now, e)
+	}
 	for _, h := range p.Handovers {
 		mergeFact(s, now, s.handovers, h, bulk)
 	}
--- a/core/member/packet.go
+++ b/core/member/packet.go
@@ -27,6 +27,7 @@
 	Crashes   []Crash
 	Reports   []Report
 	Handovers []Handover
+	Estimates []Estimate
 }
 
 // Kind is the type of a Call.
--- a/core/member/state.go
+++ b/core/member/state.go
@@ -66,6 +66,7 @@
 	crashes   *store[string, Crash]
 	reports   *store[string, Report]
 	handovers *store[uint64, Handover]
+	estimates *store[uint64, Estimate]
 	hostList  HostList
 	// hostEntries indexes the entries of hostList by host name.
 	hostEntries map[string]HostEntry
@@ -74,6 +75,8 @@
 	changed bool
 	// crashesChanged is set by each change of the crash evidence.
 	crashesChanged bool
+	// newEstimates has the processes whose estimates were merged and not taken yet.
+	newEstimates map[uint64]struct{}
 	// reportsChanged is set by each change of the reports about targets.
 	reportsChanged bool
 
@@ -117,12 +120,13 @@
 	self.Counter, self.Liveness, self.Lifecycle, self.TTL = 1, Alive, Joining, 0
 	s := &State{
 		random: random, period: defaultPeriod, self: self,
-		members:     newStore[uint64, Member](factRetransmits),
-		loads:       newStore[uint64, Load](loadRetransmits),
-		leavings:    newStore[string, Leaving](factRetransmits),
-		crashes:     newStore[string, Crash](factRetransmits),
-		reports:     newStore[string, Report](factRetransmits),
-		handovers:   newStore[uint64, Handover](factRetransmits),
+		members:   newStore[uint64, Member](factRetransmits),
+		loads:     newStore[uint64, Load](loadRetransmits),
+		leavings:  newStore[string, Leaving](factRetransmits),
+		crashes:   newStore[string, Crash](factRetransmits),
+		reports:   newStore[string, Report](factRetransmits),
+		handovers: newStore[uint64, Handover](factRetransmits),
+		estimates: newStore[uint64, Estimate](estimateRetransmits), newEstimates: make(map[uint64]struct{}),
 		suspectedAt: make(map[uint64]time.Duration), pendingProbes: make(map[uint64]int),
 		now: now, lastTick: now, changed: true,
 		join: newJoinState(), watch: newWatchState(now),
--- a/core/member/store.go
+++ b/core/member/store.go
@@ -232,6 +232,9 @@
 // differ.
 const DigestBuckets = 16
 
+// allBuckets is the mask of all buckets.
+const allBuckets = 1<<DigestBuckets - 1
+
 // Digest holds a checksum of the tables for each bucket.
 type Digest [DigestBuckets]uint32
 
--- a/io/gossip/codec.go
+++ b/io/gossip/codec.go
@@ -36,6 +36,9 @@
 	for _, f := range p.Handovers {
 		m.Handovers = append(m.Handovers, &message.Handover{Owner: f.Owner, Successor: f.Successor, Host: f.Host, Life: encodeTTL(f.TTL)})
 	}
+	for _, f := range p.Estimates {
+		m.Estimates = append(m.Estimates, &message.Estimate{Process: f.Process, Version: f.Version, Speed: f.Speed, Slowdown: f.Slowdown, Demand: f.Demand, Life: encodeTTL(f.TTL)})
+	}
 	return m
 }
 
@@ -78,6 +81,9 @@
 	for _, f := range m.GetHandovers() {
 		p.Handovers = append(p.Handovers, member.Handover{Owner: f.GetOwner(), Successor: f.GetSuccessor(), Host: f.GetHost(), TTL: decodeTTL(f.GetLife())})
 	}
+	for _, f := range m.GetEstimates() {
+		p.Estimates = append(p.Estimates, member.Estimate{Process: f.GetProcess(), Version: f.GetVersion(), Speed: f.GetSpeed(), Slowdown: f.GetSlowdown(), Demand: f.GetDemand(), TTL: decodeTTL(f.GetLife())})
+	}
 	return p, true
 }
 
