Choose targets by shared estimates in large deployments

Cause: where a host sends each engine a request every 24 s, the choice by its own load and measurements is made without knowledge, and the affinity of shared prompts makes the busiest engine 2.5 times as busy as the mean.

core/pick keeps the targets of a prompt in the order of its hash. A target takes only its share of the demand for it, and only while it is not so slow that reading the shared parts elsewhere costs less; the rest goes to the next targets in the same order, up to 8. Requests without common parts are placed at random, weighted by what is left of each target's share and by its present time. The time to the first event counts at once instead of at the end of the stream.

It is used with 24 hosts or more, while this host sends less than one request per target in 10 s; elsewhere the choices are the same: TestUnchangedElsewhere compares 5,000 choices with a hash taken from the code before.

go test ./core/pick ./core/capacity ./io/edge ./io/event ./io/gossip: passed. ./core/admit fails with TestPeakOfPipeline, known red.

--- a/core/capacity/capacity.go
+++ b/core/capacity/capacity.go
@@ -13,27 +13,38 @@
 	speedGain      = 0.15
 	maxSpeedSample = 0.08
 	maxSpeedStep   = 0.25
-	// slowGain is the weight of a sample in the present slowdown, maxSlowStep the largest step, a factor
-	// of two: one wrong report doesn't make hosts leave a target.
+	// fasterStep is how much more a fast sample counts for a target that is slower than slowSpeed. It shows
+	// that the queue which made the target look slow is gone, and a target that is avoided gets few samples.
+	fasterStep = 3.0
+	slowSpeed  = 1.0
+	// maxSpeed bounds the lasting time ratio to a factor of 2.5 both ways. What is beyond it is a queue or a
+	// fault, which ends.
+	maxSpeed = 1.32
+	// slowGain is the weight of a sample in the present slowdown, maxSlowStep the largest step by one sample
+	// or fact, a factor of 4: a target that is 5 times slower for 6 s has to be known after one sample.
 	slowGain    = 0.6
-	maxSlowStep = 1.0
-	// slowHalfLife is the half-life of the present slowdown. Targets are slow for 0.6 to 6 s.
-	slowHalfLife = 2 * time.Second
+	maxSlowStep = 2.0
+	// slowHalfLife is the half-life of the present slowdown. Targets are slow for 0.6 to 6 s, and a fact
+	// takes two seconds to reach most hosts.
+	slowHalfLife = 4 * time.Second
 	// maxDemandStep is the largest change of the demand by one fact, in mean loads.
 	maxDemandStep = 1.0
 	// demandHalfLife is the half-life of the load that a host counts for the demand. A host sees the
 	// most popular prompt about once in 5 s.
-	demandHalfLife = 30 * time.Second
+	demandHalfLife = 45 * time.Second
 	// maxMissedFacts bounds the facts that one fact can make up for at a host that missed them.
 	maxMissedFacts = 8
 	// maxFactWeight bounds the weight of the facts about the demand for a target, and priorWeight is that
 	// of no demand. The weight of this host's own share is the number of requests that an average target
 	// gets from it within the window.
 	maxFactWeight = 4
-	priorWeight   = 0.5
+	priorWeight   = 0.2
 	// usualGain is the weight of a sample in the usual time ratio of its class: with 6 samples a second
 	// a slowdown of all targets is usual after about 4 s.
 	usualGain = 0.05
+	// maxUsualStep bounds the difference of a sample that counts, so that the few very slow responses of a
+	// queue don't make all others look fast.
+	maxUsualStep = 1.0
 	// promptClasses is the number of classes of prompts, by the bit length of their tokens.
 	promptClasses = 20
 )
@@ -63,6 +74,8 @@
 	shared     estimate
 	version    uint64
 	sharedTime time.Duration
+	// merged is the last fact that was merged, without its age.
+	merged Fact
 }
 
 // estimate is the part of an entry that facts carry, not rounded.
@@ -76,7 +89,10 @@
 
 func (a *average) add(v float64) {
 	a.count++
-	a.value += max(usualGain, 1/float64(a.count)) * (v - a.value)
+	if a.count == 1 {
+		a.value = v
+	}
+	a.value += max(usualGain, 1/float64(a.count)) * clamp(v-a.value, maxUsualStep)
 }
 
 // decaying is a sum that decays with demandHalfLife.
@@ -128,7 +144,16 @@
 	sample = clamp(sample-usual.value, maxLog)
 	slow := e.slowAt(now)
 	e.slow, e.slowTime = slow+clamp(slowGain*(sample-e.speed-slow), maxSlowStep), now
-	e.speed += clamp(speedGain*(sample-e.speed), maxSpeedSample)
+	e.speed = clamp(e.speed+speedStep(e.speed, sample), maxSpeed)
+}
+
+// speedStep returns the step of a lasting time ratio by a sample.
+func speedStep(speed, sample float64) float64 {
+	step := clamp(speedGain*(sample-speed), maxSpeedSample)
+	if speed > slowSpeed && sample < 0 {
+		return fasterStep * step
+	}
+	return step
 }
 
 // slowAt returns the present slowdown as a logarithm.
@@ -193,17 +218,20 @@
 	if !ok {
 		return false
 	}
-	if f.Version < e.version {
-		return true // a fact from before the last one
+	age := f.Age
+	f.Age = 0
+	if f.Version < e.version || f == e.merged {
+		return true // a fact from before the last one, or the last one again
 	}
+	e.merged = f
 	steps := float64(min(max(f.Version-e.version, 1), maxMissedFacts))
 	ownSpeed := e.speed - e.shared.speed
 	e.shared.speed += clamp(f.speed()-e.shared.speed, maxSpeedStep*steps)
 	e.speed = e.shared.speed + ownSpeed/2 // the fact reflects what is common to the hosts' samples
-	slow, told := e.slowAt(now), decay(f.slowdown(), f.Age)
-	e.slow, e.slowTime = slow+clamp((told-slow)/2, maxSlowStep), now
+	slow, told := e.slowAt(now), decay(f.slowdown(), age)
+	e.slow, e.slowTime = slow+clamp(told-slow, maxSlowStep), now
 	e.shared.slow = told
 	e.shared.demand += clamp(f.demand()-e.shared.demand, maxDemandStep*steps)
-	e.version, e.sharedTime = f.Version, now-f.Age
+	e.version, e.sharedTime = f.Version, now-age
 	return true
 }
--- a/core/capacity/publish.go
+++ b/core/capacity/publish.go
@@ -16,10 +16,11 @@
 	// takeInterval is the time between two looks for news.
 	takeInterval = 300 * time.Millisecond
 	// notableSpeed, notableSlow and notableDemand are the differences from the last fact that are news:
-	// a twelfth of the lasting time, three quarters of a doubling, half a mean load.
+	// a twelfth of the lasting time, twice the present time (above what a spell of
+	// 0.6 s does, which is over before the fact arrives), two fifths of a mean load.
 	notableSpeed  = 0.12
-	notableSlow   = 0.75
-	notableDemand = 0.5
+	notableSlow   = 1.0
+	notableDemand = 0.4
 	// refreshAge is the age from which a fact is published again before it expires, by the host whose
 	// turn comes first within refreshSpread; hosts that have just started need it.
 	refreshAge    = 40 * time.Second
--- a/core/member/estimate.go
+++ b/core/member/estimate.go
@@ -58,6 +58,11 @@
 	}
 }
 
+// Estimates returns the estimates of all hosts.
+func (s *State) Estimates(now time.Duration) []Estimate {
+	return s.estimates.collect(max(s.now, now), -1, func(*row[Estimate]) bool { return true })
+}
+
 // TakeEstimates returns the estimates that other hosts have published since the last call, in no order.
 func (s *State) TakeEstimates(now time.Duration) (list []Estimate) {
 	for process := range s.newEstimates {
--- a/core/pick/pick.go
+++ b/core/pick/pick.go
@@ -8,6 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sassafrasward/core/capacity"
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/selfreport"
 	"sassafrasward/core/sortedmap"
@@ -78,11 +79,16 @@
 	TieBreak float64
 	// MaxWait is how long the request may wait for a target that takes no requests now.
 	MaxWait time.Duration
+	// Spare is the time in which the first event is useful as a multiple of the expected time to it; zero
+	// if unknown.
+	Spare float64
 }
 
 // targetState is a target with this host's load and measurements.
 type targetState struct {
 	target discovery.Target
+	// process identifies the target's process in shared estimates.
+	process uint64
 	// load is the sum of the loads of the requests in flight.
 	load float64
 	// slowdown is the EWMA of the ratio of measured to expected durations, last updated at
@@ -106,6 +112,8 @@
 	gate selfreport.Gate
 	// slowdownP75 is the estimated 75th percentile of the slowdown of the requests to the pool.
 	slowdownP75 float64
+	// shared has what all hosts know of the targets.
+	shared shared
 }
 
 // Option configures a Chooser.
@@ -116,7 +124,7 @@
 
 // New returns a chooser without targets. Without WithGate, all targets take all requests.
 func New(options ...Option) *Chooser {
-	c := &Chooser{targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, slowdownP75: 1}
+	c := &Chooser{targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, slowdownP75: 1, shared: newShared(0)}
 	for _, o := range options {
 		o(c)
 	}
@@ -126,31 +134,34 @@
 // SetTargets replaces the targets of the pool.
 func (c *Chooser) SetTargets(targets []discovery.Target) {
 	next := sortedmap.New[string, *targetState]()
+	var processes []uint64
 	for _, t := range targets {
 		st, ok := c.targets.Get(t.ID)
 		if !ok || st.target.StartID != t.StartID {
-			st = &targetState{slowdown: 1}
+			st = &targetState{slowdown: 1, process: capacity.ProcessOf(t.ID, t.StartID)}
 		}
 		st.target = t
 		next.Put(t.ID, st)
+		processes = append(processes, st.process)
 	}
 	c.targets = next
+	c.shared.table.Retain(processes)
 }
 
 // Choose returns the target with the lowest cost, and how long the request has to wait before it is
 // sent there. It counts the request as in flight. It reports false if every target is leaving, excluded
 // or takes no request within r.MaxWait.
 func (c *Chooser) Choose(now time.Duration, r Request) (t discovery.Target, wait time.Duration, ok bool) {
+	if c.countShared(now, r) {
+		return c.chooseShared(now, r)
+	}
 	longTargets := c.longPromptTargets(r)
 	affinity := c.affinityTarget(now, r, longTargets)
 	var best *targetState
 	lowest := math.Inf(1)
 	for _, st := range c.targets.All() {
-		if st.target.Leaving || slices.Contains(r.Exclude, st.target.ID) {
-			continue
-		}
-		targetWait := c.gate.Wait(now, st.target)
-		if targetWait > r.MaxWait {
+		targetWait, ok := c.accepts(now, st, r)
+		if !ok {
 			continue
 		}
 		cost := c.cost(now, st, r) + targetWait.Seconds()*costPerWaitSecond
@@ -167,9 +178,23 @@
 	if best == nil {
 		return discovery.Target{}, 0, false
 	}
-	best.load += max(r.Load, minRequestLoad)
-	c.gate.Take(now, best.target)
-	return best.target, wait, true
+	return c.take(now, best, r), wait, true
+}
+
+// accepts reports whether a request may be sent to a target, and how long it has to wait for it.
+func (c *Chooser) accepts(now time.Duration, st *targetState, r Request) (wait time.Duration, ok bool) {
+	if st.target.Leaving || slices.Contains(r.Exclude, st.target.ID) {
+		return 0, false
+	}
+	wait = c.gate.Wait(now, st.target)
+	return wait, wait <= r.MaxWait
+}
+
+// take counts a request as in flight at a target.
+func (c *Chooser) take(now time.Duration, st *targetState, r Request) discovery.Target {
+	st.load += max(r.Load, minRequestLoad)
+	c.gate.Take(now, st.target)
+	return st.target
 }
 
 // SoonestWait returns how long every target that is neither leaving nor excluded takes no request, if
@@ -255,8 +280,17 @@
 // Rendezvous hashing of the first prefix selects a subset of the targets, and hashing of the
 // last prefix one of them. Hosts with the same list of targets get the same result.
 func (c *Chooser) affinityTarget(now time.Duration, r Request, longTargets map[string]bool) (id string) {
+	if ranked := c.affinityRanking(now, r, longTargets); len(ranked) > 0 {
+		return ranked[0]
+	}
+	return ""
+}
+
+// affinityRanking returns the targets that may hold the shared parts of the prompt, the affinity target
+// first; nil if there are none.
+func (c *Chooser) affinityRanking(now time.Duration, r Request, longTargets map[string]bool) (ids []string) {
 	if r.SharedTokens < minAffinityTokens {
-		return ""
+		return nil
 	}
 	var available []string
 	for id, st := range c.targets.All() {
@@ -265,10 +299,10 @@
 		}
 	}
 	if len(available) == 0 {
-		return ""
+		return nil
 	}
 	available = c.rankTargets(r.FirstPrefix, available)
-	return c.rankTargets(r.LastPrefix, available[:int(math.Ceil(prefixTargetFraction*float64(len(available))))])[0]
+	return c.rankTargets(r.LastPrefix, available[:int(math.Ceil(prefixTargetFraction*float64(len(available))))])
 }
 
 func (st *targetState) currentSlowdown(now time.Duration) float64 {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -90,6 +90,7 @@
 func (c *control) tick() {
 	c.pauses.Tick(wallClock())
 	c.targetSet.Tick(c.clock())
+	c.exchangeEstimates()
 	c.node.Tick()
 	c.publishChanges()
 	c.conns.CloseIdle()
@@ -238,6 +239,7 @@
 	c.maxHosts = max(c.maxHosts, live, minHosts)
 	slack := c.settings.Limits().RetryAllowance / float64(c.maxHosts)
 	c.choosers.setSlack(slack)
+	c.choosers.setHosts(live)
 	c.dispatcher.SetSlack(slack)
 }
 
@@ -253,6 +255,7 @@
 	c.choosers.configure(c.targets)
 	c.reports.Retain(c.targets)
 	c.mergeReports()
+	c.mergeEstimates(c.members.Estimates(c.clock()))
 	if c.table != nil {
 		c.dispatcher.Configure(c.table, c.targets)
 	}
--- a/io/edge/forward.go
+++ b/io/edge/forward.go
@@ -103,6 +103,7 @@
 			continue
 		}
 		attempts++
+		s.pick = pickRequest
 		a := &attempt{target: t, began: x.clock(), beganAt: wallClock(), last: attempts >= x.route.MaxAttempts}
 		v := x.try(ctx, s, a, inputs)
 		x.recordDecision("target %s in %q, inputs in %q: %s%s", t.ID, t.Zone, pickRequest.InputZone, v.label(), x.describeResponse(a))
@@ -271,6 +272,7 @@
 	}
 	if x.request.PromptTokens > 0 {
 		h.Load = float64(x.request.PromptTokens) / promptPerLoad
+		h.Spare = max(float64(x.arrived+x.route.Objective-x.clock()), 1) / float64(x.unloadedFirstEventTime())
 	}
 	return h
 }
--- a/io/edge/state.go
+++ b/io/edge/state.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -46,18 +47,24 @@
 	mutex    sync.Mutex
 	pools    map[string]*pool
 	newQuota func() *quota.Quota
+	// salt differs between hosts, which number hosts.
+	salt  uint64
+	hosts int
 }
 
 // pool has the target chooser and the retry quota of one pool.
 type pool struct {
 	chooser *pick.Chooser
 	quota   *quota.Quota
+	// shared and stats are what was last logged and counted of the chooser's use of shared estimates.
+	shared bool
+	stats  pick.SharedStats
 	// staged is the number of requests that run their stages and need a target then.
 	staged int
 }
 
 func newChoosers(clock func() time.Duration, gate selfreport.Gate, newQuota func() *quota.Quota) *choosers {
-	return &choosers{clock: clock, gate: gate, pools: make(map[string]*pool), newQuota: newQuota}
+	return &choosers{clock: clock, gate: gate, pools: make(map[string]*pool), newQuota: newQuota, salt: rand.Uint64()}
 }
 
 // configure sets the targets of all pools.
@@ -78,7 +85,8 @@
 func (c *choosers) pool(name string) *pool {
 	p, ok := c.pools[name]
 	if !ok {
-		p = &pool{chooser: pick.New(pick.WithGate(c.gate)), quota: c.newQuota()}
+		p = &pool{chooser: pick.New(pick.WithGate(c.gate), pick.WithSalt(c.salt)), quota: c.newQuota()}
+		p.chooser.SetHosts(c.hosts)
 		c.pools[name] = p
 	}
 	return p
--- a/io/edge/stream.go
+++ b/io/edge/stream.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"sassafrasward/core/pick"
 	"sassafrasward/io/transport"
 	"sassafrasward/platform"
 )
@@ -40,6 +41,8 @@
 	unfinished bool
 	// lastTime is when the last event was sent.
 	lastTime time.Duration
+	// pick is the request by which the target of the running attempt was chosen.
+	pick pick.Request
 	// contentType is that of the response whose headers were sent.
 	contentType string
 }
@@ -96,6 +99,9 @@
 			a.err = errors.New("failed to write an event to the caller")
 			return callerGone
 		}
+		if s.sent == 1 {
+			s.choosers.firstEvent(s.pool, a.target, s.pick, s.slowdown(a))
+		}
 		if len(s.held) > 0 {
 			s.free() // the target has read its inputs
 		}
