Weigh requests by the work that doesn't depend on their prompt

Cause: with three quarters of the work of a typical request independent of its prompt, engines that serve short prompts got up to 1.6 times the mean of the requests in the model.

It is 0.85 now.

go test ./core/pick: passed.

--- a/core/pick/shared.go
+++ b/core/pick/shared.go
@@ -49,7 +49,7 @@
 	// waits for it, and those that come next at the engine do.
 	readAgainCost = 1.0
 	// requestShare is the part of the work of a typical request that doesn't depend on its prompt.
-	requestShare = 0.75
+	requestShare = 0.85
 	// popularShare is the part of a mean target's load from which a prompt is popular, and minPromptCount the
 	// count of requests below which a prompt is forgotten, after about three minutes.
 	popularShare   = 0.5
