--- a/core/pick/shared_test.go
+++ b/core/pick/shared_test.go
@@ -44,7 +44,6 @@
 	readFree            time.Duration
 	cached              map[uint64]time.Duration
 	requests            int
-	late, coldN, kind0  int
 }
 
 const (
@@ -412,3 +411,23 @@
 	c.SetHosts(23)
 	is.True(!c.Shared())
 }
+
+// BenchmarkChooseShared measures a choice by shared estimates, with the record of its first event.
+func BenchmarkChooseShared(b *testing.B) {
+	for _, n := range []int{140, 600} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			c := newChoosers(1, n)[0]
+			c.SetHosts(370)
+			random := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for i := range b.N {
+				now := time.Duration(i) * time.Second
+				r := longPromptRequest(random, random.IntN(97))
+				r.ID, r.Expected = strconv.Itoa(i), 260*time.Millisecond
+				target, _, _ := c.Choose(now, r)
+				c.FirstEvent(now, target, r, 1)
+				c.Finish(now, pick.Result{Target: target.ID, ID: r.ID, Load: r.Load, Slowdown: 1})
+			}
+		})
+	}
+}
