Test probes, the second target of a prompt, and estimates between hosts

Cause: nothing guarded the recovery of slow targets, the order of a prompt's targets and the wiring in the process.

--- a/core/pick/shared_test.go
+++ b/core/pick/shared_test.go
@@ -431,3 +431,69 @@
 		})
 	}
 }
+
+// sharedChooser returns a chooser of one of 67 hosts with 140 targets that uses shared estimates, 20 s after its
+// start.
+func sharedChooser(t *testing.T) (c *pick.Chooser, now time.Duration) {
+	t.Helper()
+	c = newChoosers(1, 140)[0]
+	c.SetHosts(67)
+	for now = range 3 {
+		target, _, _ := c.Choose(10*now*time.Second, pick.Request{Load: 1})
+		c.Finish(10*now*time.Second, pick.Result{Target: target.ID, Load: 1})
+	}
+	if !c.Shared() {
+		t.Fatal("shared estimates are not used")
+	}
+	return c, 20 * time.Second
+}
+
+// tellSlow tells a chooser that a target is 4 times slower now.
+func tellSlow(c *pick.Chooser, now time.Duration, target string) {
+	c.MergeFact(now, capacity.Fact{Process: capacity.ProcessOf(target, 0), Version: 1, Slowdown: 16})
+}
+
+// TestSlowTargetIsProbed guards against a slow target that gets its usual share, or none, so that nobody learns
+// of its recovery, and against hosts with equal news that all choose the same target. Load: 140 targets, one
+// of them 4 times slower; 28,000 requests, 200 for each target, half of them with time to spare.
+func TestSlowTargetIsProbed(t *testing.T) {
+	is := is.New(t)
+	c, now := sharedChooser(t)
+	tellSlow(c, now, "i-3")
+	random := rand.New(rand.NewPCG(3, 1))
+	counts, slow := make(map[string]int), make(map[float64]int)
+	for i := range 28_000 {
+		r := pick.Request{PromptTokens: 700, Load: 0.2, TieBreak: random.Float64(), Spare: float64(2 + 16*(i%2))}
+		target, _, _ := c.Choose(now, r)
+		c.Finish(now, pick.Result{Target: target.ID, Load: r.Load})
+		counts[target.ID]++
+		if target.ID == "i-3" {
+			slow[r.Spare]++
+		}
+	}
+	t.Logf("slow target: %d of 200, %d of them with time to spare", counts["i-3"], slow[18])
+	is.True(counts["i-3"] > 0 && counts["i-3"] < 20)
+	is.True(slow[18] > slow[2])
+	is.Equal(len(counts), 140)
+	for id, n := range counts {
+		is.True(n < 400 || id == "i-3")
+	}
+}
+
+// TestSlowFirstTargetIsLeft guards against a request with shared parts that waits for a slow target, and
+// against hosts that read these parts at different targets instead.
+func TestSlowFirstTargetIsLeft(t *testing.T) {
+	is := is.New(t)
+	random := rand.New(rand.NewPCG(4, 1))
+	var first, second string
+	for range 20 {
+		usual, now := sharedChooser(t)
+		a, _, _ := usual.Choose(now, longPromptRequest(random, 7))
+		other, now := sharedChooser(t)
+		tellSlow(other, now, a.ID)
+		b, _, _ := other.Choose(now, longPromptRequest(random, 7))
+		is.True(a.ID != b.ID)
+		is.True(first == "" || a.ID == first && b.ID == second)
+		first, second = a.ID, b.ID
+	}
+}
