--- a/io/edge/estimate_test.go
+++ b/io/edge/estimate_test.go
@@ -22,7 +22,6 @@
 // take in. Load: 24 hosts and 30 targets, a third of them slow; all hosts but the last one send a request a
 // second until the last one has estimates of others.
 func TestEstimatesReachOtherHosts(t *testing.T) {
-	t.Parallel()
 	is := is.New(t)
 	s := newStore(t)
 	s.PublishConfig(1)
