Record late requests in a fixed order

Cause: core/pick failed once in a run of go test; which test it was, was not kept. Late requests were recorded in the order of a map, so that several of them at one target moved its estimate differently in each run, and a run of the model could not be repeated.

--- a/core/pick/shared.go
+++ b/core/pick/shared.go
@@ -1,6 +1,7 @@
 package pick
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -206,7 +207,9 @@
 	if late > minLateRequests && 2*late > len(c.shared.waiting) {
 		return
 	}
-	for _, w := range c.shared.waiting {
+	// In a fixed order, since several requests at one target move its estimate one after the other.
+	for _, id := range slices.Sorted(maps.Keys(c.shared.waiting)) {
+		w := c.shared.waiting[id]
 		if ratio := w.ratio(now); ratio >= w.limit {
 			w.limit = 2 * ratio
 			c.shared.table.ObserveLate(now, w.st.process, w.class, ratio)
