--- a/io/edge/home_test.go
+++ b/io/edge/home_test.go
@@ -16,10 +16,10 @@
 
 // homeRoutes are a route of each kind whose home region is north.
 var homeRoutes = []string{
-	`{"name":"home","host":"h.example","prefix":"/home/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2,"allowedRegions":["north"]}`,
-	`{"name":"homewrite","host":"h.example","prefix":"/homewrite/","kind":"non_idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2,"allowedRegions":["north"]}`,
+	`{"name":"home","host":"h.example","prefix":"/home/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2` + standin.Homes("north") + `}`,
+	`{"name":"homewrite","host":"h.example","prefix":"/homewrite/","kind":"non_idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2` + standin.Homes("north") + `}`,
 	`{"name":"hometalk","host":"h.example","prefix":"/hometalk/","kind":"streaming","timeoutMs":3000,"sloMs":900,"service":"model","maxAttempts":2,"resumable":true,"gapAimMs":400,
-	  "stages":[{"service":"pieces","after":[],"bytes":10},{"service":"pieces","after":[0],"bytes":10}],"allowedRegions":["north","east"]}`,
+	  "stages":[{"service":"pieces","after":[],"bytes":10},{"service":"pieces","after":[0],"bytes":10}]` + standin.Homes("north", "east") + `}`,
 }
 
 // startRegional runs a host in a zone, which knows that zone a is in the region north and zone b in south.
@@ -82,9 +82,9 @@
 	t.Parallel()
 	is := is.New(t)
 	s, release := newStore(t), make(chan struct{})
-	s.Put("op/config", `{"version":1,"services":[{"name":"plain","maxConnections":9}],"tenants":[{"name":"thun","apiKeys":["key"],"allowedRegions":["south"]}],
+	s.Put("op/config", `{"version":1,"services":[{"name":"plain","maxConnections":9}],"tenants":[{"name":"thun","apiKeys":["key"]`+standin.Homes("south")+`}],
 		"routes":[{"name":"read","host":"h.example","prefix":"/read/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2},
-		{"name":"home","host":"h.example","prefix":"/home/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2,"allowedRegions":["north"]}]}`)
+		{"name":"home","host":"h.example","prefix":"/home/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2`+standin.Homes("north")+`}]}`)
 	zoneA := newZone(t, s, "a", release)
 	newZone(t, s, "b", release)
 	host, _ := startRegional(t, s, "e1", "a")
