Report backlogs by priority level, and shed the less urgent first

Cause: a pool reported one backlog, for the mean priority of its jobs, and admission looked at time only. In a burst of the most urgent kind that kind was refused as often as others, and a third of the least urgent requests was abandoned after their first stages.

core/batch tracks the demand of each level, including what hosts refused (RecordRefused), and reports the waits of each level. If the demand exceeds the capacity while the wait is long, the pool is scarce: less urgent levels are shed by chance, regardless of size, except for half of their proportional share, which is queued like the most urgent level. Levels that use less than a twentieth of the capacity are shed no more than the most urgent one; the latter is admitted by time. Announcements of work on its way count in the reported waits; hosts don't send them and their refusals yet, so that shares have little effect so far outside of the tests.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,6 +1,9 @@
 package admit
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// objectiveReserve is the fraction of the objective that is reserved for overruns of the
@@ -13,6 +16,10 @@
 	// maxGrowth is the growth of a pool's backlog above which late requests are refused. It is
 	// slightly above the variation under a load that the pool can sustain.
 	maxGrowth = 0.1
+	// maxScarceLateWait is the wait of late jobs at a scarce pool above which late requests are
+	// refused. It keeps calls full; longer queues of late jobs are abandoned after their first
+	// stages.
+	maxScarceLateWait = 500 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry delay that is sent with a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
@@ -25,6 +32,50 @@
 	OnTimeWait, LateWait time.Duration
 	// Growth is the increase of these waits per unit of time.
 	Growth float64
+	// Forecast is set if the waits are those at the time at which a new request reaches the pool.
+	Forecast bool
+	// Scarce is set if the pool sheds requests. A call then takes CallDuration, as it is shared.
+	Scarce       bool
+	CallDuration time.Duration
+	// Levels has the waits of the priority levels that the pool has seen lately, the most urgent
+	// first; empty if they are not known, in which case the waits above hold for all.
+	Levels []Level
+	// Shed is the fraction of requests that are to be refused as the pool is scarce. Unprotected
+	// is the fraction that is not served like the most urgent level; zero without scarcity.
+	Shed, Unprotected float64
+}
+
+// Level is what a request of one priority level finds at a pool.
+type Level struct {
+	Priority             int
+	OnTimeWait, LateWait time.Duration
+	Shed, Unprotected    float64
+}
+
+// At returns the backlog that a request of a priority finds. A priority that the pool has not
+// seen lately has the backlog of the next less urgent level, or else of the least urgent one.
+func (b Backlog) At(priority int) Backlog {
+	if len(b.Levels) == 0 {
+		return b
+	}
+	own := b.Levels[len(b.Levels)-1]
+	for _, l := range b.Levels {
+		if l.Priority >= priority {
+			own = l
+			break
+		}
+	}
+	b.OnTimeWait, b.LateWait, b.Shed, b.Unprotected = own.OnTimeWait, own.LateWait, own.Shed, own.Unprotected
+	return b
+}
+
+// Protected returns the backlog that a protected request finds: that of the most urgent level.
+func (b Backlog) Protected() Backlog {
+	if len(b.Levels) > 0 {
+		b = b.At(b.Levels[0].Priority)
+	}
+	b.Shed = 0
+	return b
 }
 
 // Stage describes one stage of a path.
@@ -49,19 +100,38 @@
 // Estimate returns the expected duration of the path for an on-time request, and for a late one
 // that is queued last at each stage. The backlog of a stage grows until the request reaches it.
 func (p Path) Estimate() (onTime, late time.Duration) {
+	onTime, late, _ = p.estimate()
+	return onTime, late
+}
+
+// Arrivals returns the expected times until an on-time request reaches each stage.
+func (p Path) Arrivals() (arrivals []time.Duration) {
+	_, _, arrivals = p.estimate()
+	return arrivals
+}
+
+func (p Path) estimate() (onTime, late time.Duration, arrivals []time.Duration) {
+	arrivals = make([]time.Duration, len(p.Stages))
 	maxHeight := 0
 	for _, s := range p.Stages {
 		maxHeight = max(maxHeight, s.Height)
 	}
 	for h := maxHeight; h > 0; h-- {
 		var slowestOnTime, slowestLate time.Duration
-		for _, s := range p.Stages {
+		for i, s := range p.Stages {
 			if s.Height != h {
 				continue
 			}
+			arrivals[i] = onTime
 			growth := time.Duration(s.Backlog.Growth * float64(onTime))
+			if s.Backlog.Forecast {
+				growth = 0
+			}
+			if s.Backlog.Scarce {
+				s.ServiceTime = max(s.ServiceTime, s.Backlog.CallDuration)
+			}
 			lateTime := s.Backlog.LateWait + growth + s.ServiceTime
-			if s.InputTTL > 0 && lateTime > s.InputTTL || s.Backlog.Growth > maxGrowth {
+			if s.InputTTL > 0 && lateTime > s.InputTTL || s.Backlog.Growth > maxGrowth || s.Backlog.Scarce && s.Backlog.LateWait > maxScarceLateWait {
 				// The inputs of a late job expire before it starts, or it does not start at
 				// all while more work arrives than the pool can process.
 				lateTime = unboundedWait
@@ -71,12 +141,60 @@
 		onTime += slowestOnTime
 		late += slowestLate
 	}
-	return onTime + p.AnswerTime, min(late+p.AnswerTime, unboundedWait)
+	return onTime + p.AnswerTime, min(late+p.AnswerTime, unboundedWait), arrivals
 }
 
 // unboundedWait is longer than any caller waits.
 const unboundedWait = time.Hour
 
+// Scarcity returns the largest fraction of requests that a pool of the path has to shed, and the
+// largest that is not protected.
+func (p Path) Scarcity() (shed, unprotected float64) {
+	for _, s := range p.Stages {
+		shed, unprotected = max(shed, s.Backlog.Shed), max(unprotected, s.Backlog.Unprotected)
+	}
+	return shed, unprotected
+}
+
+// Protect returns the path of a protected request: one of the minimum share of its level, which is
+// admitted and served like the most urgent level.
+func (p Path) Protect() Path {
+	p.Stages = slices.Clone(p.Stages)
+	for i, s := range p.Stages {
+		p.Stages[i].Backlog = s.Backlog.Protected()
+	}
+	return p
+}
+
+// Treatment is how a request is treated under scarcity.
+type Treatment int
+
+//go:generate go tool -modfile=../../tools/go.mod stringer -type=Treatment -linecomment
+
+// The treatments.
+const (
+	// Ordinary requests are served by their own priority.
+	Ordinary Treatment = iota // ordinary
+	// Protected requests are served like the most urgent level.
+	Protected // protected
+	// Shed requests are refused.
+	Shed // shed
+)
+
+// Treat divides the requests of a level by chance: the minimum share is protected and what exceeds
+// the level's share is shed. It does not consider the size, so that large requests are shed no
+// more often than small ones. draw is uniform in [0, 1) and stays the same for one request.
+func (p Path) Treat(draw float64) Treatment {
+	shed, unprotected := p.Scarcity()
+	switch {
+	case draw >= 1-shed:
+		return Shed
+	case unprotected > 0 && draw < 1-unprotected:
+		return Protected
+	}
+	return Ordinary
+}
+
 // TimeLimits are the objective and the timeout of a request.
 type TimeLimits struct {
 	// Objective is the latency objective of the request, ObjectiveLeft the time until it is
--- a/core/admit/backlog.go
+++ b/core/admit/backlog.go
@@ -1,6 +1,12 @@
 package admit
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sassafrasward/core/batch"
+)
 
 // backlogTTL is how long a reported backlog is valid. Queues change within a few calls.
 const backlogTTL = time.Second
@@ -38,19 +44,63 @@
 	if report, ok := c.pools[pool][group]; ok && now-report.reportedAt <= backlogTTL {
 		return report.backlog
 	}
-	n := 0
+	var others []Backlog
 	for name, report := range c.pools[pool] {
 		if now-report.reportedAt > backlogTTL {
 			delete(c.pools[pool], name)
 			continue
 		}
-		n++
-		backlog.OnTimeWait += report.backlog.OnTimeWait
-		backlog.LateWait += report.backlog.LateWait
-		backlog.Growth += report.backlog.Growth
+		others = append(others, report.backlog)
+	}
+	return meanBacklog(others)
+}
+
+// Pool is a pool that reports its backlog, see batch.Dispatcher.
+type Pool interface {
+	Backlog(now time.Duration) (onTimeWait, lateWait time.Duration, growth float64)
+	LevelBacklogs(now time.Duration) []batch.LevelBacklog
+	Announced(now time.Duration) (pieces int)
+	Scarce(now time.Duration) (callDuration time.Duration, scarce bool)
+}
+
+// ReportOf returns the backlog of a pool with that of each of its priority levels.
+func ReportOf(now time.Duration, pool Pool) (b Backlog) {
+	b.OnTimeWait, b.LateWait, b.Growth = pool.Backlog(now)
+	b.Forecast = pool.Announced(now) > 0
+	for _, l := range pool.LevelBacklogs(now) {
+		b.Levels = append(b.Levels, Level{Priority: l.Priority, OnTimeWait: l.OnTimeWait, LateWait: l.LateWait, Shed: 1 - l.Share, Unprotected: 1 - l.MinShare})
 	}
+	b.CallDuration, b.Scarce = pool.Scarce(now)
+	return b
+}
+
+// meanBacklog returns the mean of backlogs; zero for none.
+func meanBacklog(list []Backlog) (mean Backlog) {
+	n := len(list)
 	if n == 0 {
 		return Backlog{}
 	}
-	return Backlog{OnTimeWait: backlog.OnTimeWait / time.Duration(n), LateWait: backlog.LateWait / time.Duration(n), Growth: backlog.Growth / float64(n)}
+	priorities := make(map[int]bool)
+	for _, b := range list {
+		mean.OnTimeWait += b.OnTimeWait / time.Duration(n)
+		mean.LateWait += b.LateWait / time.Duration(n)
+		mean.Growth += b.Growth / float64(n)
+		mean.Forecast, mean.Scarce = mean.Forecast || b.Forecast, mean.Scarce || b.Scarce
+		mean.CallDuration = max(mean.CallDuration, b.CallDuration)
+		for _, l := range b.Levels {
+			priorities[l.Priority] = true
+		}
+	}
+	for _, p := range slices.Sorted(maps.Keys(priorities)) {
+		l := Level{Priority: p}
+		for _, b := range list {
+			own := b.At(p)
+			l.OnTimeWait += own.OnTimeWait / time.Duration(n)
+			l.LateWait += own.LateWait / time.Duration(n)
+			l.Shed += own.Shed / float64(n)
+			l.Unprotected += own.Unprotected / float64(n)
+		}
+		mean.Levels = append(mean.Levels, l)
+	}
+	return mean
 }
--- a/core/admit/path_test.go
+++ b/core/admit/path_test.go
@@ -29,20 +29,22 @@
 	answerTime = 170 * time.Millisecond
 	// reportInterval is the interval at which pools report their backlogs.
 	reportInterval = 200 * time.Millisecond
+	// heartbeatInterval is the interval at which a pool reports to the host of a job.
+	heartbeatInterval = 400 * time.Millisecond
 )
 
 // fleet describes the pools of a simulation and the requests that it gets.
 type fleet struct {
 	specs []route.Batch
-	// targets is the number of targets of each pool.
-	targets   int
+	// targets has the number of targets of each pool.
+	targets   []int
 	objective time.Duration
 	// stages returns the stages of a new request.
 	stages func(random *rand.Rand) []stageSpec
 }
 
 // smallFleet has five targets in each pool.
-var smallFleet = fleet{specs: specs, targets: 5, objective: 2 * time.Second, stages: func(random *rand.Rand) []stageSpec {
+var smallFleet = fleet{specs: specs, targets: []int{5, 5, 5}, objective: 2 * time.Second, stages: func(random *rand.Rand) []stageSpec {
 	return []stageSpec{{1, 8_000}, {4, 60_000}, {4 + random.IntN(12), 6_000}}
 }}
 
@@ -57,8 +59,12 @@
 	id      uint64
 	arrived time.Duration
 	// retryAt is when a refused request is sent again; zero before its refusal.
-	retryAt    time.Duration
-	priority   int
+	retryAt  time.Duration
+	priority int
+	// protected is set if the request is one of the minimum share of its level.
+	protected  bool
+	objective  time.Duration
+	host       int
 	stages     []stageSpec
 	stageIndex int
 	// inputBytes holds the size of the previous stage's results by target, resultBytes that of
@@ -78,12 +84,27 @@
 	arrivals []*request
 	jobs     map[uint64]*request
 	ends     []callEnd
-	backlogs []admit.Backlog
+	// views has the backlogs that each host knows. A host hears of a pool when one of its jobs
+	// begins, has a heartbeat or ends; with a single host, every reportInterval.
+	views      []*admit.BacklogCache
+	heartbeats []heartbeat
+	// noLevels makes admission use the backlog of the mean priority.
+	noLevels bool
+	// ended, if set, is called for each request that ends.
+	ended func(r *request, result string)
 	// releases lists results that are released once the message has reached their target.
 	releases []release
 
-	inTime, late, refused, abandoned int
-	busy                             time.Duration
+	// refused counts requests, refusals also those that are sent again.
+	inTime, late, refused, abandoned, refusals int
+	busy                                       time.Duration
+}
+
+// heartbeat is the next report of a pool to the host of a job.
+type heartbeat struct {
+	at      time.Duration
+	pool    int
+	request *request
 }
 
 type callEnd struct {
@@ -100,11 +121,11 @@
 }
 
 func newSimulation(seed uint64, f fleet) *simulation {
-	sim := &simulation{fleet: f, random: rand.New(rand.NewPCG(seed, 3)), slowdown: make(map[string]float64), jobs: make(map[uint64]*request), backlogs: make([]admit.Backlog, len(f.specs))}
+	sim := &simulation{fleet: f, random: rand.New(rand.NewPCG(seed, 3)), slowdown: make(map[string]float64), jobs: make(map[uint64]*request), views: []*admit.BacklogCache{admit.NewBacklogCache()}}
 	for p, spec := range f.specs {
 		d := batch.New(spec)
 		var list []discovery.Target
-		for i := range f.targets {
+		for i := range f.targets[p] {
 			list = append(list, discovery.Target{ID: fmt.Sprintf("p%d.%d", p, i), Address: fmt.Sprintf("10.0.%d.%d:80", p, i+1), Zone: "a", Slots: 1})
 		}
 		d.SetTargets(list)
@@ -119,7 +140,7 @@
 	for at := from; at < to; at += time.Duration(sim.random.ExpFloat64() / rate * 3 * float64(time.Second)) {
 		for range 1 + sim.random.IntN(5) {
 			sim.arrivals = append(sim.arrivals, &request{
-				arrived: at, priority: priority, inputBytes: make(map[string]int64), resultBytes: make(map[string]int64),
+				arrived: at, priority: priority, objective: sim.objective, inputBytes: make(map[string]int64), resultBytes: make(map[string]int64),
 				stages: sim.stages(sim.random),
 			})
 		}
@@ -131,21 +152,25 @@
 	last := uint64(0)
 	for now := time.Duration(0); len(sim.arrivals)+len(sim.jobs) > 0; now += time.Millisecond {
 		if now%reportInterval == 0 {
-			for p, d := range sim.pools {
-				sim.backlogs[p].OnTimeWait, sim.backlogs[p].LateWait, sim.backlogs[p].Growth = d.Backlog(now)
+			for p := range sim.pools {
+				if len(sim.views) == 1 {
+					sim.report(now, p, 0)
+				}
 			}
 		}
+		sim.sendHeartbeats(now)
 		sim.step(now)
 		for len(sim.arrivals) > 0 && sim.arrivals[0].nextArrival() <= now {
 			r := sim.arrivals[0]
 			sim.arrivals = sim.arrivals[1:]
 			last++
 			r.id = last
-			decision, retryAfter := admit.Admit(sim.estimate(r, now))
-			if r.decision = decision; decision == admit.Refused {
+			retryAfter := time.Duration(0)
+			if r.decision, retryAfter = sim.admit(now, r); r.decision == admit.Refused {
 				sim.refuse(now, r, retryAfter)
 				continue
 			}
+			sim.announce(now, r)
 			sim.offerStage(now, r)
 		}
 		for p, d := range sim.pools {
@@ -159,8 +184,73 @@
 	}
 }
 
-// estimate returns the expected durations of a request's path and its time limits.
-func (sim *simulation) estimate(r *request, now time.Duration) (onTime, late time.Duration, limits admit.TimeLimits) {
+// report tells a host the backlog of a pool.
+func (sim *simulation) report(now time.Duration, pool, host int) {
+	report := admit.ReportOf(now, sim.pools[pool])
+	if sim.noLevels {
+		report.Levels, report.Scarce, report.Forecast = nil, false, false
+	}
+	sim.views[host].Update(now, fmt.Sprint(pool), "", report)
+}
+
+// sendHeartbeats reports the backlogs to the hosts of jobs in progress.
+func (sim *simulation) sendHeartbeats(now time.Duration) {
+	if len(sim.views) == 1 {
+		return
+	}
+	next := sim.heartbeats[:0]
+	for _, h := range sim.heartbeats {
+		if current, ok := sim.jobs[h.request.id]; !ok || current.stageIndex != h.pool {
+			continue
+		}
+		if now >= h.at {
+			sim.report(now, h.pool, h.request.host)
+			h.at += heartbeatInterval
+		}
+		next = append(next, h)
+	}
+	sim.heartbeats = next
+}
+
+// admit decides on a request.
+func (sim *simulation) admit(now time.Duration, r *request) (decision admit.Decision, retryAfter time.Duration) {
+	p := sim.path(now, r)
+	treatment := p.Treat(sim.random.Float64())
+	if r.protected = treatment == admit.Protected; r.protected {
+		p = p.Protect()
+	}
+	onTime, late := p.Estimate()
+	elapsed := now - r.arrived
+	if len(sim.views) > 1 {
+		elapsed = 0 // a host takes a request that is sent again for a new one
+	}
+	limits := admit.TimeLimits{Objective: r.objective, ObjectiveLeft: r.objective - elapsed, Timeout: timeout, TimeoutLeft: timeout - elapsed}
+	decision, retryAfter = admit.Admit(onTime, late, limits)
+	if treatment == admit.Shed {
+		decision, retryAfter = admit.Refused, max(retryAfter, 3*time.Second)
+	}
+	return decision, retryAfter
+}
+
+// announce announces the later stages of an admitted request to their pools.
+func (sim *simulation) announce(now time.Duration, r *request) {
+	if sim.noLevels {
+		return
+	}
+	arrivals, n := sim.path(now, r).Arrivals(), 0
+	for i, s := range r.stages {
+		if s.pieces == 0 {
+			continue
+		}
+		if n > 0 {
+			sim.pools[i].Announce(now, batch.Announcement{ID: r.id, Priority: r.priority, Protected: r.protected, Pieces: s.pieces, ArrivesIn: arrivals[n], Late: r.decision == admit.Late})
+		}
+		n++
+	}
+}
+
+// path returns the path of a request as its host sees it. Stages without pieces are left out.
+func (sim *simulation) path(now time.Duration, r *request) admit.Path {
 	p := admit.Path{AnswerTime: answerTime}
 	for i, s := range r.stages {
 		spec := sim.specs[i]
@@ -168,33 +258,47 @@
 		if i > 0 {
 			inputTTL = spec.ResultTTL
 		}
+		if s.pieces == 0 {
+			continue
+		}
 		p.Stages = append(p.Stages, admit.Stage{
-			Height: len(r.stages) - i, Backlog: sim.backlogs[i], ServiceTime: spec.CallTime + time.Duration(s.pieces)*spec.PieceTime, InputTTL: inputTTL,
+			Height: len(r.stages) - i, Backlog: sim.views[r.host].Backlog(now, fmt.Sprint(i), "").At(r.priority),
+			ServiceTime: spec.CallTime + time.Duration(s.pieces)*spec.PieceTime, InputTTL: inputTTL,
 		})
 	}
-	onTime, late = p.Estimate()
-	elapsed := now - r.arrived
-	return onTime, late, admit.TimeLimits{Objective: sim.objective, ObjectiveLeft: sim.objective - elapsed, Timeout: timeout, TimeoutLeft: timeout - elapsed}
+	return p
 }
 
 // offerStage offers the current stage of a request to its pool.
 func (sim *simulation) offerStage(now time.Duration, r *request) {
 	s := r.stages[r.stageIndex]
+	if s.pieces == 0 {
+		r.stageIndex++
+		sim.offerStage(now, r)
+		return
+	}
 	remaining := answerTime
 	for i := r.stageIndex + 1; i < len(r.stages); i++ {
+		if r.stages[i].pieces == 0 {
+			continue
+		}
 		remaining += sim.specs[i].CallTime + time.Duration(r.stages[i].pieces)*sim.specs[i].PieceTime
 	}
+	sent := r.arrived
+	if len(sim.views) > 1 {
+		sent = r.nextArrival()
+	}
 	deadline := r.arrived + timeout - remaining
 	if r.stageIndex > 0 {
 		deadline = min(deadline, now+sim.specs[r.stageIndex].ResultTTL)
 	}
-	softDeadline := r.arrived + sim.objective - remaining
+	softDeadline := sent + r.objective - remaining
 	if r.decision == admit.Late {
 		softDeadline = 0
 	}
 	job := batch.Job{
-		ID: r.id, Arrived: r.arrived, Priority: r.priority, SoftDeadline: softDeadline, Deadline: deadline,
-		Pieces: s.pieces, Bytes: s.bytes, HasPriorWork: r.stageIndex > 0,
+		ID: r.id, Arrived: sent, Priority: r.priority, Protected: r.protected, SoftDeadline: softDeadline, Deadline: deadline,
+		Pieces: s.pieces, Bytes: s.bytes, HasPriorWork: r.stageIndex > 0, Announcement: r.id,
 	}
 	if _, ok := sim.pools[r.stageIndex].Offer(now, job); !ok {
 		sim.abandon(now, r)
@@ -202,12 +306,21 @@
 	}
 	r.missingPieces = s.pieces
 	sim.jobs[r.id] = r
+	if len(sim.views) > 1 {
+		sim.heartbeats = append(sim.heartbeats, heartbeat{at: now, pool: r.stageIndex, request: r})
+	}
 }
 
 // refuse refuses a request. Its caller retries once, after at most a third of its remaining time.
 func (sim *simulation) refuse(now time.Duration, r *request, retryAfter time.Duration) {
-	if r.retryAt > 0 {
+	for i, s := range r.stages {
+		if !sim.noLevels && s.pieces > 0 {
+			sim.pools[i].RecordRefused(now, r.priority, s.pieces)
+		}
+	}
+	if sim.refusals++; r.retryAt > 0 {
 		sim.refused++
+		sim.end(r, "refused")
 		return
 	}
 	r.retryAt = now + min(retryAfter, (r.arrived+timeout-now)/3)
@@ -215,12 +328,22 @@
 	slices.SortStableFunc(sim.arrivals, func(a, b *request) int { return cmp.Compare(a.nextArrival(), b.nextArrival()) })
 }
 
+func (sim *simulation) end(r *request, result string) {
+	if sim.ended != nil {
+		sim.ended(r, result)
+	}
+}
+
 // nextArrival returns when a request arrives, or arrives again after a refusal.
 func (r *request) nextArrival() time.Duration { return max(r.arrived, r.retryAt) }
 
 // abandon ends a request without an answer.
 func (sim *simulation) abandon(now time.Duration, r *request) {
 	sim.abandoned++
+	for _, d := range sim.pools {
+		d.Withdraw(r.id)
+	}
+	sim.end(r, "abandoned")
 	delete(sim.jobs, r.id)
 	sim.releaseInputs(now, r)
 }
@@ -280,10 +403,12 @@
 		delete(sim.jobs, r.id)
 		// The model engine reads the last results before its first event.
 		sim.releaseInputs(now+answerTime, r)
-		if now+answerTime <= r.arrived+sim.objective {
+		if now+answerTime <= r.arrived+r.objective {
 			sim.inTime++
+			sim.end(r, "in time")
 		} else {
 			sim.late++
+			sim.end(r, "late")
 		}
 	}
 }
@@ -319,7 +444,7 @@
 		{Slots: 1, MaxPieces: 62, CallTime: 200 * time.Millisecond, PieceTime: 2800 * time.Microsecond, ResultMemory: 8_200_000, ResultTTL: 4 * time.Second},
 		{Slots: 1, MaxPieces: 86, CallTime: 200 * time.Millisecond, PieceTime: 2 * time.Millisecond, ResultMemory: 1_100_000, ResultTTL: 4 * time.Second},
 	},
-	targets: 4, objective: 1800 * time.Millisecond,
+	targets: []int{4, 4, 4}, objective: 1800 * time.Millisecond,
 	stages: func(random *rand.Rand) []stageSpec {
 		return []stageSpec{{1, 8_000}, {6, 60_000}, {5 + random.IntN(11), 6_000}}
 	},
@@ -340,7 +465,7 @@
 		inTime, late, abandoned, refused = inTime+sim.inTime, late+sim.late, abandoned+sim.abandoned, refused+sim.refused
 	}
 	last := grownFleet.specs[2]
-	rate := float64(grownFleet.targets*last.MaxPieces) / (last.CallTime + time.Duration(last.MaxPieces)*last.PieceTime).Seconds() / 10
+	rate := float64(grownFleet.targets[2]*last.MaxPieces) / (last.CallTime + time.Duration(last.MaxPieces)*last.PieceTime).Seconds() / 10
 	possible := int(seeds * (4*45 + rate*peak.Seconds()))
 	t.Logf("in time %d of %d possible, late %d, abandoned %d, refused %d", inTime, possible, late, abandoned, refused)
 	is.True(float64(inTime) >= 0.95*float64(possible))
--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -11,6 +11,12 @@
 // job ends; for a refused one, the time after which the caller should retry.
 func (d *Dispatcher) Offer(now time.Duration, j Job) (wait time.Duration, ok bool) {
 	d.recordArrival(now, j.Pieces)
+	if known := j.Announcement != 0 && d.Withdraw(j.Announcement); !known {
+		d.touchLevel(now, j.Priority).admitted.add(now, j.Pieces)
+	}
+	if j.Protected {
+		j.Priority = d.mostUrgentLevel(j.Priority)
+	}
 	d.meanPriority += priorityWeight * (float64(j.Priority) - d.meanPriority)
 	end := d.expectedEnd(now, j)
 	limit := j.Deadline
@@ -50,20 +56,34 @@
 	d.arrivalRateTime = now
 }
 
-// Backlog returns how long a job that arrives now waits for its call if it can meet its
-// objective, and if it is late and queued last. Growth is the increase of these waits per unit
+// Backlog returns how long a job of the mean priority that arrives now waits for its call if it
+// can meet its objective, and if it is late and queued last. Growth is the increase of these waits per unit
 // of time; zero if the pool keeps up.
 func (d *Dispatcher) Backlog(now time.Duration) (onTimeWait, lateWait time.Duration, growth float64) {
+	growth, _ = d.overload(now)
+	onTimeWait, lateWait = d.waits(now, int(math.Round(d.meanPriority)))
+	return onTimeWait, lateWait, growth
+}
+
+// waits returns how long a job of a priority waits for its call if it can meet its objective, and
+// if it is late.
+func (d *Dispatcher) waits(now time.Duration, priority int) (onTimeWait, lateWait time.Duration) {
 	duration := d.callDuration(1)
-	growth, spare := d.overload(now)
-	onTime := Job{ID: 1<<64 - 1, Arrived: now, Priority: int(math.Round(d.meanPriority)), SoftDeadline: 1<<62 - 1, Pieces: 1}
+	_, spare := d.overload(now)
+	onTime := Job{ID: 1<<64 - 1, Arrived: now, Priority: priority, SoftDeadline: 1<<62 - 1, Pieces: 1}
 	last := Job{ID: 1<<64 - 1, Arrived: 1<<62 - 1, Pieces: 1}
+	d.dropExpired(now)
 	onTimeWait = d.expectedEnd(now, onTime) - now - duration
 	lateWait = d.expectedEnd(now, last) - now - duration
+	if capacity := d.capacity(now); capacity > 0 && len(d.announced) > 0 {
+		position := onTime.effectiveArrival()
+		onTimeWait += d.announcedWait(now, onTime, capacity, func(a announcedJob) bool { return !a.Late && a.effectiveArrival() <= position })
+		lateWait += d.announcedWait(now, last, capacity, func(announcedJob) bool { return true })
+	}
 	// On-time jobs that arrive later overtake late jobs.
 	lateWait = onTimeWait + time.Duration(float64(max(lateWait-onTimeWait, 0))/spare)
 	overrun := d.currentOverrun(now)
-	return onTimeWait + overrun, lateWait + overrun, growth
+	return onTimeWait + overrun, lateWait + overrun
 }
 
 // overload compares the arrival rate with the throughput of the pool. It returns the increase
@@ -104,17 +124,25 @@
 // throughput returns the pieces per second that the pool processes with full calls, at most
 // the measured throughput; zero if no target can be used.
 func (d *Dispatcher) throughput(now time.Duration) (rate float64) {
+	rate, _ = d.nominalThroughput(now)
+	if measured := d.measuredThroughput(now); measured > 0 {
+		rate = min(rate, measured)
+	}
+	return rate
+}
+
+// nominalThroughput returns the pieces per second that the pool processes with full calls if
+// nothing but the speed of its usable targets limits it, and the number of these.
+func (d *Dispatcher) nominalThroughput(now time.Duration) (rate float64, targets int) {
 	full := d.nominalDuration(d.spec.MaxPieces)
 	for _, ts := range d.targets.All() {
 		if d.usable(now, ts) {
 			calls := min(1/(full.Seconds()*d.expectedSlowdown(now, ts)), d.gate.Rate(now, ts.target))
 			rate += float64(d.spec.MaxPieces) * calls
+			targets++
 		}
 	}
-	if measured := d.measuredThroughput(now); measured > 0 {
-		rate = min(rate, measured)
-	}
-	return rate
+	return rate, targets
 }
 
 // expectedEnd returns when the job would end if it arrived now.
@@ -130,15 +158,29 @@
 		return now + maxRetryAfter + j.Deadline
 	}
 	duration := d.callDuration(min(j.Pieces, d.spec.MaxPieces))
-	ahead, late, position := 0, d.missesObjective(now, j), &queuedJob{job: j}
+	ahead := d.piecesAhead(now, j)
+	overflow := max(j.Pieces-d.spec.MaxPieces, 0)
+	return max(firstIdle, now) + time.Duration(float64(ahead+overflow)/rate*float64(time.Second)) + duration
+}
+
+// piecesAhead returns the queued pieces that are dispatched before a job that arrives now.
+func (d *Dispatcher) piecesAhead(now time.Duration, j Job) (ahead int) {
+	late, position := d.missesObjective(now, j), &queuedJob{job: j}
 	for _, q := range d.queue {
 		other := d.missesObjective(now, q.job)
 		if other == late && compareJobs(q, position) < 0 || late && !other {
 			ahead += len(q.pending)
 		}
 	}
-	overflow := max(j.Pieces-d.spec.MaxPieces, 0)
-	return max(firstIdle, now) + time.Duration(float64(ahead+overflow)/rate*float64(time.Second)) + duration
+	return ahead
+}
+
+// announcedWait returns by how much the wait of a job changes from now until it arrives, as the
+// pool works off its queue and announced work arrives.
+func (d *Dispatcher) announcedWait(now time.Duration, j Job, capacity float64, counts func(announcedJob) bool) time.Duration {
+	queued := float64(d.piecesAhead(now, j))
+	change := d.backlogAt(now, queued, capacity, counts) - queued
+	return time.Duration(change / capacity * float64(time.Second))
 }
 
 // measuredThroughput returns the pieces per second that were recently dispatched while the
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -89,6 +89,11 @@
 	WaitForZone bool
 	// HasPriorWork is set if earlier stages of the request have run. A refusal wastes them.
 	HasPriorWork bool
+	// Protected is set if the job is queued like those of the most urgent level. It still counts as
+	// one of its own.
+	Protected bool
+	// Announcement is the ID of the job's announcement, zero for none.
+	Announcement uint64
 }
 
 // Item is one piece of a job.
@@ -155,9 +160,20 @@
 	// overrun is the EWMA of how much later jobs end than expected, last updated at overrunTime.
 	overrun     time.Duration
 	overrunTime time.Duration
-	// meanPriority is the EWMA of the priorities of offered jobs. The backlog is reported for it: a
+	// meanPriority is the EWMA of the priorities of offered jobs. Backlog is that of this priority: a
 	// more urgent job would overtake most of the queue.
 	meanPriority float64
+	// levels has the priority levels with a request within levelTTL. The pool counts as scarce
+	// until scarceUntil.
+	levels      map[int]*level
+	scarceUntil time.Duration
+	// correction is the factor of the capacity that is shared out, last updated at correctedAt.
+	correction  float64
+	correctedAt time.Duration
+	// announced has the work on its way, ordered by expected arrival. lead is the EWMA of the time
+	// by which announcements precede their jobs.
+	announced []announcedJob
+	lead      time.Duration
 	// recentDuration is the EWMA of the nominal durations of calls.
 	recentDuration time.Duration
 }
@@ -170,7 +186,7 @@
 
 // New returns a dispatcher without targets. Without WithGate, all targets take all calls.
 func New(spec route.Batch, options ...Option) *Dispatcher {
-	d := &Dispatcher{spec: spec, targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, jobs: make(map[uint64]*queuedJob), busySince: -1}
+	d := &Dispatcher{spec: spec, targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, jobs: make(map[uint64]*queuedJob), levels: make(map[int]*level), busySince: -1}
 	for _, o := range options {
 		o(d)
 	}
--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -63,26 +63,26 @@
 }
 
 // ChooseGroup returns the group of the pool's targets for a job whose results are preferred in a
-// zone, and the backlog there. It compares the group of the zone with a random one and takes the
-// zone's unless a new job waits more than maxZoneDelay longer there.
-func (c *Client) ChooseGroup(pool, zone string) (group string, backlog admit.Backlog) {
+// zone, and the backlog there of a request of a priority. It compares the group of the zone with a
+// random one and takes the zone's unless a new job waits more than maxZoneDelay longer there.
+func (c *Client) ChooseGroup(pool, zone string, priority int) (group string, backlog admit.Backlog) {
 	groups := c.dispatcher.Groups(pool)
 	if len(groups) == 0 {
 		return "", admit.Backlog{}
 	}
 	group = groups[rand.IntN(len(groups))]
-	backlog = c.Backlog(pool, group)
+	backlog = c.Backlog(pool, group).At(priority)
 	if !slices.Contains(groups, zone) || zone == group {
 		return group, backlog
 	}
-	near := c.Backlog(pool, zone)
+	near := c.Backlog(pool, zone).At(priority)
 	if near.OnTimeWait <= backlog.OnTimeWait+maxZoneDelay {
 		return zone, near
 	}
 	return group, backlog
 }
 
-// Backlog returns how long a new job of a group waits. If this host dispatches the group, its own
+// Backlog returns what a new job of a group finds. If this host dispatches the group, its own
 // dispatcher estimates it; otherwise it is what the dispatching host last reported.
 func (c *Client) Backlog(pool, group string) admit.Backlog {
 	if hosts := c.candidates(pool, group); len(hosts) == 1 {
@@ -97,7 +97,7 @@
 func (c *Client) recordBacklog(j Job, p *message.Progress) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.backlogs.Update(c.dispatcher.clock(), j.Pool, j.Group, admit.Backlog{OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth()})
+	c.backlogs.Update(c.dispatcher.clock(), j.Pool, j.Group, decodeBacklog(p))
 }
 
 // NewClient returns a client on the host self, which uses the dispatcher for jobs that no other host
@@ -308,7 +308,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.SoftDeadlineIn.Milliseconds(), Left: j.DeadlineIn.Milliseconds(), Rank: int32(j.Priority), Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone,
+		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone, Kept: j.Protected,
 	}
 }
 
@@ -317,7 +317,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), SoftDeadlineIn: milliseconds(m.GetAim()), DeadlineIn: milliseconds(m.GetLeft()), Priority: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(), Protected: m.GetKept(),
 	}
 }
 
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -216,7 +216,7 @@
 	d.lastID++
 	wait, ok = g.batcher.Offer(now, batch.Job{
 		ID: d.lastID, Arrived: now - j.Age, Priority: j.Priority, SoftDeadline: now + j.SoftDeadlineIn, Deadline: now + j.DeadlineIn, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
-		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone,
+		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone, Protected: j.Protected,
 	})
 	if !ok {
 		return nil, wait, false
@@ -235,12 +235,12 @@
 	return a, wait, true
 }
 
-// Backlog returns how long a new job of the group would wait here.
+// Backlog returns what a new job of the group finds here, by priority level.
 func (d *Dispatcher) Backlog(pool, group string) (b admit.Backlog) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if g, ok := d.findGroup(pool, group); ok {
-		b.OnTimeWait, b.LateWait, b.Growth = g.batcher.Backlog(d.clock())
+		b = admit.ReportOf(d.clock(), g.batcher)
 	}
 	return b
 }
--- a/io/dispatch/job.go
+++ b/io/dispatch/job.go
@@ -27,6 +27,8 @@
 	// DeadlineIn the time left if the caller is to get a response before it stops waiting.
 	SoftDeadlineIn, DeadlineIn time.Duration
 	Priority                   int
+	// Protected is set if the job is queued like those of the most urgent level.
+	Protected bool
 	// Bytes is the size of one result.
 	Bytes int64
 	// Zone is the availability zone in which the results are preferred.
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -23,7 +23,7 @@
 	defer func() { err = Error.Wrap(err) }()
 	send := func(p *message.Progress) error {
 		b := s.dispatcher.Backlog(m.GetPool(), m.GetGroup())
-		p.Soon, p.All, p.Growth = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth
+		encodeBacklog(p, b)
 		return stream.Send(p)
 	}
 	s.dispatcher.remoteJobs.Add(1)
--- a/io/edge/admission.go
+++ b/io/edge/admission.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"sassafrasward/core/admit"
@@ -14,6 +15,9 @@
 	firstEventOverhead = 60 * time.Millisecond
 	// maxExpectedPrompt is the prompt length above which the expected time no longer grows.
 	maxExpectedPrompt = 6000 // tokens
+	// shedRetryAfter is the shortest retry delay of a request that is refused because its level
+	// exceeds the capacity: scarcity rarely ends sooner.
+	shedRetryAfter = time.Second
 )
 
 // admitStages decides whether to start the request, from the expected time of all its stages and
@@ -22,12 +26,21 @@
 func (x *exchange) admitStages(targetWait time.Duration) (retry time.Duration, ok bool) {
 	path := x.expectedPath()
 	path.AnswerTime += targetWait
+	shed, _ := path.Scarcity()
+	treatment := path.Treat(rand.Float64())
+	if x.protected = treatment == admit.Protected; x.protected {
+		path = path.Protect()
+	}
 	onTime, late := path.Estimate()
 	elapsed := x.clock() - x.arrived
 	x.decision, retry = admit.Admit(onTime, late, admit.TimeLimits{
 		Objective: x.route.Objective, ObjectiveLeft: x.route.Objective - elapsed, Timeout: x.startDeadline - x.arrived, TimeoutLeft: x.startDeadline - x.arrived - elapsed,
 	})
-	x.recordDecision("admission: expected %dms if on time, %dms if late, objective %dms: %s", onTime.Milliseconds(), late.Milliseconds(), x.route.Objective.Milliseconds(), x.decision)
+	if treatment == admit.Shed {
+		x.decision, retry = admit.Refused, max(retry, shedRetryAfter)
+	}
+	x.recordDecision("admission: level %d, expected %dms if on time, %dms if late, objective %dms, shed %.2f: %s, %s",
+		x.priority, onTime.Milliseconds(), late.Milliseconds(), x.route.Objective.Milliseconds(), shed, treatment, x.decision)
 	return retry, x.decision != admit.Refused
 }
 
@@ -41,7 +54,7 @@
 		if !ok || pool.Batch == nil || x.request.Pieces[i] == 0 {
 			continue
 		}
-		_, backlog := x.dispatchClient.ChooseGroup(stage.Pool, x.zone())
+		_, backlog := x.dispatchClient.ChooseGroup(stage.Pool, x.zone(), x.priority)
 		part := admit.Stage{Height: x.route.Height(i), Backlog: backlog, ServiceTime: pool.Batch.CallTime + time.Duration(min(x.request.Pieces[i], pool.Batch.MaxPieces))*pool.Batch.PieceTime}
 		if len(stage.DependsOn) > 0 {
 			part.InputTTL = pool.Batch.ResultTTL - ttlMargin
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -78,6 +78,8 @@
 	pool string
 	// priority is that of the route, plus that of the workspace weighted by workspaceWeight.
 	priority int
+	// protected is set if the jobs of the request are queued like those of the most urgent level.
+	protected bool
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
 	// body is the body of the request until no attempt needs it any more; reserved is the memory that
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -207,7 +207,7 @@
 // because they have to be produced again if it fails.
 func (x *exchange) lowMemory(stage int) bool {
 	for _, h := range x.held {
-		if slices.Contains(x.route.Stages[stage].DependsOn, h.stage) && x.dispatchClient.Backlog(h.pool, h.group).OnTimeWait > lowMemoryWait {
+		if slices.Contains(x.route.Stages[stage].DependsOn, h.stage) && x.dispatchClient.Backlog(h.pool, h.group).At(x.priority).OnTimeWait > lowMemoryWait {
 			return true
 		}
 	}
@@ -268,13 +268,13 @@
 	timeAfter := x.timeAfter(i)
 	j := dispatch.Job{
 		HasPriorWork: len(stage.DependsOn) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.arrived,
-		SoftDeadlineIn: x.softDeadline - timeAfter - now, DeadlineIn: x.startDeadline - timeAfter - now, Priority: x.priority, Bytes: stage.ResultBytes,
+		SoftDeadlineIn: x.softDeadline - timeAfter - now, DeadlineIn: x.startDeadline - timeAfter - now, Priority: x.priority, Protected: x.protected, Bytes: stage.ResultBytes,
 	}
 	if x.decision == admit.Late {
 		j.SoftDeadlineIn = 0
 	}
 	j.Zone, j.WaitForZone = x.placement(i)
-	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone)
+	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone, x.priority)
 	if len(stage.DependsOn) == 0 {
 		j.Key = x.request.PieceKey
 		return j
