Announce work on its way to dispatchers, and spread retries

Cause: admission saw the backlog of a later stage only when the work had reached its pool, and callers that were refused at the same moment came back at the same moment.

A host announces the pieces of the later stages of an admitted request to their dispatchers (Lead.Announce), with the expected arrival; an announcement is replaced by its job, withdrawn when the request ends early, and expires a second after the expected arrival. News is collected for 50 ms per dispatching host, is lost if that host does not respond, and is sent only if the pool is at least half used. The response has the backlogs. The news includes the pieces of refused requests, at the pool because of which they were refused.

Protected requests of a shed level, its minimum share, are admitted up to the time for late ones: with the limit of the objective, the least urgent level got less than a quarter in a lasting overload.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -34,22 +35,28 @@
 	Growth float64
 	// Forecast is set if the waits are those at the time at which a new request reaches the pool.
 	Forecast bool
+	// WantsNews is set if the pool wants work on its way to be announced.
+	WantsNews bool
 	// Scarce is set if the pool sheds requests. A call then takes CallDuration, as it is shared.
 	Scarce       bool
 	CallDuration time.Duration
 	// Levels has the waits of the priority levels that the pool has seen lately, the most urgent
 	// first; empty if they are not known, in which case the waits above hold for all.
 	Levels []Level
-	// Shed is the fraction of requests that are to be refused as the pool is scarce. Unprotected
-	// is the fraction that is not served like the most urgent level; zero without scarcity.
-	Shed, Unprotected float64
+	// Shed is the fraction of requests that are to be refused as the pool is scarce, Protected the
+	// fraction that is served like the most urgent level.
+	Shed, Protected float64
+	// RetryAfter is the time until there is room for the retry of a refused request; zero if it is
+	// not known.
+	RetryAfter time.Duration
 }
 
 // Level is what a request of one priority level finds at a pool.
 type Level struct {
 	Priority             int
 	OnTimeWait, LateWait time.Duration
-	Shed, Unprotected    float64
+	Shed, Protected      float64
+	RetryAfter           time.Duration
 }
 
 // At returns the backlog that a request of a priority finds. A priority that the pool has not
@@ -65,12 +72,13 @@
 			break
 		}
 	}
-	b.OnTimeWait, b.LateWait, b.Shed, b.Unprotected = own.OnTimeWait, own.LateWait, own.Shed, own.Unprotected
+	b.OnTimeWait, b.LateWait, b.Shed, b.Protected = own.OnTimeWait, own.LateWait, own.Shed, own.Protected
+	b.RetryAfter = own.RetryAfter
 	return b
 }
 
-// Protected returns the backlog that a protected request finds: that of the most urgent level.
-func (b Backlog) Protected() Backlog {
+// MostUrgent returns the backlog that a protected request finds: that of the most urgent level.
+func (b Backlog) MostUrgent() Backlog {
 	if len(b.Levels) > 0 {
 		b = b.At(b.Levels[0].Priority)
 	}
@@ -148,12 +156,36 @@
 const unboundedWait = time.Hour
 
 // Scarcity returns the largest fraction of requests that a pool of the path has to shed, and the
-// largest that is not protected.
-func (p Path) Scarcity() (shed, unprotected float64) {
+// smallest fraction that is protected at a pool which protects any.
+func (p Path) Scarcity() (shed, protected float64) {
 	for _, s := range p.Stages {
-		shed, unprotected = max(shed, s.Backlog.Shed), max(unprotected, s.Backlog.Unprotected)
+		shed = max(shed, s.Backlog.Shed)
+		if s.Backlog.Protected > 0 && (protected == 0 || s.Backlog.Protected < protected) {
+			protected = s.Backlog.Protected
+		}
+	}
+	return shed, protected
+}
+
+// Bottleneck returns the index of the stage because of which a request is refused: the one that sheds
+// most, or else the one with the longest wait; -1 without stages. The demand that is refused counts
+// there alone. Otherwise, the pools before a scarce one would seem to be scarce as well.
+func (p Path) Bottleneck() (stage int) {
+	stage = -1
+	for i, s := range p.Stages {
+		if stage < 0 || cmp.Or(cmp.Compare(s.Backlog.Shed, p.Stages[stage].Backlog.Shed), cmp.Compare(s.Backlog.OnTimeWait, p.Stages[stage].Backlog.OnTimeWait)) > 0 {
+			stage = i
+		}
+	}
+	return stage
+}
+
+// RetryAfter returns the time until each pool of the path has room for a retry.
+func (p Path) RetryAfter() (room time.Duration) {
+	for _, s := range p.Stages {
+		room = max(room, s.Backlog.RetryAfter)
 	}
-	return shed, unprotected
+	return room
 }
 
 // Protect returns the path of a protected request: one of the minimum share of its level, which is
@@ -161,7 +193,7 @@
 func (p Path) Protect() Path {
 	p.Stages = slices.Clone(p.Stages)
 	for i, s := range p.Stages {
-		p.Stages[i].Backlog = s.Backlog.Protected()
+		p.Stages[i].Backlog = s.Backlog.MostUrgent()
 	}
 	return p
 }
@@ -185,11 +217,11 @@
 // the level's share is shed. It does not consider the size, so that large requests are shed no
 // more often than small ones. draw is uniform in [0, 1) and stays the same for one request.
 func (p Path) Treat(draw float64) Treatment {
-	shed, unprotected := p.Scarcity()
+	shed, protected := p.Scarcity()
 	switch {
 	case draw >= 1-shed:
 		return Shed
-	case unprotected > 0 && draw < 1-unprotected:
+	case draw < protected:
 		return Protected
 	}
 	return Ordinary
@@ -202,6 +234,9 @@
 	Objective, ObjectiveLeft time.Duration
 	// Timeout is how long the caller waits in total, TimeoutLeft the time until it gives up.
 	Timeout, TimeoutLeft time.Duration
+	// Protected is set for a request of the minimum share of its level. It is on time if it ends in a
+	// late request's time.
+	Protected bool
 }
 
 // Decision is the result of admission control for a request.
@@ -224,10 +259,11 @@
 // request. If it is refused, retryAfter is the time after which its caller should retry.
 func Admit(onTime, late time.Duration, limits TimeLimits) (decision Decision, retryAfter time.Duration) {
 	objectiveLeft := limits.ObjectiveLeft - time.Duration(objectiveReserve*float64(limits.Objective))
-	if onTime <= objectiveLeft {
+	timeoutLeft := limits.TimeoutLeft - time.Duration((1-lateTimeoutFraction)*float64(limits.Timeout))
+	if onTime <= objectiveLeft || limits.Protected && onTime <= timeoutLeft {
 		return OnTime, 0
 	}
-	if late <= limits.TimeoutLeft-time.Duration((1-lateTimeoutFraction)*float64(limits.Timeout)) {
+	if late <= timeoutLeft {
 		return Late, 0
 	}
 	if late >= unboundedWait {
--- a/core/admit/backlog.go
+++ b/core/admit/backlog.go
@@ -61,6 +61,7 @@
 	LevelBacklogs(now time.Duration) []batch.LevelBacklog
 	Announced(now time.Duration) (pieces int)
 	Scarce(now time.Duration) (callDuration time.Duration, scarce bool)
+	WantsNews(now time.Duration) bool
 }
 
 // ReportOf returns the backlog of a pool with that of each of its priority levels.
@@ -68,9 +69,10 @@
 	b.OnTimeWait, b.LateWait, b.Growth = pool.Backlog(now)
 	b.Forecast = pool.Announced(now) > 0
 	for _, l := range pool.LevelBacklogs(now) {
-		b.Levels = append(b.Levels, Level{Priority: l.Priority, OnTimeWait: l.OnTimeWait, LateWait: l.LateWait, Shed: 1 - l.Share, Unprotected: 1 - l.MinShare})
+		b.Levels = append(b.Levels, Level{Priority: l.Priority, OnTimeWait: l.OnTimeWait, LateWait: l.LateWait, Shed: 1 - l.Share, Protected: l.Protected, RetryAfter: l.RetryAfter})
 	}
 	b.CallDuration, b.Scarce = pool.Scarce(now)
+	b.WantsNews = pool.WantsNews(now)
 	return b
 }
 
@@ -86,6 +88,7 @@
 		mean.LateWait += b.LateWait / time.Duration(n)
 		mean.Growth += b.Growth / float64(n)
 		mean.Forecast, mean.Scarce = mean.Forecast || b.Forecast, mean.Scarce || b.Scarce
+		mean.WantsNews = mean.WantsNews || b.WantsNews
 		mean.CallDuration = max(mean.CallDuration, b.CallDuration)
 		for _, l := range b.Levels {
 			priorities[l.Priority] = true
@@ -98,7 +101,8 @@
 			l.OnTimeWait += own.OnTimeWait / time.Duration(n)
 			l.LateWait += own.LateWait / time.Duration(n)
 			l.Shed += own.Shed / float64(n)
-			l.Unprotected += own.Unprotected / float64(n)
+			l.Protected += own.Protected / float64(n)
+			l.RetryAfter += own.RetryAfter / time.Duration(n)
 		}
 		mean.Levels = append(mean.Levels, l)
 	}
--- a/core/batch/announce.go
+++ b/core/batch/announce.go
@@ -57,6 +57,9 @@
 	a.ArrivesIn = min(max(a.ArrivesIn, 0), maxAnnouncedLead)
 	if !known {
 		d.touchLevel(now, a.Priority).admitted.add(now, a.Pieces)
+		if len(d.announced) == 0 {
+			d.lead = a.ArrivesIn
+		}
 		d.lead += time.Duration(leadWeight * float64(a.ArrivesIn-d.lead))
 	}
 	if a.Protected {
--- a/core/batch/level.go
+++ b/core/batch/level.go
@@ -10,15 +10,16 @@
 
 const (
 	// lightUse is the fraction of the capacity that levels may use to be shed no more than the most
-	// urgent one. To refuse them would admit hardly more urgent requests.
-	lightUse = 0.05
+	// urgent one. To refuse them would admit hardly more urgent requests. It covers the retries of a
+	// level of a twentieth.
+	lightUse = 0.1
 	// levelTTL is how long a priority level is reported after its last request. It is longer than
 	// the gaps of a kind with one request in a few seconds.
 	levelTTL = 10 * time.Second
 	// MinLevelShare is the fraction of its proportional share of the capacity that each level keeps
-	// under scarcity. Callers need a quarter. With 0.35, a level was served less than that in a
-	// lasting overload, as a part of it is refused for its time as well.
-	MinLevelShare = 0.5
+	// under scarcity, at each attempt. Callers try twice and need a quarter of what all requests get;
+	// in a lasting overload the least urgent level then gets 0.39 of it (TestLastingOverload).
+	MinLevelShare = 0.2
 	// overtakingSteps is the number of steps in which the work that overtakes a job is estimated;
 	// each step adds what arrives during the wait that the step before added.
 	overtakingSteps = 4
@@ -32,11 +33,14 @@
 	// correctionRate is the part of the capacity, per second, by which the shares are corrected while
 	// the wait is zero: slower than the reports. A longer wait than the target is corrected up to
 	// minDeviation times as fast.
-	correctionRate, minDeviation = 0.15, -1
+	correctionRate, minDeviation = 0.3, -2
 	// minCorrection and maxCorrection bound what is shared out, relative to the capacity.
-	minCorrection, maxCorrection = 0.8, 2
+	minCorrection, maxCorrection = 0.6, 2
 	// maxCorrectionStep is the longest time without a report that counts.
 	maxCorrectionStep = 200 * time.Millisecond
+	// newsDemand is the demand from which on work is to be announced, relative to the capacity. Most
+	// deployments stay below it between bursts.
+	newsDemand = 0.5
 	// scarceHold is how long a pool counts as scarce after its demand last exceeded its capacity.
 	scarceHold = 1500 * time.Millisecond
 )
@@ -46,9 +50,11 @@
 	Priority int
 	// OnTimeWait and LateWait are as for Backlog, at this level.
 	OnTimeWait, LateWait time.Duration
-	// Share is the fraction of the level's requests that the pool can take, MinShare the part of it
-	// that is served like the most urgent level. Both are 1 unless the pool is scarce.
-	Share, MinShare float64
+	// Share is the fraction of the level's requests that the pool can take, Protected the part of it
+	// that is served like the most urgent level; zero unless the pool is scarce.
+	Share, Protected float64
+	// RetryAfter is the time until there is room for the retry of a request that is refused now.
+	RetryAfter time.Duration
 }
 
 // pieceRate is an EWMA of pieces per second.
@@ -71,6 +77,8 @@
 	// admitted is the rate of offered jobs, refused that of pieces whose requests hosts refused.
 	admitted, refused pieceRate
 	seen              time.Duration
+	// nextRetry is the next free slot for a retry.
+	nextRetry time.Duration
 }
 
 func (l *level) demand(now time.Duration) float64 { return l.admitted.at(now) + l.refused.at(now) }
@@ -79,6 +87,7 @@
 // would seem to end whenever requests are refused.
 func (d *Dispatcher) RecordRefused(now time.Duration, priority, pieces int) {
 	d.touchLevel(now, priority).refused.add(now, pieces)
+	d.reserveRetry(now, priority, pieces)
 }
 
 // touchLevel returns the state of a level that has a request now.
@@ -92,6 +101,16 @@
 	return l
 }
 
+// WantsNews reports whether work on its way is to be announced. A pool that is mostly idle does without
+// the messages; it wants them within one report if the demand rises.
+func (d *Dispatcher) WantsNews(now time.Duration) bool {
+	demand := 0.0
+	for _, l := range d.levels {
+		demand += l.demand(now)
+	}
+	return demand > newsDemand*d.capacity(now)
+}
+
 // mostUrgentLevel returns the most urgent level seen lately, at most a priority.
 func (d *Dispatcher) mostUrgentLevel(priority int) int {
 	for p := range d.levels {
@@ -112,7 +131,18 @@
 	priorities := slices.Sorted(maps.Keys(d.levels))
 	shares, minShare := d.shares(now, priorities)
 	for i, p := range priorities {
-		b := LevelBacklog{Priority: p, Share: shares[i], MinShare: minShare}
+		b := LevelBacklog{Priority: p, Share: shares[i], RetryAfter: d.nextRetry(now, p, d.levels[p])}
+		switch {
+		case minShare == 1 || i == 0:
+			// It is served by its own priority.
+		case b.Share == shares[0]:
+			b.Protected = b.Share // a light level, which is served like the most urgent one
+		default:
+			b.Protected = minShare
+		}
+		if i == 0 {
+			b.Share = 1 // admission by time admits what fits
+		}
 		b.OnTimeWait, b.LateWait = d.waits(now, p)
 		if minShare < 1 {
 			overtaking := d.overtakingWait(now, p, b.OnTimeWait)
@@ -138,9 +168,9 @@
 		d.scarceUntil = now + scarceHold
 	}
 	if now >= d.scarceUntil || capacity == 0 {
-		return divide(demands, math.Inf(1))
+		return divide(demands, math.Inf(1), 1)
 	}
-	return divide(demands, capacity*d.correctionFor(now, wait, target))
+	return divide(demands, capacity, d.correctionFor(now, wait, target))
 }
 
 // correctionFor returns the factor by which more or less than the capacity is shared out, so that the
@@ -187,8 +217,8 @@
 }
 
 // divide gives each level MinLevelShare of its proportional share of the capacity and the rest to
-// the most urgent levels. Demands are ordered by urgency.
-func divide(demands []float64, capacity float64) (shares []float64, minShare float64) {
+// the most urgent levels. Demands are ordered by urgency. The rest is what the corrected capacity leaves.
+func divide(demands []float64, capacity, correction float64) (shares []float64, minShare float64) {
 	total := 0.0
 	for _, demand := range demands {
 		total += demand
@@ -197,8 +227,8 @@
 	if total > capacity {
 		minShare = MinLevelShare * capacity / total
 	}
-	left := capacity - minShare*total
-	for n, group := range divisionOrder(demands, capacity) {
+	left := max(capacity*correction-minShare*total, 0)
+	for _, group := range divisionOrder(demands, capacity) {
 		extra := 0.0
 		for _, i := range group {
 			extra += (1 - minShare) * demands[i]
@@ -210,9 +240,6 @@
 		left -= part * extra
 		for _, i := range group {
 			shares[i] = minShare + (1-minShare)*part
-			if n == 0 {
-				shares[i] = 1 // admission by time admits what fits
-			}
 		}
 	}
 	return shares, minShare
--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -60,6 +60,8 @@
 	rankedHosts []Host
 	// backlogs caches the backlogs that the dispatching hosts last reported.
 	backlogs *admit.BacklogCache
+	// news has what is to be told to each dispatching host.
+	news map[string]*hostNews
 }
 
 // ChooseGroup returns the group of the pool's targets for a job whose results are preferred in a
@@ -103,7 +105,7 @@
 // NewClient returns a client on the host self, which uses the dispatcher for jobs that no other host
 // dispatches.
 func NewClient(ctx context.Context, self string, hosts Hosts, peers *peer.ConnPool, dispatcher *Dispatcher) *Client {
-	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache()}
+	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache(), news: make(map[string]*hostNews)}
 }
 
 // Register adds the service by which other hosts submit jobs to this one to a server.
@@ -308,7 +310,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.SoftDeadlineIn.Milliseconds(), Left: j.DeadlineIn.Milliseconds(), Rank: int32(j.Priority), Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone, Kept: j.Protected,
+		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone, Kept: j.Protected, Notice: j.Announcement,
 	}
 }
 
@@ -317,7 +319,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), SoftDeadlineIn: milliseconds(m.GetAim()), DeadlineIn: milliseconds(m.GetLeft()), Priority: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(), Protected: m.GetKept(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(), Protected: m.GetKept(), Announcement: m.GetNotice(),
 	}
 }
 
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -216,7 +216,7 @@
 	d.lastID++
 	wait, ok = g.batcher.Offer(now, batch.Job{
 		ID: d.lastID, Arrived: now - j.Age, Priority: j.Priority, SoftDeadline: now + j.SoftDeadlineIn, Deadline: now + j.DeadlineIn, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
-		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone, Protected: j.Protected,
+		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone, Protected: j.Protected, Announcement: j.Announcement,
 	})
 	if !ok {
 		return nil, wait, false
--- a/io/dispatch/job.go
+++ b/io/dispatch/job.go
@@ -29,6 +29,8 @@
 	Priority                   int
 	// Protected is set if the job is queued like those of the most urgent level.
 	Protected bool
+	// Announcement is the ID with which the job was announced to its group; zero for none.
+	Announcement uint64
 	// Bytes is the size of one result.
 	Bytes int64
 	// Zone is the availability zone in which the results are preferred.
--- a/io/dispatch/level.go
+++ b/io/dispatch/level.go
@@ -11,6 +11,7 @@
 // encodeBacklog adds a backlog to a report.
 func encodeBacklog(p *message.Progress, b admit.Backlog) {
 	p.Soon, p.All, p.Growth, p.Ahead = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth, b.Forecast
+	p.Notify = b.WantsNews
 	if b.Scarce {
 		p.Call = max(b.CallDuration.Milliseconds(), 1)
 	}
@@ -20,7 +21,7 @@
 // decodeBacklog returns the backlog of a report.
 func decodeBacklog(p *message.Progress) admit.Backlog {
 	return admit.Backlog{
-		OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth(), Forecast: p.GetAhead(),
+		OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth(), Forecast: p.GetAhead(), WantsNews: p.GetNotify(),
 		Scarce: p.GetCall() > 0, CallDuration: milliseconds(p.GetCall()), Levels: decodeLevels(p.GetLevels()),
 	}
 }
@@ -30,7 +31,7 @@
 	for _, l := range levels {
 		list = append(list, &message.Level{
 			Rank: int32(l.Priority), Soon: l.OnTimeWait.Milliseconds(), All: l.LateWait.Milliseconds(),
-			Shed: int32(l.Shed * perMille), Open: int32(l.Unprotected * perMille),
+			Shed: int32(l.Shed * perMille), Kept: int32(l.Protected * perMille), Retry: l.RetryAfter.Milliseconds(),
 		})
 	}
 	return list
@@ -41,7 +42,7 @@
 	for _, m := range list {
 		levels = append(levels, admit.Level{
 			Priority: int(m.GetRank()), OnTimeWait: milliseconds(m.GetSoon()), LateWait: milliseconds(m.GetAll()),
-			Shed: float64(m.GetShed()) / perMille, Unprotected: float64(m.GetOpen()) / perMille,
+			Shed: float64(m.GetShed()) / perMille, Protected: float64(m.GetKept()) / perMille, RetryAfter: milliseconds(m.GetRetry()),
 		})
 	}
 	return levels
--- /dev/null
+++ b/io/dispatch/news.go
@@ -0,0 +1,215 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"sassafrasward/core/admit"
+	"sassafrasward/core/batch"
+	"sassafrasward/io/dispatch/message"
+)
+
+const (
+	// newsDelay is how long news for a host is collected. It is short against the time between the
+	// admission of a request and the start of its second stage, and joins the stages of a request
+	// and the requests of a burst in one message.
+	newsDelay = 50 * time.Millisecond
+	// newsTimeout is the timeout of a message with news. Later, the news is worthless.
+	newsTimeout = 500 * time.Millisecond
+	// maxNews is the number of items that are collected for a group; what exceeds it while its host
+	// does not respond is dropped.
+	maxNews = 512
+)
+
+// groupNews is what is to be told to the dispatcher of one group.
+type groupNews struct {
+	pool, group string
+	// announced has the announcements with the time at which the job is expected.
+	announced []announced
+	withdrawn []uint64
+	// refused has the refused pieces by priority.
+	refused map[int]int
+}
+
+// announced is an announcement on the clock of this host.
+type announced struct {
+	batch.Announcement
+
+	arrives time.Duration
+}
+
+// hostNews is what is to be told to one host. sending is set from the first item until the
+// response.
+type hostNews struct {
+	groups  map[string]*groupNews
+	sending bool
+}
+
+// Announce tells the dispatcher of a group that a job is on its way.
+func (c *Client) Announce(pool, group string, a batch.Announcement) {
+	arrives := c.dispatcher.clock() + a.ArrivesIn
+	c.tell(pool, group, func(n *groupNews) { n.announced = append(n.announced, announced{a, arrives}) })
+}
+
+// Withdraw tells the dispatcher of a group that an announced job will not arrive.
+func (c *Client) Withdraw(pool, group string, id uint64) {
+	c.tell(pool, group, func(n *groupNews) { n.withdrawn = append(n.withdrawn, id) })
+}
+
+// RecordRefused tells the dispatcher of a group that a request with pieces for it was refused.
+func (c *Client) RecordRefused(pool, group string, priority, pieces int) {
+	c.tell(pool, group, func(n *groupNews) { n.refused[priority] += pieces })
+}
+
+// tell adds to the news of a group. The local dispatcher is told at once, another one within
+// newsDelay; if it does not respond, the news is lost.
+func (c *Client) tell(pool, group string, add func(*groupNews)) {
+	host := c.candidates(pool, group)[0]
+	if host == c.self {
+		n := newGroupNews(pool, group)
+		add(n)
+		c.dispatcher.announce(n)
+		return
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h, ok := c.news[host]
+	if !ok {
+		h = &hostNews{groups: make(map[string]*groupNews)}
+		c.news[host] = h
+	}
+	key := groupKey(pool, group)
+	n, ok := h.groups[key]
+	if !ok {
+		n = newGroupNews(pool, group)
+		h.groups[key] = n
+	}
+	if len(n.announced)+len(n.withdrawn) >= maxNews {
+		c.dispatcher.metrics.Counter("stage.news.dropped").Inc(1)
+		return
+	}
+	add(n)
+	if !h.sending {
+		h.sending = true
+		time.AfterFunc(newsDelay, func() { c.sendNews(host) })
+	}
+}
+
+func newGroupNews(pool, group string) *groupNews {
+	return &groupNews{pool: pool, group: group, refused: make(map[int]int)}
+}
+
+// takeNews removes and returns the news for a host. Without any, the host is forgotten.
+func (c *Client) takeNews(host string) (list []*groupNews) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	h := c.news[host]
+	if len(h.groups) == 0 {
+		delete(c.news, host)
+		return nil
+	}
+	for _, n := range h.groups {
+		list = append(list, n)
+	}
+	h.groups = make(map[string]*groupNews)
+	return list
+}
+
+// sendNews sends the news for a host, and what was added in the meantime after another newsDelay.
+func (c *Client) sendNews(host string) {
+	if c.ctx.Err() != nil {
+		return
+	}
+	news := c.takeNews(host)
+	if len(news) == 0 {
+		return
+	}
+	if err := c.announceRemote(host, news); err != nil {
+		c.dispatcher.metrics.Counter("stage.news.lost").Inc(1)
+	}
+	time.AfterFunc(newsDelay, func() { c.sendNews(host) })
+}
+
+// announceRemote sends news to a host and stores the backlogs of its response.
+func (c *Client) announceRemote(host string, news []*groupNews) (err error) {
+	defer func() { err = Error.Wrap(err) }()
+	address, _, ok := c.hosts.Peer(host)
+	if !ok {
+		return Error.New("unknown host")
+	}
+	conn, err := c.peers.Conn(address)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, newsTimeout)
+	defer cancel()
+	now := c.dispatcher.clock()
+	m := &message.Announcements{}
+	for _, n := range news {
+		m.Groups = append(m.Groups, encodeNews(now, n))
+		c.dispatcher.metrics.Counter("stage.news.sent").Inc(int64(len(n.announced)))
+	}
+	response, err := message.NewLeadClient(conn).Announce(ctx, m)
+	if err != nil {
+		return err
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for i, p := range response.GetBacklogs() {
+		if i < len(news) {
+			c.backlogs.Update(c.dispatcher.clock(), news[i].pool, news[i].group, decodeBacklog(p))
+		}
+	}
+	return nil
+}
+
+// encodeNews converts the news of a group to its message.
+func encodeNews(now time.Duration, n *groupNews) *message.GroupNews {
+	m := &message.GroupNews{Pool: n.pool, Group: n.group, Withdrawn: n.withdrawn}
+	for _, a := range n.announced {
+		m.Notices = append(m.Notices, &message.Notice{
+			Id: a.ID, Rank: int32(a.Priority), Pieces: int32(a.Pieces), Arrives: int32(max(a.arrives-now, 0).Milliseconds()), Late: a.Late, Kept: a.Protected,
+		})
+	}
+	for priority, pieces := range n.refused {
+		m.Refused = append(m.Refused, &message.Demand{Rank: int32(priority), Pieces: int32(pieces)})
+	}
+	return m
+}
+
+// decodeNews converts a message to the news of a group.
+func decodeNews(m *message.GroupNews) (n *groupNews) {
+	n = newGroupNews(m.GetPool(), m.GetGroup())
+	n.withdrawn = m.GetWithdrawn()
+	for _, notice := range m.GetNotices() {
+		n.announced = append(n.announced, announced{Announcement: batch.Announcement{
+			ID: notice.GetId(), Priority: int(notice.GetRank()), Pieces: int(notice.GetPieces()), ArrivesIn: milliseconds(int64(notice.GetArrives())),
+			Late: notice.GetLate(), Protected: notice.GetKept(),
+		}})
+	}
+	for _, d := range m.GetRefused() {
+		n.refused[int(d.GetRank())] += int(max(d.GetPieces(), 0))
+	}
+	return n
+}
+
+// announce counts the news of a group that this host dispatches and returns the group's backlog.
+func (d *Dispatcher) announce(n *groupNews) (b admit.Backlog) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	g, ok := d.findGroup(n.pool, n.group)
+	if !ok {
+		return b
+	}
+	now := d.clock()
+	for _, a := range n.announced {
+		g.batcher.Announce(now, a.Announcement)
+	}
+	for _, id := range n.withdrawn {
+		g.batcher.Withdraw(id)
+	}
+	for priority, pieces := range n.refused {
+		g.batcher.RecordRefused(now, priority, pieces)
+	}
+	return admit.ReportOf(now, g.batcher)
+}
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -85,3 +85,14 @@
 	s.dispatcher.Free(m.GetPool(), m.GetGroup(), m.GetHandles())
 	return &message.Freed{}, nil
 }
+
+// Announce counts work that is on its way to groups that this host dispatches.
+func (s service) Announce(_ context.Context, m *message.Announcements) (*message.Backlogs, error) {
+	response := &message.Backlogs{}
+	for _, g := range m.GetGroups() {
+		p := &message.Progress{}
+		encodeBacklog(p, s.dispatcher.announce(decodeNews(g)))
+		response.Backlogs = append(response.Backlogs, p)
+	}
+	return response, nil
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -71,14 +71,16 @@
 	server         *peer.Server
 	dispatcher     *dispatch.Dispatcher
 	dispatchClient *dispatch.Client
-	node           *gossip.Node
-	control        *control
-	frontend       *frontend
-	suspects       *suspects
-	watcher        *watcher
-	configWatcher  *configWatcher
-	hub            *iofeed.Hub
-	follower       *iofeed.Follower
+	// retries has the callers that were told when to come back.
+	retries       *retryTable
+	node          *gossip.Node
+	control       *control
+	frontend      *frontend
+	suspects      *suspects
+	watcher       *watcher
+	configWatcher *configWatcher
+	hub           *iofeed.Hub
+	follower      *iofeed.Follower
 	// running is the number of requests in progress. lastArrival is when the last request arrived,
 	// on the clock of this host, in nanoseconds.
 	running     atomic.Int64
@@ -116,6 +118,7 @@
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
 	e.newControl()
 	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher)
+	e.retries = newRetryTable()
 	e.dispatchClient.Register(e.server.Registrar())
 	e.frontend = &frontend{Edge: e}
 	return e
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -80,6 +80,10 @@
 	priority int
 	// protected is set if the jobs of the request are queued like those of the most urgent level.
 	protected bool
+	// headStart is the time by which the jobs of the request are queued before new ones.
+	headStart time.Duration
+	// announced has the announcements of stages that have not started.
+	announced []announcement
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
 	// body is the body of the request until no attempt needs it any more; reserved is the memory that
@@ -141,6 +145,7 @@
 // end releases the results of the request, and records and logs how it ended.
 func (x *exchange) end() {
 	x.free()
+	x.withdrawAnnouncements()
 	x.dropBody()
 	x.metrics.Counter("status." + statusClass(x.status)).Inc(1)
 	if x.why != reason.None {
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -267,14 +267,18 @@
 	now := x.clock()
 	timeAfter := x.timeAfter(i)
 	j := dispatch.Job{
-		HasPriorWork: len(stage.DependsOn) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.arrived,
+		HasPriorWork: len(stage.DependsOn) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.arrived + x.headStart,
 		SoftDeadlineIn: x.softDeadline - timeAfter - now, DeadlineIn: x.startDeadline - timeAfter - now, Priority: x.priority, Protected: x.protected, Bytes: stage.ResultBytes,
 	}
+	if x.protected {
+		j.SoftDeadlineIn = j.DeadlineIn // it is not queued behind those that meet their objectives
+	}
 	if x.decision == admit.Late {
 		j.SoftDeadlineIn = 0
 	}
 	j.Zone, j.WaitForZone = x.placement(i)
 	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone, x.priority)
+	j.Announcement = x.takeAnnouncement(i, j.Group)
 	if len(stage.DependsOn) == 0 {
 		j.Key = x.request.PieceKey
 		return j
@@ -323,6 +327,7 @@
 	x.detail = "stage " + string(o.Fault) + " at " + o.Host
 	switch o.Fault {
 	case dispatch.FaultRefused:
+		x.retries.tell(x.clock(), x.fingerprint, o.RetryAfter)
 		x.fail(reason.QueueFull, o.RetryAfter)
 	case dispatch.FaultLate:
 		x.fail(reason.PredictedLate, stageLateRetryAfter)
