--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -60,13 +60,15 @@
 	rankedHosts []Host
 	// backlogs caches the backlogs that the dispatching hosts last reported.
 	backlogs *admit.BacklogCache
+	// news has what is to be told to each dispatching host.
+	news map[string]*hostNews
 }
 
 // ChooseGroup returns the group of the pool's targets for a job whose results are preferred in a
-// zone, and the backlog there. It compares the group of the zone with a random one and takes the
-// zone's unless a new job waits more than maxZoneDelay longer there. It leaves out the groups of zones that the job
-// may not use; zones is nil for all.
-func (c *Client) ChooseGroup(pool, zone string, zones []string) (group string, backlog admit.Backlog) {
+// zone, and the backlog there of a request of a priority. It compares the group of the zone with a
+// random one and takes the zone's unless a new job waits more than maxZoneDelay longer there. It leaves out the
+// groups of zones that the job may not use; zones is nil for all.
+func (c *Client) ChooseGroup(pool, zone string, zones []string, priority int) (group string, backlog admit.Backlog) {
 	groups := c.dispatcher.Groups(pool)
 	if zones != nil {
 		groups = slices.DeleteFunc(slices.Clone(groups), func(g string) bool { return g != "" && !slices.Contains(zones, g) })
@@ -75,18 +77,18 @@
 		return "", admit.Backlog{}
 	}
 	group = groups[rand.IntN(len(groups))]
-	backlog = c.Backlog(pool, group)
+	backlog = c.Backlog(pool, group).At(priority)
 	if !slices.Contains(groups, zone) || zone == group {
 		return group, backlog
 	}
-	near := c.Backlog(pool, zone)
+	near := c.Backlog(pool, zone).At(priority)
 	if near.OnTimeWait <= backlog.OnTimeWait+maxZoneDelay {
 		return zone, near
 	}
 	return group, backlog
 }
 
-// Backlog returns how long a new job of a group waits. If this host dispatches the group, its own
+// Backlog returns what a new job of a group finds. If this host dispatches the group, its own
 // dispatcher estimates it; otherwise it is what the dispatching host last reported.
 func (c *Client) Backlog(pool, group string) admit.Backlog {
 	if hosts := c.candidates(pool, group); len(hosts) == 1 {
@@ -101,13 +103,13 @@
 func (c *Client) recordBacklog(j Job, p *message.Progress) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.backlogs.Update(c.dispatcher.clock(), j.Pool, j.Group, admit.Backlog{OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth()})
+	c.backlogs.Update(c.dispatcher.clock(), j.Pool, j.Group, decodeBacklog(p))
 }
 
 // NewClient returns a client on the host self, which uses the dispatcher for jobs that no other host
 // dispatches.
 func NewClient(ctx context.Context, self string, hosts Hosts, peers *peer.ConnPool, dispatcher *Dispatcher) *Client {
-	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache()}
+	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache(), news: make(map[string]*hostNews)}
 }
 
 // Register adds the service by which other hosts submit jobs to this one to a server.
@@ -312,7 +314,7 @@
 	return &message.Job{
 		Pool: j.Pool, Request: j.Request, Stage: int32(j.Stage), Pieces: int32(j.Pieces), Key: j.Key, Inputs: j.Inputs,
 		Age: j.Age.Milliseconds(), Aim: j.SoftDeadlineIn.Milliseconds(), Left: j.DeadlineIn.Milliseconds(), Rank: int32(j.Priority), Bytes: j.Bytes, Zone: j.Zone,
-		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone, Zones: j.Zones,
+		Begun: j.HasPriorWork, Group: j.Group, Near: j.WaitForZone, Zones: j.Zones, Kept: j.Protected, Notice: j.Announcement,
 	}
 }
 
@@ -321,7 +323,7 @@
 	return Job{
 		Pool: m.GetPool(), Request: m.GetRequest(), Stage: int(m.GetStage()), Pieces: int(m.GetPieces()), Key: m.GetKey(), Inputs: m.GetInputs(),
 		Age: milliseconds(m.GetAge()), SoftDeadlineIn: milliseconds(m.GetAim()), DeadlineIn: milliseconds(m.GetLeft()), Priority: int(m.GetRank()),
-		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(), Zones: m.GetZones(),
+		Bytes: m.GetBytes(), Zone: m.GetZone(), HasPriorWork: m.GetBegun(), Group: m.GetGroup(), WaitForZone: m.GetNear(), Zones: m.GetZones(), Protected: m.GetKept(), Announcement: m.GetNotice(),
 	}
 }
 
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -77,6 +77,12 @@
 	zones []string
 	// priority is that of the route, plus that of the workspace weighted by workspaceWeight.
 	priority int
+	// protected is set if the jobs of the request are queued like those of the most urgent level.
+	protected bool
+	// headStart is the time by which the jobs of the request are queued before new ones.
+	headStart time.Duration
+	// announced has the announcements of stages that have not started.
+	announced []announcement
 	// decision is the result of admission control for a request with stages.
 	decision admit.Decision
 	// conn is the connection of the caller, nil if connections are not bounded.
@@ -141,6 +147,7 @@
 // end releases the results of the request, and records and logs how it ended.
 func (x *exchange) end() {
 	x.free()
+	x.withdrawAnnouncements()
 	x.dropBody()
 	x.metrics.Counter("status." + statusClass(x.status)).Inc(1)
 	if x.why != reason.None {
