Enable load shedding by a setting, and describe it

Cause: admission by priority levels was active in every deployment, its refusals did not say why, and it had no page.

The line of a refused request says pool, level, treatment, wait and the pieces announced; event 1805 says when a pool begins or ceases to shed.

The first level that does not fit is admitted by time as well, not only the most urgent one. Otherwise, a few requests of a more urgent level would make the bulk of the load subject to shares, with which the capacity is not used up (TestFirstLevelBeyondCapacity). The correction of shares by the wait is gone: it no longer had an effect on the levels that are admitted by time.

TestLostNews covers hosts whose news is lost and dispatchers that forget what was announced; TestNewsReachesDispatcher the message. The tests of io/edge now run with the setting.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -33,8 +33,9 @@
 	OnTimeWait, LateWait time.Duration
 	// Growth is the increase of these waits per unit of time.
 	Growth float64
-	// Forecast is set if the waits are those at the time at which a new request reaches the pool.
-	Forecast bool
+	// Announced is the number of pieces on their way. If there are any, the waits are those at the
+	// time at which a new request reaches the pool.
+	Announced int
 	// WantsNews is set if the pool wants work on its way to be announced.
 	WantsNews bool
 	// Scarce is set if the pool sheds requests. A call then takes CallDuration, as it is shared.
@@ -77,6 +78,11 @@
 	return b
 }
 
+// WithoutLevels returns the backlog of the mean priority alone.
+func (b Backlog) WithoutLevels() Backlog {
+	return Backlog{OnTimeWait: b.OnTimeWait, LateWait: b.LateWait, Growth: b.Growth}
+}
+
 // MostUrgent returns the backlog that a protected request finds: that of the most urgent level.
 func (b Backlog) MostUrgent() Backlog {
 	if len(b.Levels) > 0 {
@@ -132,7 +138,7 @@
 			}
 			arrivals[i] = onTime
 			growth := time.Duration(s.Backlog.Growth * float64(onTime))
-			if s.Backlog.Forecast {
+			if s.Backlog.Announced > 0 {
 				growth = 0
 			}
 			if s.Backlog.Scarce {
--- a/core/admit/backlog.go
+++ b/core/admit/backlog.go
@@ -67,7 +67,7 @@
 // ReportOf returns the backlog of a pool with that of each of its priority levels.
 func ReportOf(now time.Duration, pool Pool) (b Backlog) {
 	b.OnTimeWait, b.LateWait, b.Growth = pool.Backlog(now)
-	b.Forecast = pool.Announced(now) > 0
+	b.Announced = pool.Announced(now)
 	for _, l := range pool.LevelBacklogs(now) {
 		b.Levels = append(b.Levels, Level{Priority: l.Priority, OnTimeWait: l.OnTimeWait, LateWait: l.LateWait, Shed: 1 - l.Share, Protected: l.Protected, RetryAfter: l.RetryAfter})
 	}
@@ -87,7 +87,7 @@
 		mean.OnTimeWait += b.OnTimeWait / time.Duration(n)
 		mean.LateWait += b.LateWait / time.Duration(n)
 		mean.Growth += b.Growth / float64(n)
-		mean.Forecast, mean.Scarce = mean.Forecast || b.Forecast, mean.Scarce || b.Scarce
+		mean.Announced, mean.Scarce = max(mean.Announced, b.Announced), mean.Scarce || b.Scarce
 		mean.WantsNews = mean.WantsNews || b.WantsNews
 		mean.CallDuration = max(mean.CallDuration, b.CallDuration)
 		for _, l := range b.Levels {
--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -24,7 +24,11 @@
 		limit = now + time.Duration(maxWaitFraction*float64(j.Deadline-now))
 	}
 	if end > limit {
-		return min(max(end-max(j.SoftDeadline, now), d.reserveRetry(now, j.Priority, j.Pieces)), maxRetryAfter), false
+		earliest := minRetryAfter
+		if d.retrySlots {
+			earliest = d.reserveRetry(now, j.Priority, j.Pieces)
+		}
+		return min(max(end-max(j.SoftDeadline, now), earliest), maxRetryAfter), false
 	}
 	q := &queuedJob{job: j, expectedEnd: end, onTime: end <= j.SoftDeadline}
 	for i := range j.Pieces {
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -146,6 +146,9 @@
 	targets *sortedmap.Map[string, *targetState]
 	// gate knows which targets take calls.
 	gate selfreport.Gate
+	// retrySlots is set if slots are assigned to the retries of refused jobs.
+	retrySlots bool
+
 	jobs map[uint64]*queuedJob
 	// queue lists the jobs with pending pieces, ordered by compareJobs.
 	queue      []*queuedJob
@@ -167,9 +170,6 @@
 	// until scarceUntil.
 	levels      map[int]*level
 	scarceUntil time.Duration
-	// correction is the factor of the capacity that is shared out, last updated at correctedAt.
-	correction  float64
-	correctedAt time.Duration
 	// announced has the work on its way, ordered by expected arrival. lead is the EWMA of the time
 	// by which announcements precede their jobs.
 	announced []announcedJob
@@ -184,6 +184,9 @@
 // WithGate makes the dispatcher ask the gate before it starts a call.
 func WithGate(gate selfreport.Gate) Option { return func(d *Dispatcher) { d.gate = gate } }
 
+// WithRetrySlots makes the dispatcher assign slots to the retries of refused jobs.
+func WithRetrySlots() Option { return func(d *Dispatcher) { d.retrySlots = true } }
+
 // New returns a dispatcher without targets. Without WithGate, all targets take all calls.
 func New(spec route.Batch, options ...Option) *Dispatcher {
 	d := &Dispatcher{spec: spec, targets: sortedmap.New[string, *targetState](), gate: selfreport.OpenGate{}, jobs: make(map[uint64]*queuedJob), levels: make(map[int]*level), busySince: -1}
--- a/core/batch/level.go
+++ b/core/batch/level.go
@@ -9,35 +9,27 @@
 )
 
 const (
-	// lightUse is the fraction of the capacity that levels may use to be shed no more than the most
-	// urgent one. To refuse them would admit hardly more urgent requests. It covers the retries of a
-	// level of a twentieth.
-	lightUse = 0.1
+	// lightUse is the fraction of the capacity that less urgent levels may use together to be shed no
+	// more than the level that does not fit. To refuse them would admit hardly more of that one. It
+	// covers the retries of a level of a twentieth.
+	lightUse = 0.05
 	// levelTTL is how long a priority level is reported after its last request. It is longer than
 	// the gaps of a kind with one request in a few seconds.
 	levelTTL = 10 * time.Second
 	// MinLevelShare is the fraction of its proportional share of the capacity that each level keeps
 	// under scarcity, at each attempt. Callers try twice and need a quarter of what all requests get;
-	// in a lasting overload the least urgent level then gets 0.39 of it (TestLastingOverload).
+	// in a lasting overload the least urgent level then gets 0.36 of it (TestLastingOverload).
 	MinLevelShare = 0.2
 	// overtakingSteps is the number of steps in which the work that overtakes a job is estimated;
 	// each step adds what arrives during the wait that the step before added.
 	overtakingSteps = 4
-	// Under scarcity the wait is kept at what fills targetCalls calls, within minTargetWait and
-	// maxTargetWait: calls are full, and requests of several stages still meet their objectives.
-	targetCalls                  = 1.5
-	minTargetWait, maxTargetWait = 80 * time.Millisecond, 350 * time.Millisecond
+	// While calls are full, the work of about fillCalls calls waits, for minFillTime to maxFillTime.
+	fillCalls                = 1.5
+	minFillTime, maxFillTime = 80 * time.Millisecond, 350 * time.Millisecond
 	// A pool is scarce if the demand exceeds the capacity by scarceDemand while the wait is
-	// scarceWait times its target. Lower bounds are reached by chance at four fifths of the capacity.
+	// scarceWait times what fills calls. Lower bounds are reached by chance at four fifths of the
+	// capacity.
 	scarceDemand, scarceWait = 1.1, 1.5
-	// correctionRate is the part of the capacity, per second, by which the shares are corrected while
-	// the wait is zero: slower than the reports. A longer wait than the target is corrected up to
-	// minDeviation times as fast.
-	correctionRate, minDeviation = 0.3, -2
-	// minCorrection and maxCorrection bound what is shared out, relative to the capacity.
-	minCorrection, maxCorrection = 0.6, 2
-	// maxCorrectionStep is the longest time without a report that counts.
-	maxCorrectionStep = 200 * time.Millisecond
 	// newsDemand is the demand from which on work is to be announced, relative to the capacity. Most
 	// deployments stay below it between bursts.
 	newsDemand = 0.5
@@ -129,22 +121,11 @@
 func (d *Dispatcher) LevelBacklogs(now time.Duration) (backlogs []LevelBacklog) {
 	maps.DeleteFunc(d.levels, func(_ int, l *level) bool { return now-l.seen > levelTTL })
 	priorities := slices.Sorted(maps.Keys(d.levels))
-	shares, minShare := d.shares(now, priorities)
+	shares := d.shares(now, priorities)
 	for i, p := range priorities {
-		b := LevelBacklog{Priority: p, Share: shares[i], RetryAfter: d.nextRetry(now, p, d.levels[p])}
-		switch {
-		case minShare == 1 || i == 0:
-			// It is served by its own priority.
-		case b.Share == shares[0]:
-			b.Protected = b.Share // a light level, which is served like the most urgent one
-		default:
-			b.Protected = minShare
-		}
-		if i == 0 {
-			b.Share = 1 // admission by time admits what fits
-		}
+		b := LevelBacklog{Priority: p, Share: shares[i].admitted, Protected: shares[i].protected, RetryAfter: d.nextRetry(now, d.levels[p])}
 		b.OnTimeWait, b.LateWait = d.waits(now, p)
-		if minShare < 1 {
+		if now < d.scarceUntil {
 			overtaking := d.overtakingWait(now, p, b.OnTimeWait)
 			b.OnTimeWait, b.LateWait = b.OnTimeWait+overtaking, b.LateWait+overtaking
 		}
@@ -153,47 +134,31 @@
 	return backlogs
 }
 
-// shares divides the capacity among the levels and returns the fraction of each level's demand
-// that fits, and the fraction that every level keeps.
-func (d *Dispatcher) shares(now time.Duration, priorities []int) (shares []float64, minShare float64) {
+// shares divides the capacity among the levels if the pool is scarce.
+func (d *Dispatcher) shares(now time.Duration, priorities []int) []share {
 	demands, total := make([]float64, len(priorities)), 0.0
 	for i, p := range priorities {
 		demands[i] = d.levels[p].demand(now)
 		total += demands[i]
 	}
 	capacity := d.capacity(now)
-	wait, target := d.workWait(now, capacity), d.targetWait(capacity)
-	starts := total > scarceDemand*capacity && float64(wait) > scarceWait*float64(target)
+	starts := total > scarceDemand*capacity && float64(d.workWait(now, capacity)) > scarceWait*float64(d.fillTime(capacity))
 	if starts || now < d.scarceUntil && total > capacity {
 		d.scarceUntil = now + scarceHold
 	}
 	if now >= d.scarceUntil || capacity == 0 {
-		return divide(demands, math.Inf(1), 1)
-	}
-	return divide(demands, capacity, d.correctionFor(now, wait, target))
-}
-
-// correctionFor returns the factor by which more or less than the capacity is shared out, so that the
-// wait stays near its target. Shares of several pools, stale views and requests that are refused for
-// their time leave a part of the capacity unused otherwise.
-func (d *Dispatcher) correctionFor(now, wait, target time.Duration) float64 {
-	elapsed := min(now-d.correctedAt, maxCorrectionStep)
-	if now-d.correctedAt > scarceHold {
-		d.correction, elapsed = 1, 0
+		capacity = math.Inf(1)
 	}
-	d.correctedAt = now
-	deviation := max(float64(target-wait)/float64(target), minDeviation)
-	d.correction = min(max(d.correction+correctionRate*deviation*elapsed.Seconds(), minCorrection), maxCorrection)
-	return d.correction
+	return divide(demands, capacity)
 }
 
-// targetWait returns the wait to which a scarce pool is kept.
-func (d *Dispatcher) targetWait(capacity float64) time.Duration {
+// fillTime returns the wait of a pool whose calls are filled.
+func (d *Dispatcher) fillTime(capacity float64) time.Duration {
 	if capacity == 0 {
-		return maxTargetWait
+		return maxFillTime
 	}
-	fill := time.Duration(targetCalls * float64(d.spec.MaxPieces) / capacity * float64(time.Second))
-	return min(max(fill, minTargetWait), maxTargetWait)
+	fill := time.Duration(fillCalls * float64(d.spec.MaxPieces) / capacity * float64(time.Second))
+	return min(max(fill, minFillTime), maxFillTime)
 }
 
 // capacity returns the pieces per second that the pool can process. The measured throughput is a
@@ -216,59 +181,55 @@
 	return time.Duration(pieces / capacity * float64(time.Second))
 }
 
-// divide gives each level MinLevelShare of its proportional share of the capacity and the rest to
-// the most urgent levels. Demands are ordered by urgency. The rest is what the corrected capacity leaves.
-func divide(demands []float64, capacity, correction float64) (shares []float64, minShare float64) {
+// share is the fraction of a level's requests that is admitted if time allows, and the part of it that is
+// protected.
+type share struct{ admitted, protected float64 }
+
+// divide divides the capacity among levels ordered by urgency. Levels that fit are admitted, and so is the
+// first one that does not fit, by time: a share would have to be exact to use all capacity. The levels after
+// it keep the minimum share, and light ones as much as fits of the one that does not fit.
+func divide(demands []float64, capacity float64) (shares []share) {
 	total := 0.0
 	for _, demand := range demands {
 		total += demand
 	}
-	shares, minShare = make([]float64, len(demands)), 1.0
-	if total > capacity {
-		minShare = MinLevelShare * capacity / total
-	}
-	left := max(capacity*correction-minShare*total, 0)
-	for _, group := range divisionOrder(demands, capacity) {
-		extra := 0.0
-		for _, i := range group {
-			extra += (1 - minShare) * demands[i]
-		}
-		part := 1.0
-		if extra > left {
-			part = left / extra
+	shares = make([]share, len(demands))
+	minimum := MinLevelShare * min(capacity/max(total, 1), 1)
+	left := capacity - minimum*total
+	marginal := len(demands)
+	for i, demand := range demands {
+		if i > marginal {
+			shares[i] = share{admitted: minimum, protected: minimum}
+			continue
 		}
-		left -= part * extra
-		for _, i := range group {
-			shares[i] = minShare + (1-minShare)*part
+		shares[i].admitted = 1
+		if needed := (1 - minimum) * demand; total > capacity && needed > left {
+			marginal = i
+		} else {
+			left -= needed
 		}
 	}
-	return shares, minShare
+	for _, i := range lightLevels(demands, marginal, capacity) {
+		fits := minimum + left/demands[marginal]
+		shares[i] = share{admitted: fits, protected: fits}
+	}
+	return shares
 }
 
-// divisionOrder returns the indexes of the levels in the order in which they get capacity. The
-// lightest levels, up to lightUse of the capacity together, get the share of the most urgent one.
-func divisionOrder(demands []float64, capacity float64) (groups [][]int) {
-	if len(demands) == 0 {
-		return nil
-	}
-	byDemand := make([]int, 0, len(demands))
-	for i := range demands {
-		byDemand = append(byDemand, i)
-	}
-	slices.SortFunc(byDemand, func(a, b int) int { return cmp.Compare(demands[a], demands[b]) })
-	first, used := []int{0}, 0.0
-	for _, i := range byDemand {
-		if used += demands[i]; i > 0 && used <= lightUse*capacity {
-			first = append(first, i)
-		}
+// lightLevels returns the lightest levels after the marginal one, as many as use up to lightUse of the
+// capacity together.
+func lightLevels(demands []float64, marginal int, capacity float64) (light []int) {
+	for i := marginal + 1; i < len(demands); i++ {
+		light = append(light, i)
 	}
-	groups = [][]int{first}
-	for i := range demands {
-		if !slices.Contains(first, i) {
-			groups = append(groups, []int{i})
+	slices.SortFunc(light, func(a, b int) int { return cmp.Compare(demands[a], demands[b]) })
+	used := 0.0
+	for n, i := range light {
+		if used += demands[i]; used > lightUse*capacity {
+			return light[:n]
 		}
 	}
-	return groups
+	return light
 }
 
 // overtakingWait returns by how much the work of more urgent levels that is still to come extends
--- a/core/batch/retry.go
+++ b/core/batch/retry.go
@@ -10,7 +10,7 @@
 // reserved before, and returns the time until then.
 func (d *Dispatcher) reserveRetry(now time.Duration, priority, pieces int) time.Duration {
 	l := d.touchLevel(now, priority)
-	slot := d.nextRetry(now, priority, l)
+	slot := d.nextRetry(now, l)
 	l.nextRetry = now + slot
 	if free := d.retryRate(now, priority); free > 0 {
 		l.nextRetry += time.Duration(float64(pieces) / free * float64(time.Second))
@@ -20,12 +20,12 @@
 
 // nextRetry returns the time until the next free slot of a level: when the work that waits now is done,
 // and after the slots that were given.
-func (d *Dispatcher) nextRetry(now time.Duration, priority int, l *level) time.Duration {
+func (d *Dispatcher) nextRetry(now time.Duration, l *level) time.Duration {
 	capacity := d.capacity(now)
 	if capacity == 0 || now < d.scarceUntil {
 		return maxRetryAfter // new requests take all room
 	}
-	room := d.workWait(now, capacity) - d.targetWait(capacity)
+	room := d.workWait(now, capacity) - d.fillTime(capacity)
 	return min(max(room, l.nextRetry-now, minRetryAfter), maxRetryAfter)
 }
 
--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -62,8 +62,18 @@
 	backlogs *admit.BacklogCache
 	// news has what is to be told to each dispatching host.
 	news map[string]*hostNews
+	// newsDelay is how long news for a host is collected; zero if there is none.
+	newsDelay time.Duration
 }
 
+// ClientOption configures a Client.
+type ClientOption func(*Client)
+
+// WithNews makes the client tell dispatching hosts of admitted and refused requests, collected for a
+// while, use the backlogs of priority levels, and assign slots to retries. Without it, backlogs are
+// those of the mean priority.
+func WithNews(delay time.Duration) ClientOption { return func(c *Client) { c.newsDelay = delay } }
+
 // ChooseGroup returns the group of the pool's targets for a job whose results are preferred in a
 // zone, and the backlog there of a request of a priority. It compares the group of the zone with a
 // random one and takes the zone's unless a new job waits more than maxZoneDelay longer there.
@@ -86,7 +96,16 @@
 
 // Backlog returns what a new job of a group finds. If this host dispatches the group, its own
 // dispatcher estimates it; otherwise it is what the dispatching host last reported.
-func (c *Client) Backlog(pool, group string) admit.Backlog {
+func (c *Client) Backlog(pool, group string) (b admit.Backlog) {
+	b = c.reportedBacklog(pool, group)
+	if c.newsDelay == 0 {
+		return b.WithoutLevels()
+	}
+	return b
+}
+
+// reportedBacklog returns the whole backlog.
+func (c *Client) reportedBacklog(pool, group string) admit.Backlog {
 	if hosts := c.candidates(pool, group); len(hosts) == 1 {
 		return c.dispatcher.Backlog(pool, group)
 	}
@@ -104,8 +123,13 @@
 
 // NewClient returns a client on the host self, which uses the dispatcher for jobs that no other host
 // dispatches.
-func NewClient(ctx context.Context, self string, hosts Hosts, peers *peer.ConnPool, dispatcher *Dispatcher) *Client {
-	return &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache(), news: make(map[string]*hostNews)}
+func NewClient(ctx context.Context, self string, hosts Hosts, peers *peer.ConnPool, dispatcher *Dispatcher, options ...ClientOption) *Client {
+	c := &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache(), news: make(map[string]*hostNews)}
+	for _, o := range options {
+		o(c)
+	}
+	dispatcher.hearsNews = c.newsDelay > 0
+	return c
 }
 
 // Register adds the service by which other hosts submit jobs to this one to a server.
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -63,6 +63,9 @@
 	toFree  map[string][]string
 	freeing map[string]bool
 	spec    route.Batch
+	// reported is the last report with its time.
+	reported   admit.Backlog
+	reportedAt time.Duration
 }
 
 // Dispatcher dispatches jobs to the targets of pools on this host. It is safe for concurrent use.
@@ -74,6 +77,9 @@
 	gate    selfreport.Gate
 	log     logr.Logger
 	metrics *metric.Metrics
+	// hearsNews is set if hosts tell of admitted and refused requests. Reports then have priority levels,
+	// and retries are assigned slots.
+	hearsNews bool
 	// newQuota returns the retry quota of a new group.
 	newQuota func() *quota.Quota
 
@@ -160,8 +166,12 @@
 	key := groupKey(pool, name)
 	g, ok := d.groupsByKey[key]
 	if !ok {
+		options := []batch.Option{batch.WithGate(d.gate)}
+		if d.hearsNews {
+			options = append(options, batch.WithRetrySlots())
+		}
 		g = &group{
-			key: key, pool: pool, name: name, batcher: batch.New(*spec.Batch, batch.WithGate(d.gate)), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
+			key: key, pool: pool, name: name, batcher: batch.New(*spec.Batch, options...), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
 			results: make(map[string]storedResult), calls: make(map[uint64]pendingCall), toFree: make(map[string][]string), freeing: make(map[string]bool),
 		}
 		d.groupsByKey[key] = g
@@ -240,7 +250,7 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if g, ok := d.findGroup(pool, group); ok {
-		b = admit.ReportOf(d.clock(), g.batcher)
+		b = d.report(d.clock(), g)
 	}
 	return b
 }
--- a/io/dispatch/level.go
+++ b/io/dispatch/level.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"fmt"
+	"strings"
+
 	"sassafrasward/core/admit"
 	"sassafrasward/io/dispatch/message"
 )
@@ -10,7 +13,7 @@
 
 // encodeBacklog adds a backlog to a report.
 func encodeBacklog(p *message.Progress, b admit.Backlog) {
-	p.Soon, p.All, p.Growth, p.Ahead = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth, b.Forecast
+	p.Soon, p.All, p.Growth, p.Coming = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth, int64(b.Announced)
 	p.Notify = b.WantsNews
 	if b.Scarce {
 		p.Call = max(b.CallDuration.Milliseconds(), 1)
@@ -21,7 +24,7 @@
 // decodeBacklog returns the backlog of a report.
 func decodeBacklog(p *message.Progress) admit.Backlog {
 	return admit.Backlog{
-		OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth(), Forecast: p.GetAhead(), WantsNews: p.GetNotify(),
+		OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth(), Announced: int(p.GetComing()), WantsNews: p.GetNotify(),
 		Scarce: p.GetCall() > 0, CallDuration: milliseconds(p.GetCall()), Levels: decodeLevels(p.GetLevels()),
 	}
 }
@@ -47,3 +50,12 @@
 	}
 	return levels
 }
+
+// describeLevels returns the wait and the share of each level, for the log.
+func describeLevels(levels []admit.Level) string {
+	var parts []string
+	for _, l := range levels {
+		parts = append(parts, fmt.Sprintf("%d: %dms, shed %.2f", l.Priority, l.OnTimeWait.Milliseconds(), l.Shed))
+	}
+	return strings.Join(parts, "; ")
+}
--- a/io/dispatch/news.go
+++ b/io/dispatch/news.go
@@ -7,15 +7,15 @@
 	"sassafrasward/core/admit"
 	"sassafrasward/core/batch"
 	"sassafrasward/io/dispatch/message"
+	"sassafrasward/io/event"
 )
 
 const (
-	// newsDelay is how long news for a host is collected. It is short against the time between the
-	// admission of a request and the start of its second stage, and joins the stages of a request
-	// and the requests of a burst in one message.
-	newsDelay = 50 * time.Millisecond
 	// newsTimeout is the timeout of a message with news. Later, the news is worthless.
 	newsTimeout = 500 * time.Millisecond
+	// reportAge is the age up to which a report is used again. A busy dispatcher sends hundreds a second;
+	// a report changes little within the time that a call takes to be made up.
+	reportAge = 40 * time.Millisecond
 	// maxNews is the number of items that are collected for a group; what exceeds it while its host
 	// does not respond is dropped.
 	maxNews = 512
@@ -62,8 +62,11 @@
 }
 
 // tell adds to the news of a group. The local dispatcher is told at once, another one within
-// newsDelay; if it does not respond, the news is lost.
+// the delay; if it does not respond, the news is lost.
 func (c *Client) tell(pool, group string, add func(*groupNews)) {
+	if c.newsDelay == 0 {
+		return
+	}
 	host := c.candidates(pool, group)[0]
 	if host == c.self {
 		n := newGroupNews(pool, group)
@@ -91,7 +94,7 @@
 	add(n)
 	if !h.sending {
 		h.sending = true
-		time.AfterFunc(newsDelay, func() { c.sendNews(host) })
+		time.AfterFunc(c.newsDelay, func() { c.sendNews(host) })
 	}
 }
 
@@ -115,7 +118,7 @@
 	return list
 }
 
-// sendNews sends the news for a host, and what was added in the meantime after another newsDelay.
+// sendNews sends the news for a host, and what was added in the meantime after another delay.
 func (c *Client) sendNews(host string) {
 	if c.ctx.Err() != nil {
 		return
@@ -127,7 +130,7 @@
 	if err := c.announceRemote(host, news); err != nil {
 		c.dispatcher.metrics.Counter("stage.news.lost").Inc(1)
 	}
-	time.AfterFunc(newsDelay, func() { c.sendNews(host) })
+	time.AfterFunc(c.newsDelay, func() { c.sendNews(host) })
 }
 
 // announceRemote sends news to a host and stores the backlogs of its response.
@@ -211,5 +214,23 @@
 	for priority, pieces := range n.refused {
 		g.batcher.RecordRefused(now, priority, pieces)
 	}
-	return admit.ReportOf(now, g.batcher)
+	return d.report(now, g)
+}
+
+// report returns the backlog of a group, at most reportAge old. It logs when the group begins or ceases
+// to shed requests. Without news, it is the present backlog of the mean priority.
+func (d *Dispatcher) report(now time.Duration, g *group) (b admit.Backlog) {
+	if !d.hearsNews {
+		b.OnTimeWait, b.LateWait, b.Growth = g.batcher.Backlog(now)
+		return b
+	}
+	if g.reportedAt > 0 && now < g.reportedAt+reportAge {
+		return g.reported
+	}
+	b = admit.ReportOf(now, g.batcher)
+	if b.Scarce != g.reported.Scarce {
+		event.Log(d.log, event.ScarcityChanged, "pool", g.key, "scarce", b.Scarce, "wait", b.OnTimeWait.Milliseconds(), "announced", b.Announced, "levels", describeLevels(b.Levels))
+	}
+	g.reported, g.reportedAt = b, now
+	return b
 }
--- a/io/edge/admission.go
+++ b/io/edge/admission.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -55,7 +56,7 @@
 		x.priority, onTime.Milliseconds(), late.Milliseconds(), x.route.Objective.Milliseconds(), shed, returned, treatment, x.decision)
 	if x.decision == admit.Refused {
 		x.metrics.Counter("admission.refused." + treatment.String()).Inc(1)
-		return x.refuseStages(path, parts, max(retry, path.RetryAfter()), limits.TimeoutLeft), false
+		return x.refuseStages(path, parts, treatment, max(retry, path.RetryAfter()), limits.TimeoutLeft), false
 	}
 	x.announce(path, parts)
 	return 0, true
@@ -91,16 +92,28 @@
 
 // refuseStages tells the dispatcher of the scarcest pool of the demand that was refused, and returns the
 // retry delay. room is the time until there is expected to be room for the request.
-func (x *exchange) refuseStages(path admit.Path, parts []plannedStage, room, timeoutLeft time.Duration) (retry time.Duration) {
+func (x *exchange) refuseStages(path admit.Path, parts []plannedStage, treatment admit.Treatment, room, timeoutLeft time.Duration) (retry time.Duration) {
+	x.detail = "backlog"
 	if i := path.Bottleneck(); i >= 0 {
-		p := parts[i]
+		p, b := parts[i], path.Stages[i].Backlog
 		x.dispatchClient.RecordRefused(p.pool, p.group, x.priority, p.pieces)
+		x.detail = fmt.Sprintf("backlog of %s: level %d, %s, wait %dms, announced %d", p.pool, x.priority, treatment, b.OnTimeWait.Milliseconds(), b.Announced)
+	}
+	if x.settings.NewsDelay() == 0 {
+		return room
 	}
 	retry = admit.RetryDelay(room, timeoutLeft, rand.Float64())
-	x.retries.tell(x.clock(), x.fingerprint, retry)
+	x.rememberRetry(retry)
 	return retry
 }
 
+// rememberRetry records that the caller is told to retry after a delay.
+func (x *exchange) rememberRetry(delay time.Duration) {
+	if x.settings.NewsDelay() > 0 {
+		x.retries.tell(x.clock(), x.fingerprint, delay)
+	}
+}
+
 // retryTable is an admit.Retries that is safe for concurrent use.
 type retryTable struct {
 	mutex   sync.Mutex
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -117,7 +117,7 @@
 	e.server = peer.NewServer()
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
 	e.newControl()
-	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher)
+	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher, dispatch.WithNews(settings.NewsDelay()))
 	e.retries = newRetryTable()
 	e.dispatchClient.Register(e.server.Registrar())
 	e.frontend = &frontend{Edge: e}
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -47,7 +47,6 @@
 		return nil, false
 	}
 	if retry, ok := x.admitStages(wait); !ok {
-		x.detail = "backlog"
 		x.fail(reason.PredictedLate, retry)
 		return nil, false
 	}
@@ -327,7 +326,7 @@
 	x.detail = "stage " + string(o.Fault) + " at " + o.Host
 	switch o.Fault {
 	case dispatch.FaultRefused:
-		x.retries.tell(x.clock(), x.fingerprint, o.RetryAfter)
+		x.rememberRetry(o.RetryAfter)
 		x.fail(reason.QueueFull, o.RetryAfter)
 	case dispatch.FaultLate:
 		x.fail(reason.PredictedLate, stageLateRetryAfter)
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -73,6 +73,7 @@
 	CallFailed         = register(1802, 0, "stage call failed", "A target did not run its pieces; they are sent to another one within the limit of retries.")
 	PiecesFailed       = register(1804, 0, "pieces without result", "A call ended without results for some of its pieces: their deadline had passed, an input no longer existed, the target had no memory for the result or the work failed. Late pieces fail. After a missing input, the stages before run again once. The others are sent again within the limit of retries.")
 	DispatcherSilent   = register(1803, 0, "dispatching host silent", "The host that dispatches a pool did not respond; the job goes to the next host.")
+	ScarcityChanged    = register(1805, 0, "scarcity changed", "A pool that this host dispatches begins (scarce) or ceases to shed less urgent requests, as the demand exceeds its capacity. The line has the wait in milliseconds, the pieces on their way (announced), and the wait and the part that is refused of each priority level.")
 	LinesDropped       = register(1901, 0, "log lines dropped", "The log output was too slow; the line has the number of lines that were lost since the last such line.")
 	RequestRefused     = register(1301, 1, "request refused", "A request was refused; the counter of its reason was incremented.")
 )
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -31,7 +31,9 @@
 	readyAddress, directoryAddress, metricsAddress string
 	// memoryLimit is in bytes; zero for none.
 	memoryLimit int64
-	limits      Limits
+	// newsDelay is how long news on admitted and refused requests is collected; zero for none.
+	newsDelay time.Duration
+	limits    Limits
 }
 
 // Limits holds the time limits and the retry budget of an edge host.
@@ -74,6 +76,10 @@
 // MemoryLimit returns the memory limit of the process in bytes; zero for none.
 func (s Settings) MemoryLimit() int64 { return s.memoryLimit }
 
+// NewsDelay returns how long news on admitted and refused requests is collected for dispatching hosts;
+// zero if they are told nothing and admission does not consider priority levels.
+func (s Settings) NewsDelay() time.Duration { return s.newsDelay }
+
 // Limits returns the time limits and the retry budget of an edge host.
 func (s Settings) Limits() Limits { return s.limits }
 
@@ -208,6 +214,11 @@
 	{"edge", "window", "10", "above 0 (seconds)", "window in which retries are counted", func(s *Settings, v string) bool {
 		return parseSeconds(&s.limits.RetryWindow, v) && s.limits.RetryWindow >= time.Second
 	}},
+	{"edge", "announce", "0", "0, or 10 to 1000 (milliseconds)", "time for which a host collects what it tells dispatching hosts of admitted and refused requests; 0 for no announcements and admission without priority levels", func(s *Settings, v string) bool {
+		n, ok := parseNumber(v)
+		s.newsDelay = time.Duration(n * float64(time.Millisecond))
+		return ok && (n == 0 || n >= 10 && n <= 1000)
+	}},
 	{"platform", "address", "", "an IP address and port other than 0", "address of the configuration service and host list", func(s *Settings, v string) bool {
 		s.platformAddress = v
 		return isRemote(v)
