--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -65,6 +65,9 @@
 	spec    route.Batch
 	// waking is set while a timer runs that starts calls which wait for the rate of a target.
 	waking bool
+	// reported is the last report with its time.
+	reported   admit.Backlog
+	reportedAt time.Duration
 }
 
 // Dispatcher dispatches jobs to the targets of pools on this host. It is safe for concurrent use.
@@ -76,6 +79,9 @@
 	gate    selfreport.Gate
 	log     logr.Logger
 	metrics *metric.Metrics
+	// hearsNews is set if hosts tell of admitted and refused requests. Reports then have priority levels,
+	// and retries are assigned slots.
+	hearsNews bool
 	// newQuota returns the retry quota of a new group.
 	newQuota func() *quota.Quota
 
@@ -177,8 +183,12 @@
 	key := groupKey(pool, name)
 	g, ok := d.groupsByKey[key]
 	if !ok {
+		options := []batch.Option{batch.WithGate(d.gate)}
+		if d.hearsNews {
+			options = append(options, batch.WithRetrySlots())
+		}
 		g = &group{
-			key: key, pool: pool, name: name, batcher: batch.New(*spec.Batch, batch.WithGate(d.gate)), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
+			key: key, pool: pool, name: name, batcher: batch.New(*spec.Batch, options...), quota: d.newQuota(), jobs: make(map[uint64]*ActiveJob),
 			results: make(map[string]storedResult), calls: make(map[uint64]pendingCall), toFree: make(map[string][]string), freeing: make(map[string]bool),
 		}
 		d.groupsByKey[key] = g
@@ -233,7 +243,7 @@
 	d.lastID++
 	wait, ok = g.batcher.Offer(now, batch.Job{
 		ID: d.lastID, Arrived: now - j.Age, Priority: j.Priority, SoftDeadline: now + j.SoftDeadlineIn, Deadline: now + j.DeadlineIn, Pieces: j.Pieces, Bytes: j.Bytes, Zone: j.Zone,
-		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone, Zones: j.Zones,
+		HasPriorWork: j.HasPriorWork, WaitForZone: j.WaitForZone, Zones: j.Zones, Protected: j.Protected, Announcement: j.Announcement,
 	})
 	if !ok {
 		return nil, wait, false
@@ -252,12 +262,12 @@
 	return a, wait, true
 }
 
-// Backlog returns how long a new job of the group would wait here.
+// Backlog returns what a new job of the group finds here, by priority level.
 func (d *Dispatcher) Backlog(pool, group string) (b admit.Backlog) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	if g, ok := d.findGroup(pool, group); ok {
-		b.OnTimeWait, b.LateWait, b.Growth = g.batcher.Backlog(d.clock())
+		b = d.report(d.clock(), g)
 	}
 	return b
 }
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -23,7 +23,7 @@
 	defer func() { err = Error.Wrap(err) }()
 	send := func(p *message.Progress) error {
 		b := s.dispatcher.Backlog(m.GetPool(), m.GetGroup())
-		p.Soon, p.All, p.Growth = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth
+		encodeBacklog(p, b)
 		return stream.Send(p)
 	}
 	s.dispatcher.remoteJobs.Add(1)
@@ -85,3 +85,14 @@
 	s.dispatcher.Free(m.GetPool(), m.GetGroup(), m.GetHandles())
 	return &message.Freed{}, nil
 }
+
+// Announce counts work that is on its way to groups that this host dispatches.
+func (s service) Announce(_ context.Context, m *message.Announcements) (*message.Backlogs, error) {
+	response := &message.Backlogs{}
+	for _, g := range m.GetGroups() {
+		p := &message.Progress{}
+		encodeBacklog(p, s.dispatcher.announce(decodeNews(g)))
+		response.Backlogs = append(response.Backlogs, p)
+	}
+	return response, nil
+}
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -74,14 +74,16 @@
 	server         *peer.Server
 	dispatcher     *dispatch.Dispatcher
 	dispatchClient *dispatch.Client
-	node           *gossip.Node
-	control        *control
-	frontend       *frontend
-	suspects       *suspects
-	watcher        *watcher
-	configWatcher  *configWatcher
-	hub            *iofeed.Hub
-	follower       *iofeed.Follower
+	// retries has the callers that were told when to come back.
+	retries       *retryTable
+	node          *gossip.Node
+	control       *control
+	frontend      *frontend
+	suspects      *suspects
+	watcher       *watcher
+	configWatcher *configWatcher
+	hub           *iofeed.Hub
+	follower      *iofeed.Follower
 	// running is the number of requests in progress. lastArrival is when the last request arrived,
 	// on the clock of this host, in nanoseconds.
 	running     atomic.Int64
@@ -137,7 +139,8 @@
 	e.server = peer.NewServer()
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
 	e.newControl()
-	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher)
+	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher, dispatch.WithNews(settings.NewsDelay()))
+	e.retries = newRetryTable()
 	e.dispatchClient.Register(e.server.Registrar())
 	e.frontend = &frontend{Edge: e}
 	return e
--- a/io/edge/stage.go
+++ b/io/edge/stage.go
@@ -53,7 +53,6 @@
 		return nil, false
 	}
 	if retry, ok := x.admitStages(wait); !ok {
-		x.detail = "backlog"
 		x.fail(reason.PredictedLate, retry)
 		return nil, false
 	}
@@ -213,7 +212,7 @@
 // because they have to be produced again if it fails.
 func (x *exchange) lowMemory(stage int) bool {
 	for _, h := range x.held {
-		if slices.Contains(x.route.Stages[stage].DependsOn, h.stage) && x.dispatchClient.Backlog(h.pool, h.group).OnTimeWait > lowMemoryWait {
+		if slices.Contains(x.route.Stages[stage].DependsOn, h.stage) && x.dispatchClient.Backlog(h.pool, h.group).At(x.priority).OnTimeWait > lowMemoryWait {
 			return true
 		}
 	}
@@ -273,8 +272,11 @@
 	now := x.clock()
 	timeAfter := x.timeAfter(i)
 	j := dispatch.Job{
-		HasPriorWork: len(stage.DependsOn) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.arrived,
-		SoftDeadlineIn: x.softDeadline - timeAfter - now, DeadlineIn: x.startDeadline - timeAfter - now, Priority: x.priority, Bytes: stage.ResultBytes,
+		HasPriorWork: len(stage.DependsOn) > 0, Pool: stage.Pool, Request: x.request.ID, Stage: i, Pieces: x.request.Pieces[i], Age: now - x.arrived + x.headStart,
+		SoftDeadlineIn: x.softDeadline - timeAfter - now, DeadlineIn: x.startDeadline - timeAfter - now, Priority: x.priority, Protected: x.protected, Bytes: stage.ResultBytes,
+	}
+	if x.protected {
+		j.SoftDeadlineIn = j.DeadlineIn // it is not queued behind those that meet their objectives
 	}
 	if x.decision == admit.Late {
 		j.SoftDeadlineIn = 0
@@ -283,7 +285,8 @@
 	if j.Zones = x.zones; !route.ZoneAllowed(x.zones, j.Zone) {
 		j.Zone, j.WaitForZone = "", false
 	}
-	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone, j.Zones)
+	j.Group, _ = x.dispatchClient.ChooseGroup(stage.Pool, j.Zone, j.Zones, x.priority)
+	j.Announcement = x.takeAnnouncement(i, j.Group)
 	if len(stage.DependsOn) == 0 {
 		j.Key = x.request.PieceKey
 		return j
@@ -332,6 +335,7 @@
 	x.detail = "stage " + string(o.Fault) + " at " + o.Host
 	switch o.Fault {
 	case dispatch.FaultRefused:
+		x.rememberRetry(o.RetryAfter)
 		x.fail(reason.QueueFull, o.RetryAfter)
 	case dispatch.FaultLate:
 		x.fail(reason.PredictedLate, stageLateRetryAfter)
