Use the field's term for announcements of admitted work

Names and comments only, no behaviour: tests of core/admit (without the known red one), core/batch, io/dispatch and io/setting pass.

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -36,8 +36,8 @@
 	// Announced is the number of pieces on their way. If there are any, the waits are those at the
 	// time at which a new request reaches the pool.
 	Announced int
-	// WantsNews is set if the pool wants work on its way to be announced.
-	WantsNews bool
+	// WantsAnnouncements is set if the pool wants work on its way to be announced.
+	WantsAnnouncements bool
 	// Scarce is set if the pool sheds requests. A call then takes CallDuration, as it is shared.
 	Scarce       bool
 	CallDuration time.Duration
--- a/core/admit/backlog.go
+++ b/core/admit/backlog.go
@@ -61,7 +61,7 @@
 	LevelBacklogs(now time.Duration) []batch.LevelBacklog
 	Announced(now time.Duration) (pieces int)
 	Scarce(now time.Duration) (callDuration time.Duration, scarce bool)
-	WantsNews(now time.Duration) bool
+	WantsAnnouncements(now time.Duration) bool
 }
 
 // ReportOf returns the backlog of a pool with that of each of its priority levels.
@@ -72,7 +72,7 @@
 		b.Levels = append(b.Levels, Level{Priority: l.Priority, OnTimeWait: l.OnTimeWait, LateWait: l.LateWait, Shed: 1 - l.Share, Protected: l.Protected, RetryAfter: l.RetryAfter})
 	}
 	b.CallDuration, b.Scarce = pool.Scarce(now)
-	b.WantsNews = pool.WantsNews(now)
+	b.WantsAnnouncements = pool.WantsAnnouncements(now)
 	return b
 }
 
@@ -88,7 +88,7 @@
 		mean.LateWait += b.LateWait / time.Duration(n)
 		mean.Growth += b.Growth / float64(n)
 		mean.Announced, mean.Scarce = max(mean.Announced, b.Announced), mean.Scarce || b.Scarce
-		mean.WantsNews = mean.WantsNews || b.WantsNews
+		mean.WantsAnnouncements = mean.WantsAnnouncements || b.WantsAnnouncements
 		mean.CallDuration = max(mean.CallDuration, b.CallDuration)
 		for _, l := range b.Levels {
 			priorities[l.Priority] = true
--- a/core/admit/level_test.go
+++ b/core/admit/level_test.go
@@ -162,10 +162,10 @@
 	is.Equal(sim.busy, simBefore.busy)
 }
 
-// TestLostNews guards against decisions that depend on news which does not arrive. Load: that of
-// TestBurstOfUrgentKind; the news of each fourth host is lost during the burst, and all pools forget
+// TestLostAnnouncements guards against decisions that depend on announcements which do not arrive. Load: that of
+// TestBurstOfUrgentKind; the announcements of each fourth host are lost during the burst, and all pools forget
 // what was announced in the middle of it, as after a restart of their dispatchers.
-func TestLostNews(t *testing.T) {
+func TestLostAnnouncements(t *testing.T) {
 	is := is.New(t)
 	sim, before, large := runKinds(1, true, 3*time.Second, 8*time.Second, burstFactor)
 	logKinds(t, "before", sim, before, large)
--- a/core/admit/path_test.go
+++ b/core/admit/path_test.go
@@ -31,8 +31,8 @@
 	reportInterval = 200 * time.Millisecond
 	// heartbeatInterval is the interval at which a pool reports to the host of a job.
 	heartbeatInterval = 400 * time.Millisecond
-	// newsDelay is the time after which a pool hears of admitted and refused requests.
-	newsDelay = 50 * time.Millisecond
+	// announceDelay is the time after which a pool hears of admitted and refused requests.
+	announceDelay = 50 * time.Millisecond
 )
 
 // fleet describes the pools of a simulation and the requests that it gets.
@@ -94,9 +94,9 @@
 	views      []*admit.BacklogCache
 	heartbeats []heartbeat
 	retries    *admit.Retries
-	// news has what is to be told to pools, ordered by time.
-	news []message
-	// loses, if set, reports whether the news of a host is lost. A pool forgets all announcements at
+	// announcements has what is to be told to pools, ordered by time.
+	announcements []message
+	// loses, if set, reports whether the announcements of a host are lost. A pool forgets all announcements at
 	// restartAt.
 	loses     func(now time.Duration, host int) bool
 	restartAt time.Duration
@@ -121,9 +121,9 @@
 
 // message is what a host tells a pool.
 type message struct {
-	at         time.Duration
-	pool, host int
-	news       func(at time.Duration)
+	at            time.Duration
+	pool, host    int
+	announcements func(at time.Duration)
 }
 
 type callEnd struct {
@@ -178,7 +178,7 @@
 			}
 		}
 		sim.sendHeartbeats(now)
-		sim.deliverNews(now)
+		sim.deliverAnnouncements(now)
 		if now > 0 && now == sim.restartAt {
 			for id := range sim.jobs {
 				for _, d := range sim.pools {
@@ -281,10 +281,10 @@
 		if s.pieces == 0 {
 			continue
 		}
-		if n++; arrivals[n] == 0 || !p.Stages[n].Backlog.WantsNews {
+		if n++; arrivals[n] == 0 || !p.Stages[n].Backlog.WantsAnnouncements {
 			continue
 		}
-		a := batch.Announcement{ID: r.id, Priority: r.priority, Protected: r.protected, Pieces: s.pieces, ArrivesIn: arrivals[n] - newsDelay, Late: r.decision == admit.Late}
+		a := batch.Announcement{ID: r.id, Priority: r.priority, Protected: r.protected, Pieces: s.pieces, ArrivesIn: arrivals[n] - announceDelay, Late: r.decision == admit.Late}
 		sim.tell(now, i, r.host, func(at time.Duration) {
 			if _, ok := sim.jobs[a.ID]; ok {
 				sim.pools[i].Announce(at, a)
@@ -293,19 +293,19 @@
 	}
 }
 
-// tell tells a pool something after newsDelay. The host hears of the backlog in the response.
-func (sim *simulation) tell(now time.Duration, pool, host int, news func(at time.Duration)) {
+// tell tells a pool something after announceDelay. The host hears of the backlog in the response.
+func (sim *simulation) tell(now time.Duration, pool, host int, announcements func(at time.Duration)) {
 	if !sim.noLevels && (sim.loses == nil || !sim.loses(now, host)) {
-		sim.news = append(sim.news, message{at: now + newsDelay, pool: pool, host: host, news: news})
+		sim.announcements = append(sim.announcements, message{at: now + announceDelay, pool: pool, host: host, announcements: announcements})
 	}
 }
 
-// deliverNews delivers what hosts told pools.
-func (sim *simulation) deliverNews(now time.Duration) {
-	for len(sim.news) > 0 && sim.news[0].at <= now {
-		m := sim.news[0]
-		sim.news = sim.news[1:]
-		m.news(now)
+// deliverAnnouncements delivers what hosts told pools.
+func (sim *simulation) deliverAnnouncements(now time.Duration) {
+	for len(sim.announcements) > 0 && sim.announcements[0].at <= now {
+		m := sim.announcements[0]
+		sim.announcements = sim.announcements[1:]
+		m.announcements(now)
 		if !sim.noLevels {
 			sim.report(now, m.pool, m.host)
 		}
--- a/core/batch/level.go
+++ b/core/batch/level.go
@@ -30,9 +30,9 @@
 	// scarceWait times what fills calls. Lower bounds are reached by chance at four fifths of the
 	// capacity.
 	scarceDemand, scarceWait = 1.1, 1.5
-	// newsDemand is the demand from which on work is to be announced, relative to the capacity. Most
+	// announceDemand is the demand from which on work is to be announced, relative to the capacity. Most
 	// deployments stay below it between bursts.
-	newsDemand = 0.5
+	announceDemand = 0.5
 	// scarceHold is how long a pool counts as scarce after its demand last exceeded its capacity.
 	scarceHold = 1500 * time.Millisecond
 )
@@ -93,14 +93,14 @@
 	return l
 }
 
-// WantsNews reports whether work on its way is to be announced. A pool that is mostly idle does without
+// WantsAnnouncements reports whether work on its way is to be announced. A pool that is mostly idle does without
 // the messages; it wants them within one report if the demand rises.
-func (d *Dispatcher) WantsNews(now time.Duration) bool {
+func (d *Dispatcher) WantsAnnouncements(now time.Duration) bool {
 	demand := 0.0
 	for _, l := range d.levels {
 		demand += l.demand(now)
 	}
-	return demand > newsDemand*d.capacity(now)
+	return demand > announceDemand*d.capacity(now)
 }
 
 // mostUrgentLevel returns the most urgent level seen lately, at most a priority.
--- a/io/dispatch/news.go
+++ b/io/dispatch/announce.go
@@ -11,18 +11,18 @@
 )
 
 const (
-	// newsTimeout is the timeout of a message with news. Later, the news is worthless.
-	newsTimeout = 500 * time.Millisecond
+	// announceTimeout is the timeout of a message with announcements. Later ones are out of date.
+	announceTimeout = 500 * time.Millisecond
 	// reportAge is the age up to which a report is used again. A busy dispatcher sends hundreds a second;
 	// a report changes little within the time that a call takes to be made up.
 	reportAge = 40 * time.Millisecond
-	// maxNews is the number of items that are collected for a group; what exceeds it while its host
+	// maxAnnounced is the number of items that are collected for a group; what exceeds it while its host
 	// does not respond is dropped.
-	maxNews = 512
+	maxAnnounced = 512
 )
 
-// groupNews is what is to be told to the dispatcher of one group.
-type groupNews struct {
+// groupDemand is what is to be told to the dispatcher of one group.
+type groupDemand struct {
 	pool, group string
 	// announced has the announcements with the time at which the job is expected.
 	announced []announced
@@ -38,103 +38,103 @@
 	arrives time.Duration
 }
 
-// hostNews is what is to be told to one host. sending is set from the first item until the
+// hostDemand is what is to be told to one host. sending is set from the first item until the
 // response.
-type hostNews struct {
-	groups  map[string]*groupNews
+type hostDemand struct {
+	groups  map[string]*groupDemand
 	sending bool
 }
 
 // Announce tells the dispatcher of a group that a job is on its way.
 func (c *Client) Announce(pool, group string, a batch.Announcement) {
 	arrives := c.dispatcher.clock() + a.ArrivesIn
-	c.tell(pool, group, func(n *groupNews) { n.announced = append(n.announced, announced{a, arrives}) })
+	c.tell(pool, group, func(n *groupDemand) { n.announced = append(n.announced, announced{a, arrives}) })
 }
 
 // Withdraw tells the dispatcher of a group that an announced job will not arrive.
 func (c *Client) Withdraw(pool, group string, id uint64) {
-	c.tell(pool, group, func(n *groupNews) { n.withdrawn = append(n.withdrawn, id) })
+	c.tell(pool, group, func(n *groupDemand) { n.withdrawn = append(n.withdrawn, id) })
 }
 
 // RecordRefused tells the dispatcher of a group that a request with pieces for it was refused.
 func (c *Client) RecordRefused(pool, group string, priority, pieces int) {
-	c.tell(pool, group, func(n *groupNews) { n.refused[priority] += pieces })
+	c.tell(pool, group, func(n *groupDemand) { n.refused[priority] += pieces })
 }
 
-// tell adds to the news of a group. The local dispatcher is told at once, another one within
-// the delay; if it does not respond, the news is lost.
-func (c *Client) tell(pool, group string, add func(*groupNews)) {
-	if c.newsDelay == 0 {
+// tell adds to the announcements of a group. The local dispatcher gets them at once, another one within
+// the delay; if it does not respond, the announcements are lost.
+func (c *Client) tell(pool, group string, add func(*groupDemand)) {
+	if c.announceDelay == 0 {
 		return
 	}
 	host := c.candidates(pool, group)[0]
 	if host == c.self {
-		n := newGroupNews(pool, group)
+		n := newGroupDemand(pool, group)
 		add(n)
 		c.dispatcher.announce(n)
 		return
 	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	h, ok := c.news[host]
+	h, ok := c.announcements[host]
 	if !ok {
-		h = &hostNews{groups: make(map[string]*groupNews)}
-		c.news[host] = h
+		h = &hostDemand{groups: make(map[string]*groupDemand)}
+		c.announcements[host] = h
 	}
 	key := groupKey(pool, group)
 	n, ok := h.groups[key]
 	if !ok {
-		n = newGroupNews(pool, group)
+		n = newGroupDemand(pool, group)
 		h.groups[key] = n
 	}
-	if len(n.announced)+len(n.withdrawn) >= maxNews {
-		c.dispatcher.metrics.Counter("stage.news.dropped").Inc(1)
+	if len(n.announced)+len(n.withdrawn) >= maxAnnounced {
+		c.dispatcher.metrics.Counter("stage.announcements.dropped").Inc(1)
 		return
 	}
 	add(n)
 	if !h.sending {
 		h.sending = true
-		time.AfterFunc(c.newsDelay, func() { c.sendNews(host) })
+		time.AfterFunc(c.announceDelay, func() { c.sendDemand(host) })
 	}
 }
 
-func newGroupNews(pool, group string) *groupNews {
-	return &groupNews{pool: pool, group: group, refused: make(map[int]int)}
+func newGroupDemand(pool, group string) *groupDemand {
+	return &groupDemand{pool: pool, group: group, refused: make(map[int]int)}
 }
 
-// takeNews removes and returns the news for a host. Without any, the host is forgotten.
-func (c *Client) takeNews(host string) (list []*groupNews) {
+// takeDemand removes and returns the announcements for a host. Without any, the host is forgotten.
+func (c *Client) takeDemand(host string) (list []*groupDemand) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	h := c.news[host]
+	h := c.announcements[host]
 	if len(h.groups) == 0 {
-		delete(c.news, host)
+		delete(c.announcements, host)
 		return nil
 	}
 	for _, n := range h.groups {
 		list = append(list, n)
 	}
-	h.groups = make(map[string]*groupNews)
+	h.groups = make(map[string]*groupDemand)
 	return list
 }
 
-// sendNews sends the news for a host, and what was added in the meantime after another delay.
-func (c *Client) sendNews(host string) {
+// sendDemand sends the announcements for a host, and what was added in the meantime after another delay.
+func (c *Client) sendDemand(host string) {
 	if c.ctx.Err() != nil {
 		return
 	}
-	news := c.takeNews(host)
-	if len(news) == 0 {
+	announcements := c.takeDemand(host)
+	if len(announcements) == 0 {
 		return
 	}
-	if err := c.announceRemote(host, news); err != nil {
-		c.dispatcher.metrics.Counter("stage.news.lost").Inc(1)
+	if err := c.announceRemote(host, announcements); err != nil {
+		c.dispatcher.metrics.Counter("stage.announcements.lost").Inc(1)
 	}
-	time.AfterFunc(c.newsDelay, func() { c.sendNews(host) })
+	time.AfterFunc(c.announceDelay, func() { c.sendDemand(host) })
 }
 
-// announceRemote sends news to a host and stores the backlogs of its response.
-func (c *Client) announceRemote(host string, news []*groupNews) (err error) {
+// announceRemote sends announcements to a host and stores the backlogs of its response.
+func (c *Client) announceRemote(host string, announcements []*groupDemand) (err error) {
 	defer func() { err = Error.Wrap(err) }()
 	address, _, ok := c.hosts.Peer(host)
 	if !ok {
@@ -144,13 +144,13 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, newsTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, announceTimeout)
 	defer cancel()
 	now := c.dispatcher.clock()
 	m := &message.Announcements{}
-	for _, n := range news {
-		m.Groups = append(m.Groups, encodeNews(now, n))
-		c.dispatcher.metrics.Counter("stage.news.sent").Inc(int64(len(n.announced)))
+	for _, n := range announcements {
+		m.Groups = append(m.Groups, encodeDemand(now, n))
+		c.dispatcher.metrics.Counter("stage.announcements.sent").Inc(int64(len(n.announced)))
 	}
 	response, err := message.NewLeadClient(conn).Announce(ctx, m)
 	if err != nil {
@@ -159,16 +159,16 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for i, p := range response.GetBacklogs() {
-		if i < len(news) {
-			c.backlogs.Update(c.dispatcher.clock(), news[i].pool, news[i].group, decodeBacklog(p))
+		if i < len(announcements) {
+			c.backlogs.Update(c.dispatcher.clock(), announcements[i].pool, announcements[i].group, decodeBacklog(p))
 		}
 	}
 	return nil
 }
 
-// encodeNews converts the news of a group to its message.
-func encodeNews(now time.Duration, n *groupNews) *message.GroupNews {
-	m := &message.GroupNews{Pool: n.pool, Group: n.group, Withdrawn: n.withdrawn}
+// encodeDemand converts the announcements of a group to its message.
+func encodeDemand(now time.Duration, n *groupDemand) *message.GroupDemand {
+	m := &message.GroupDemand{Pool: n.pool, Group: n.group, Withdrawn: n.withdrawn}
 	for _, a := range n.announced {
 		m.Notices = append(m.Notices, &message.Notice{
 			Id: a.ID, Rank: int32(a.Priority), Pieces: int32(a.Pieces), Arrives: int32(max(a.arrives-now, 0).Milliseconds()), Late: a.Late, Kept: a.Protected,
@@ -180,9 +180,9 @@
 	return m
 }
 
-// decodeNews converts a message to the news of a group.
-func decodeNews(m *message.GroupNews) (n *groupNews) {
-	n = newGroupNews(m.GetPool(), m.GetGroup())
+// decodeDemand converts a message to the announcements of a group.
+func decodeDemand(m *message.GroupDemand) (n *groupDemand) {
+	n = newGroupDemand(m.GetPool(), m.GetGroup())
 	n.withdrawn = m.GetWithdrawn()
 	for _, notice := range m.GetNotices() {
 		n.announced = append(n.announced, announced{Announcement: batch.Announcement{
@@ -196,8 +196,8 @@
 	return n
 }
 
-// announce counts the news of a group that this host dispatches and returns the group's backlog.
-func (d *Dispatcher) announce(n *groupNews) (b admit.Backlog) {
+// announce counts the announcements of a group that this host dispatches and returns the group's backlog.
+func (d *Dispatcher) announce(n *groupDemand) (b admit.Backlog) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	g, ok := d.findGroup(n.pool, n.group)
@@ -218,9 +218,9 @@
 }
 
 // report returns the backlog of a group, at most reportAge old. It logs when the group begins or ceases
-// to shed requests. Without news, it is the present backlog of the mean priority.
+// to shed requests. Without announcements, it is the present backlog of the mean priority.
 func (d *Dispatcher) report(now time.Duration, g *group) (b admit.Backlog) {
-	if !d.hearsNews {
+	if !d.takesAnnouncements {
 		b.OnTimeWait, b.LateWait, b.Growth = g.batcher.Backlog(now)
 		return b
 	}
--- a/io/dispatch/news_test.go
+++ b/io/dispatch/announce_test.go
@@ -15,13 +15,13 @@
 	"sassafrasward/io/peer"
 )
 
-// maxPolls bounds a wait for news to some 20 s.
+// maxPolls bounds a wait for announcements to some 20 s.
 const maxPolls = 4000
 
-// TestNewsReachesDispatcher guards against announcements and refusals that do not reach the dispatching
-// host or stay there, against a host that does not hear of the backlog in return, and against news to a
+// TestAnnouncementsReachDispatcher guards against announcements and refusals that do not reach the dispatching
+// host or stay there, against a host that does not hear of the backlog in return, and against announcements to a
 // host that is gone which blocks or fails a caller.
-func TestNewsReachesDispatcher(t *testing.T) {
+func TestAnnouncementsReachDispatcher(t *testing.T) {
 	is := is.New(t)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -32,8 +32,8 @@
 	is.NoErr(err)
 	conns := peer.NewConnPool()
 	defer conns.Close()
-	dispatch.NewClient(ctx, "b", twoHosts{}, peer.NewConnPool(), remote, dispatch.WithNews(10*time.Millisecond)).Register(server.Registrar())
-	a := dispatch.NewClient(ctx, "a", twoHosts{address: listener.Addr().String()}, conns, local, dispatch.WithNews(10*time.Millisecond))
+	dispatch.NewClient(ctx, "b", twoHosts{}, peer.NewConnPool(), remote, dispatch.WithAnnouncements(10*time.Millisecond)).Register(server.Registrar())
+	a := dispatch.NewClient(ctx, "a", twoHosts{address: listener.Addr().String()}, conns, local, dispatch.WithAnnouncements(10*time.Millisecond))
 	go server.Serve(listener, listenerEnd)
 	await := func(holds func(admit.Backlog) bool, tell func()) {
 		t.Helper()
@@ -46,7 +46,7 @@
 		}
 	}
 	announcement := batch.Announcement{ID: 7, Priority: 2, Pieces: 3000, ArrivesIn: 20 * time.Second}
-	await(func(b admit.Backlog) bool { return b.Announced == 3000 && b.WantsNews }, func() { a.Announce("pieces", "", announcement) })
+	await(func(b admit.Backlog) bool { return b.Announced == 3000 && b.WantsAnnouncements }, func() { a.Announce("pieces", "", announcement) })
 	is.Equal(remote.Backlog("pieces", "").Announced, 3000)
 	await(func(b admit.Backlog) bool { return b.Announced == 0 && len(b.Levels) == 2 }, func() {
 		a.Withdraw("pieces", "", 7)
@@ -54,7 +54,7 @@
 	})
 	is.Equal(a.Backlog("pieces", "").Levels[0].Priority, 1)
 	quiet := dispatch.NewClient(ctx, "a", twoHosts{address: listener.Addr().String()}, conns, newDispatcher(ctx, t, target))
-	is.Equal(len(quiet.Backlog("pieces", "").Levels), 0) // without news, backlogs are those of the mean priority
+	is.Equal(len(quiet.Backlog("pieces", "").Levels), 0) // without announcements, backlogs are those of the mean priority
 	server.Stop()
 	is.NoErr(<-listenerEnd)
 	for range 2000 {
--- a/io/dispatch/client.go
+++ b/io/dispatch/client.go
@@ -60,19 +60,21 @@
 	rankedHosts []Host
 	// backlogs caches the backlogs that the dispatching hosts last reported.
 	backlogs *admit.BacklogCache
-	// news has what is to be told to each dispatching host.
-	news map[string]*hostNews
-	// newsDelay is how long news for a host is collected; zero if there is none.
-	newsDelay time.Duration
+	// announcements has what is to be told to each dispatching host.
+	announcements map[string]*hostDemand
+	// announceDelay is how long announcements for a host are collected; zero for none.
+	announceDelay time.Duration
 }
 
 // ClientOption configures a Client.
 type ClientOption func(*Client)
 
-// WithNews makes the client tell dispatching hosts of admitted and refused requests, collected for a
+// WithAnnouncements makes the client tell dispatching hosts of admitted and refused requests, collected for a
 // while, use the backlogs of priority levels, and assign slots to retries. Without it, backlogs are
 // those of the mean priority.
-func WithNews(delay time.Duration) ClientOption { return func(c *Client) { c.newsDelay = delay } }
+func WithAnnouncements(delay time.Duration) ClientOption {
+	return func(c *Client) { c.announceDelay = delay }
+}
 
 // ChooseGroup returns the group of the pool's targets for a job whose results are preferred in a
 // zone, and the backlog there of a request of a priority. It compares the group of the zone with a
@@ -102,7 +104,7 @@
 // dispatcher estimates it; otherwise it is what the dispatching host last reported.
 func (c *Client) Backlog(pool, group string) (b admit.Backlog) {
 	b = c.reportedBacklog(pool, group)
-	if c.newsDelay == 0 {
+	if c.announceDelay == 0 {
 		return b.WithoutLevels()
 	}
 	return b
@@ -128,11 +130,11 @@
 // NewClient returns a client on the host self, which uses the dispatcher for jobs that no other host
 // dispatches.
 func NewClient(ctx context.Context, self string, hosts Hosts, peers *peer.ConnPool, dispatcher *Dispatcher, options ...ClientOption) *Client {
-	c := &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache(), news: make(map[string]*hostNews)}
+	c := &Client{ctx: ctx, self: self, hosts: hosts, peers: peers, dispatcher: dispatcher, ranked: make(map[string][]string), backlogs: admit.NewBacklogCache(), announcements: make(map[string]*hostDemand)}
 	for _, o := range options {
 		o(c)
 	}
-	dispatcher.hearsNews = c.newsDelay > 0
+	dispatcher.takesAnnouncements = c.announceDelay > 0
 	return c
 }
 
--- a/io/dispatch/dispatcher.go
+++ b/io/dispatch/dispatcher.go
@@ -79,9 +79,9 @@
 	gate    selfreport.Gate
 	log     logr.Logger
 	metrics *metric.Metrics
-	// hearsNews is set if hosts tell of admitted and refused requests. Reports then have priority levels,
+	// takesAnnouncements is set if hosts tell of admitted and refused requests. Reports then have priority levels,
 	// and retries are assigned slots.
-	hearsNews bool
+	takesAnnouncements bool
 	// newQuota returns the retry quota of a new group.
 	newQuota func() *quota.Quota
 
@@ -184,7 +184,7 @@
 	g, ok := d.groupsByKey[key]
 	if !ok {
 		options := []batch.Option{batch.WithGate(d.gate)}
-		if d.hearsNews {
+		if d.takesAnnouncements {
 			options = append(options, batch.WithRetrySlots())
 		}
 		g = &group{
--- a/io/dispatch/level.go
+++ b/io/dispatch/level.go
@@ -14,7 +14,7 @@
 // encodeBacklog adds a backlog to a report.
 func encodeBacklog(p *message.Progress, b admit.Backlog) {
 	p.Soon, p.All, p.Growth, p.Coming = b.OnTimeWait.Milliseconds(), b.LateWait.Milliseconds(), b.Growth, int64(b.Announced)
-	p.Notify = b.WantsNews
+	p.Notify = b.WantsAnnouncements
 	if b.Scarce {
 		p.Call = max(b.CallDuration.Milliseconds(), 1)
 	}
@@ -24,7 +24,7 @@
 // decodeBacklog returns the backlog of a report.
 func decodeBacklog(p *message.Progress) admit.Backlog {
 	return admit.Backlog{
-		OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth(), Announced: int(p.GetComing()), WantsNews: p.GetNotify(),
+		OnTimeWait: milliseconds(p.GetSoon()), LateWait: milliseconds(p.GetAll()), Growth: p.GetGrowth(), Announced: int(p.GetComing()), WantsAnnouncements: p.GetNotify(),
 		Scarce: p.GetCall() > 0, CallDuration: milliseconds(p.GetCall()), Levels: decodeLevels(p.GetLevels()),
 	}
 }
--- a/io/dispatch/service.go
+++ b/io/dispatch/service.go
@@ -91,7 +91,7 @@
 	response := &message.Backlogs{}
 	for _, g := range m.GetGroups() {
 		p := &message.Progress{}
-		encodeBacklog(p, s.dispatcher.announce(decodeNews(g)))
+		encodeBacklog(p, s.dispatcher.announce(decodeDemand(g)))
 		response.Backlogs = append(response.Backlogs, p)
 	}
 	return response, nil
--- a/io/edge/admission.go
+++ b/io/edge/admission.go
@@ -79,7 +79,7 @@
 func (x *exchange) announce(path admit.Path, parts []plannedStage) {
 	arrivals := path.Arrivals()
 	for i, p := range parts {
-		if arrivals[i] == 0 || !path.Stages[i].Backlog.WantsNews {
+		if arrivals[i] == 0 || !path.Stages[i].Backlog.WantsAnnouncements {
 			continue
 		}
 		a := announcement{plannedStage: p, id: max(rand.Uint64(), 1)}
@@ -99,7 +99,7 @@
 		x.dispatchClient.RecordRefused(p.pool, p.group, x.priority, p.pieces)
 		x.detail = fmt.Sprintf("backlog of %s: level %d, %s, wait %dms, announced %d", p.pool, x.priority, treatment, b.OnTimeWait.Milliseconds(), b.Announced)
 	}
-	if x.settings.NewsDelay() == 0 {
+	if x.settings.AnnounceDelay() == 0 {
 		return room
 	}
 	retry = admit.RetryDelay(room, timeoutLeft, rand.Float64())
@@ -109,7 +109,7 @@
 
 // rememberRetry records that the caller is told to retry after a delay.
 func (x *exchange) rememberRetry(delay time.Duration) {
-	if x.settings.NewsDelay() > 0 {
+	if x.settings.AnnounceDelay() > 0 {
 		x.retries.tell(x.clock(), x.fingerprint, delay)
 	}
 }
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -139,7 +139,7 @@
 	e.server = peer.NewServer()
 	e.dispatcher = dispatch.NewDispatcher(e.ctx, e.clock, e.conns, e.reports, log, e.metrics, newQuota)
 	e.newControl()
-	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher, dispatch.WithNews(settings.NewsDelay()))
+	e.dispatchClient = dispatch.NewClient(e.ctx, settings.Host(), dispatchHosts{e}, e.peers, e.dispatcher, dispatch.WithAnnouncements(settings.AnnounceDelay()))
 	e.retries = newRetryTable()
 	e.dispatchClient.Register(e.server.Registrar())
 	e.frontend = &frontend{Edge: e}
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -36,8 +36,8 @@
 	// sharedEstimates is set if hosts share what they learn of the capacity of targets.
 	sharedEstimates bool
 	limits          Limits
-	// newsDelay is how long news on admitted and refused requests is collected; zero for none.
-	newsDelay time.Duration
+	// announceDelay is how long announcements of admitted and refused requests are collected; zero for none.
+	announceDelay time.Duration
 	// region is the region of the host, empty if it is not known. zoneRegions has the regions of the
 	// availability zones.
 	region      string
@@ -99,9 +99,9 @@
 // Descriptors returns the limit of open descriptors of the process; zero for none.
 func (s Settings) Descriptors() int { return s.descriptors }
 
-// NewsDelay returns how long news on admitted and refused requests is collected for dispatching hosts;
+// AnnounceDelay returns how long announcements of admitted and refused requests are collected for dispatching hosts;
 // zero if they are told nothing and admission does not consider priority levels.
-func (s Settings) NewsDelay() time.Duration { return s.newsDelay }
+func (s Settings) AnnounceDelay() time.Duration { return s.announceDelay }
 
 // SharedEstimates reports whether hosts of a large fleet share what they learn of the capacity of targets.
 func (s Settings) SharedEstimates() bool { return s.sharedEstimates }
@@ -261,7 +261,7 @@
 	}},
 	{"edge", "announce", "0", "0, or 10 to 1000 (milliseconds)", "time for which a host collects what it tells dispatching hosts of admitted and refused requests; 0 for no announcements and admission without priority levels", func(s *Settings, v string) bool {
 		n, ok := parseNumber(v)
-		s.newsDelay = time.Duration(n * float64(time.Millisecond))
+		s.announceDelay = time.Duration(n * float64(time.Millisecond))
 		return ok && (n == 0 || n >= 10 && n <= 1000)
 	}},
 	{"edge", "estimates", "off", "on or off", "whether the hosts of a fleet of at least 24 share what they learn of the capacity of targets, and choose targets by it", func(s *Settings, v string) bool {
