--- a/core/capacity/fact.go
+++ b/core/capacity/fact.go
@@ -9,7 +9,7 @@
 
 const (
 	// logUnits is the number of units of a Fact in a factor of two, demandUnits that in the mean load of
-	// a target. Differences below one unit are not news.
+	// a target. Differences below one unit are not published.
 	logUnits    = 8
 	demandUnits = 4
 	// maxLog bounds a logarithm of a time ratio: a factor of 16 both ways.
--- a/core/capacity/publish.go
+++ b/core/capacity/publish.go
@@ -13,9 +13,9 @@
 	FleetFactRate = 32.0
 	// maxBurst bounds the facts that a host publishes at once.
 	maxBurst = 4.0
-	// takeInterval is the time between two looks for news.
+	// takeInterval is the time between two looks for notable changes.
 	takeInterval = 300 * time.Millisecond
-	// notableSpeed, notableSlow and notableDemand are the differences from the last fact that are news:
+	// notableSpeed, notableSlow and notableDemand are the differences from the last fact that are published:
 	// a twelfth of the lasting time, twice the present time (above what a spell of
 	// 0.6 s does, which is over before the fact arrives), two fifths of a mean load.
 	notableSpeed  = 0.12
@@ -25,14 +25,14 @@
 	// turn comes first within refreshSpread; hosts that have just started need it.
 	refreshAge    = 40 * time.Second
 	refreshSpread = 15 * time.Second
-	// refreshNews ranks refreshes behind all news.
-	refreshNews = 0.5
+	// refreshChange ranks refreshes behind all changes.
+	refreshChange = 0.5
 )
 
-// candidate is a process whose estimate is news, and by how many notable differences.
+// candidate is a process whose estimate has changed notably, and by how many notable differences.
 type candidate struct {
 	process uint64
-	news    float64
+	change  float64
 }
 
 // TakeFacts returns the facts to publish now, the most notable first, for a fleet of some hosts.
@@ -58,31 +58,31 @@
 	return facts
 }
 
-// candidates returns the processes whose estimate is news, the most notable first.
+// candidates returns the processes whose estimate has changed notably, the most notable first.
 func (t *Table) candidates(now time.Duration) (list []candidate) {
 	for p, e := range t.entries {
-		if news := t.news(now, p, e); news > 0 {
-			list = append(list, candidate{process: p, news: news})
+		if change := t.change(now, p, e); change > 0 {
+			list = append(list, candidate{process: p, change: change})
 		}
 	}
 	slices.SortFunc(list, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(b.news, a.news), cmp.Compare(a.process, b.process))
+		return cmp.Or(cmp.Compare(b.change, a.change), cmp.Compare(a.process, b.process))
 	})
 	return list
 }
 
-// news returns by how many notable differences an entry differs from the last fact; zero if it is not
+// change returns by how many notable differences an entry differs from the last fact; zero if it is not
 // worth a fact.
-func (t *Table) news(now time.Duration, process uint64, e *entry) float64 {
-	news := math.Abs(e.speed-e.shared.speed) / notableSpeed
-	news = max(news, math.Abs(e.slowAt(now)-decay(e.shared.slow, now-e.sharedTime))/notableSlow)
-	news = max(news, math.Abs(t.demand(now, e)-e.shared.demand)/notableDemand)
-	if news >= 1 {
-		return news
+func (t *Table) change(now time.Duration, process uint64, e *entry) float64 {
+	change := math.Abs(e.speed-e.shared.speed) / notableSpeed
+	change = max(change, math.Abs(e.slowAt(now)-decay(e.shared.slow, now-e.sharedTime))/notableSlow)
+	change = max(change, math.Abs(t.demand(now, e)-e.shared.demand)/notableDemand)
+	if change >= 1 {
+		return change
 	}
 	spread := time.Duration((process ^ t.salt) * 0x9e3779b97f4a7c15 % uint64(refreshSpread))
 	if e.version > 0 && now-e.sharedTime > refreshAge+spread && (quantiseLog(e.shared.speed) != 0 || quantiseDemand(e.shared.demand) != 0) {
-		return refreshNews
+		return refreshChange
 	}
 	return 0
 }
@@ -99,7 +99,7 @@
 	f = Fact{Process: c.process, Version: e.version + 1, Speed: quantiseLog(next.speed), Slowdown: quantiseLog(next.slow), Demand: quantiseDemand(next.demand)}
 	old := decay(e.shared.slow, now-e.sharedTime)
 	same := f.Speed == quantiseLog(e.shared.speed) && f.Slowdown == quantiseLog(old) && f.Demand == quantiseDemand(e.shared.demand)
-	if same && c.news != refreshNews {
+	if same && c.change != refreshChange {
 		return Fact{}, false
 	}
 	e.shared = estimate{speed: f.speed(), slow: f.slowdown(), demand: f.demand()}
--- a/core/pick/shared_test.go
+++ b/core/pick/shared_test.go
@@ -454,7 +454,7 @@
 }
 
 // TestSlowTargetIsProbed guards against a slow target that gets its usual share, or none, so that nobody learns
-// of its recovery, and against hosts with equal news that all choose the same target. Load: 140 targets, one
+// of its recovery, and against hosts with equal estimates that all choose the same target. Load: 140 targets, one
 // of them 4 times slower; 28,000 requests, 200 for each target, half of them with time to spare.
 func TestSlowTargetIsProbed(t *testing.T) {
 	is := is.New(t)
--- a/io/gossip/estimate_test.go
+++ b/io/gossip/estimate_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// step advances the time by one tick in which each host publishes its news.
+// step advances the time by one tick in which each host publishes its changes.
 func (f *estimateFleet) step() {
 	f.now += 100 * time.Millisecond
 	for _, peer := range f.order {
@@ -87,7 +87,7 @@
 
 // TestEstimateBytes guards against estimates that take a notable part of the 9 KB a second that a host has
 // for all control. Load: 67 hosts with 140 targets and 370 with 600, 390 requests a second whose times vary
-// by a factor of 8 at random, so that there is always more news than may be sent.
+// by a factor of 8 at random, so that there is always more changes than may be sent.
 func TestEstimateBytes(t *testing.T) {
 	for hosts, targets := range map[int]int{67: 140, 370: 600} {
 		is := is.New(t)
@@ -107,7 +107,7 @@
 		perHost := float64(f.bytes) / float64(hosts) / (end - start).Seconds()
 		t.Logf("%d hosts, %d targets: %.0f bytes a second sent by each host", hosts, targets, perHost)
 		is.True(perHost < 3000) // a third of 9 KB; each host receives as much
-		is.True(perHost > 100)  // there was news
+		is.True(perHost > 100)  // there were changes
 	}
 }
 
