--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -20,7 +20,7 @@
 	// maxScarceLateWait is the wait of late jobs at a scarce pool above which late requests are
 	// refused. It keeps calls full; longer queues of late jobs are abandoned after their first
 	// stages.
-	maxScarceLateWait = 500 * time.Millisecond
+	maxScarceLateWait = 300 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry delay that is sent with a refusal.
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 3 * time.Second
@@ -45,7 +45,7 @@
 	// first; empty if they are not known, in which case the waits above hold for all.
 	Levels []Level
 	// Shed is the fraction of requests that are to be refused as the pool is scarce, Protected the
-	// fraction that is served like the most urgent level.
+	// fraction that is served before the most urgent level.
 	Shed, Protected float64
 	// RetryAfter is the time until there is room for the retry of a refused request; zero if it is
 	// not known.
@@ -195,7 +195,7 @@
 }
 
 // Protect returns the path of a protected request: one of the minimum share of its level, which is
-// admitted and served like the most urgent level.
+// admitted and served before the most urgent level.
 func (p Path) Protect() Path {
 	p.Stages = slices.Clone(p.Stages)
 	for i, s := range p.Stages {
@@ -213,7 +213,7 @@
 const (
 	// Ordinary requests are served by their own priority.
 	Ordinary Treatment = iota // ordinary
-	// Protected requests are served like the most urgent level.
+	// Protected requests are served before the most urgent level.
 	Protected // protected
 	// Shed requests are refused.
 	Shed // shed
--- a/core/batch/admit.go
+++ b/core/batch/admit.go
@@ -15,7 +15,7 @@
 		d.touchLevel(now, j.Priority).admitted.add(now, j.Pieces)
 	}
 	if j.Protected {
-		j.Priority = d.mostUrgentLevel(j.Priority)
+		j.Priority = d.protectedLevel(j.Priority)
 	}
 	d.meanPriority += priorityWeight * (float64(j.Priority) - d.meanPriority)
 	end := d.expectedEnd(now, j)
--- a/core/batch/announce.go
+++ b/core/batch/announce.go
@@ -63,7 +63,7 @@
 		d.lead += time.Duration(leadWeight * float64(a.ArrivesIn-d.lead))
 	}
 	if a.Protected {
-		a.Priority = d.mostUrgentLevel(a.Priority)
+		a.Priority = d.protectedLevel(a.Priority)
 	}
 	job := announcedJob{Announcement: a, at: now, arrives: now + a.ArrivesIn}
 	i, _ := slices.BinarySearchFunc(d.announced, job, func(a, b announcedJob) int { return cmp.Compare(a.arrives, b.arrives) })
--- a/core/batch/batch.go
+++ b/core/batch/batch.go
@@ -89,7 +89,7 @@
 	WaitForZone bool
 	// HasPriorWork is set if earlier stages of the request have run. A refusal wastes them.
 	HasPriorWork bool
-	// Protected is set if the job is queued like those of the most urgent level. It still counts as
+	// Protected is set if the job is queued before those of the most urgent level. It still counts as
 	// one of its own.
 	Protected bool
 	// Announcement is the ID of the job's announcement, zero for none.
--- a/core/batch/level.go
+++ b/core/batch/level.go
@@ -11,14 +11,14 @@
 const (
 	// lightUse is the fraction of the capacity that less urgent levels may use together to be shed no
 	// more than the level that does not fit. To refuse them would admit hardly more of that one. It
-	// covers the retries of a level of a twentieth.
+	// covers a level of a twentieth with its retries.
 	lightUse = 0.05
 	// levelTTL is how long a priority level is reported after its last request. It is longer than
 	// the gaps of a kind with one request in a few seconds.
 	levelTTL = 10 * time.Second
 	// MinLevelShare is the fraction of its proportional share of the capacity that each level keeps
 	// under scarcity, at each attempt. Callers try twice and need a quarter of what all requests get;
-	// in a lasting overload the least urgent level then gets 0.36 of it (TestLastingOverload).
+	// in a lasting overload the least urgent level then gets 0.39 of it (TestLastingOverload).
 	MinLevelShare = 0.2
 	// overtakingSteps is the number of steps in which the work that overtakes a job is estimated;
 	// each step adds what arrives during the wait that the step before added.
@@ -43,7 +43,7 @@
 	// OnTimeWait and LateWait are as for Backlog, at this level.
 	OnTimeWait, LateWait time.Duration
 	// Share is the fraction of the level's requests that the pool can take, Protected the part of it
-	// that is served like the most urgent level; zero unless the pool is scarce.
+	// that is queued before the most urgent level; zero unless the pool is scarce.
 	Share, Protected float64
 	// RetryAfter is the time until there is room for the retry of a request that is refused now.
 	RetryAfter time.Duration
@@ -103,12 +103,14 @@
 	return demand > newsDemand*d.capacity(now)
 }
 
-// mostUrgentLevel returns the most urgent level seen lately, at most a priority.
-func (d *Dispatcher) mostUrgentLevel(priority int) int {
+// protectedLevel returns the level as which the protected requests of a level are queued: one before the
+// most urgent one seen lately. Protected requests are few, and the queue of a scarce pool is as long as the
+// objective of the requests that are admitted by time allows, which may be longer than their own.
+func (d *Dispatcher) protectedLevel(priority int) int {
 	for p := range d.levels {
 		priority = min(priority, p)
 	}
-	return priority
+	return priority - 1
 }
 
 // Scarce reports whether less urgent requests are shed, and the duration of the calls that they
--- a/io/dispatch/job.go
+++ b/io/dispatch/job.go
@@ -27,7 +27,7 @@
 	// DeadlineIn the time left if the caller is to get a response before it stops waiting.
 	SoftDeadlineIn, DeadlineIn time.Duration
 	Priority                   int
-	// Protected is set if the job is queued like those of the most urgent level.
+	// Protected is set if the job is queued before those of the most urgent level.
 	Protected bool
 	// Announcement is the ID with which the job was announced to its group; zero for none.
 	Announcement uint64
--- a/io/edge/front.go
+++ b/io/edge/front.go
@@ -78,7 +78,7 @@
 	pool string
 	// priority is that of the route, plus that of the workspace weighted by workspaceWeight.
 	priority int
-	// protected is set if the jobs of the request are queued like those of the most urgent level.
+	// protected is set if the jobs of the request are queued before those of the most urgent level.
 	protected bool
 	// headStart is the time by which the jobs of the request are queued before new ones.
 	headStart time.Duration
