--- a/review/lab2/case_stop.go
+++ b/review/lab2/case_stop.go
@@ -14,7 +14,7 @@
 	gracePeriod = 8 * time.Second
 	contactTime = 3 * time.Second
 	// stopFreeze is how long the host that is stopped stands still.
-	stopFreeze = 2 * time.Second
+	stopFreeze = 3500 * time.Millisecond
 	// bookingTimeout is the timeoutMs of the route.
 	bookingTimeout = 2 * time.Second
 	// stopCallers is the number of callers that book, fewer than their engines have slots.
@@ -29,7 +29,7 @@
 	at time.Duration
 }
 
-// stopCase stops a host with SIGTERM while it stands still for two seconds, and kills it after the grace period. It is the
+// stopCase stops a host with SIGTERM while it stands still, and kills it after the grace period. It is the
 // only host, so that callers get no other address and go on with the one that they have.
 func stopCase(r *run) error {
 	s, err := newStore()
