--- a/review/lab2/case_crash.go
+++ b/review/lab2/case_crash.go
@@ -9,9 +9,9 @@
 
 const (
 	// crashRounds is how often an engine crashes, each time another one.
-	crashRounds = 8
+	crashRounds = 10
 	// crashStreams is the number of streams in progress when an engine crashes, crashEvents that of their events.
-	crashStreams, crashEvents = 200, 30
+	crashStreams, crashEvents = 240, 30
 )
 
 // crashCase kills one of four engines, again and again, while they write streams that have no length and end with their
--- a/review/lab2/run.go
+++ b/review/lab2/run.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"sync"
@@ -92,12 +93,22 @@
 	}
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+// taken has the ports that freeAddress has returned.
+var taken sync.Map
+
+// freeAddress returns a loopback address with a port that is free now, below those that the kernel gives to clients.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	const first, ports = 11_000, 20_000
+	for {
+		port := first + rand.IntN(ports)
+		if _, known := taken.LoadOrStore(port, true); known {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
 }
