--- a/review/lab2/client.go
+++ b/review/lab2/client.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"fmt"
 	"io"
 	"net"
@@ -18,6 +19,8 @@
 	header           map[string]string
 	body             []byte
 	deadline         time.Duration
+	// key is the key of the client; that of the first configuration if empty.
+	key string
 	// patience is how long a client of a stream waits for the next event; zero for the whole deadline.
 	patience time.Duration
 }
@@ -50,7 +53,7 @@
 // text returns the request as it is sent.
 func (q request) text() []byte {
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: pule25.example\r\nX-Request-Id: %s\r\nX-Api-Key: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, q.id, apiKey, q.deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: pule25.example\r\nX-Request-Id: %s\r\nX-Api-Key: %s\r\nX-Deadline-Ms: %d\r\n", q.method, q.path, q.id, cmp.Or(q.key, apiKey), q.deadline.Milliseconds())
 	names := make([]string, 0, len(q.header))
 	for name := range q.header {
 		names = append(names, name)
--- a/review/lab2/deployment.go
+++ b/review/lab2/deployment.go
@@ -89,6 +89,11 @@
 
 // publish writes a configuration with the routes and services of all cases.
 func (s *store) publish(version int, routes ...map[string]any) {
+	s.publishWithKey(version, apiKey, routes...)
+}
+
+// publishWithKey writes a configuration like publish, in which the workspace has another key.
+func (s *store) publishWithKey(version int, key string, routes ...map[string]any) {
 	routes = append(routes,
 		route("chat", "/chat/", "streaming", "sprachwerk", 20000, 1900, 1),
 		route("booking", "/booking/", "non_idempotent", "verleih", 2000, 300, 1),
@@ -99,9 +104,10 @@
 		"services": []map[string]any{
 			{"name": "sprachwerk", "healthPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false, "engine": map[string]any{"slots": 64, "kvTokens": 357587}},
 			{"name": "verleih", "healthPath": "/healthz", "maxConnections": 96, "protocol": "h1", "tls": false},
+			{"name": "kundenkonto", "healthPath": "/healthz", "maxConnections": 360, "protocol": "h1", "tls": false, "pieces": map[string]any{"slots": 1, "queue": 2, "batch": 8, "callMs": 200.0, "itemMs": 21.0, "roomMb": 18.0, "handleS": 4.0, "linkMbps": 10000}},
 		},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "bozi300", "apiKeys": []string{apiKey}, "priority": 1}},
+		"tenants": []map[string]any{{"name": "bozi300", "apiKeys": []string{key}, "priority": 1}},
 	})
 }
 
