--- a/review/lab2/case_stop.go
+++ b/review/lab2/case_stop.go
@@ -15,6 +15,8 @@
 	contactTime = 3 * time.Second
 	// stopFreeze is how long the host that is stopped stands still.
 	stopFreeze = 3500 * time.Millisecond
+	// stopMargin is for a signal that takes effect late.
+	stopMargin = 100 * time.Millisecond
 	// bookingTimeout is the timeoutMs of the route.
 	bookingTimeout = 2 * time.Second
 	// stopCallers is the number of callers that book, fewer than their engines have slots.
@@ -114,7 +116,7 @@
 	lost := 0
 	for _, b := range sent {
 		mark := ""
-		calm := !r.trouble || b.at >= time.Until(began.Add(stopFreeze+contactTime))+time.Since(term)
+		calm := !r.trouble || b.at >= time.Until(began.Add(stopFreeze+contactTime+stopMargin))+time.Since(term)
 		if ran[b.id] && !b.complete && calm && b.elapsed < bookingTimeout {
 			lost++
 			mark = " LOST"
