httphead, headcheck: fail on responses whose status is none

What callers saw: a target in trouble answered with status 000. If a sound response followed on the connection, the caller of an edge host got that one as the answer; status 600 and 999 went to the caller as they were. The daemon took status 000 with outcome done, failed or not-run for the answer of an idempotent call, failed for that of a command, and any status for a sign that a target is alive.

Cause: net/http accepts any three digits, and signs, as a status. io/transport skipped everything below 200 as informational; the daemon's clients never looked at the range.

Such an answer is broken: it may have run, so that only what may be repeated is. Messages between hosts are gRPC, which has a check of its own.

A plain 000 with a body was a refusal at edge hosts before, too.

--- a/io/caller/caller.go
+++ b/io/caller/caller.go
@@ -16,6 +16,7 @@
 
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
+	"sassafrasward/io/headcheck"
 	"sassafrasward/io/sse"
 	"sassafrasward/io/wire"
 )
@@ -52,7 +53,8 @@
 
 // New returns a client that discovers entry hosts through the seed addresses.
 func New(seeds []string, options ...Option) *Client {
-	c := &Client{seeds: seeds, client: &http.Client{}}
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	c := &Client{seeds: seeds, client: &http.Client{Transport: headcheck.NewTransport(transport)}}
 	for _, o := range options {
 		o(c)
 	}
--- a/io/cli/fetch.go
+++ b/io/cli/fetch.go
@@ -9,6 +9,7 @@
 
 	"sassafrasward/core/config"
 	"sassafrasward/io/daemon"
+	"sassafrasward/io/headcheck"
 	"sassafrasward/io/wire"
 )
 
@@ -19,6 +20,8 @@
 	maxStatusBytes = 16 << 20 // bytes
 )
 
+var client = &http.Client{Transport: headcheck.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
+
 // fetch reads path from the host at address; limit bounds the answer in bytes.
 func fetch(ctx context.Context, address, path string, limit int64) (body []byte, err error) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
@@ -27,7 +30,7 @@
 	if err != nil {
 		return nil, err
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := client.Do(request)
 	if err != nil {
 		return nil, err
 	}
--- a/io/edge/raw_test.go
+++ b/io/edge/raw_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 
@@ -23,14 +25,14 @@
 
 // newRawEngine starts a target that calls answer for each request that it has read, with the number of
 // the request on its connection from 0. It closes the connection if answer returns false.
-func newRawEngine(t *testing.T, id string, answer func(w io.Writer, r *http.Request, number int) (keep bool)) *rawEngine {
+func newRawEngine(t *testing.T, id string, answer func(w io.Writer, r *http.Request, number int) (keep bool)) (e *rawEngine) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &rawEngine{Target: newEngine(t, id, nil), address: listener.Addr().String()}
+	e = &rawEngine{Target: newEngine(t, id, signed(eventText(1, 2))), address: listener.Addr().String()}
 	serve := func(conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		reader := bufio.NewReader(conn)
@@ -39,7 +41,8 @@
 			if err != nil {
 				return
 			}
-			_, _ = io.Copy(io.Discard, r.Body)
+			body, _ := io.ReadAll(r.Body) // a caller that has gone sends less
+			r.Body = io.NopCloser(bytes.NewReader(body))
 			e.requests.Add(1)
 			if !answer(conn, r, number) {
 				return
@@ -59,6 +62,17 @@
 	return e
 }
 
+// sound returns the response of the stand-in to a request in bytes.
+func (e *rawEngine) sound(r *http.Request) string {
+	recorder := httptest.NewRecorder()
+	e.ServeHTTP(recorder, r)
+	var headers []string
+	for name := range recorder.Header() {
+		headers = append(headers, name+": "+recorder.Header().Get(name))
+	}
+	return framed(recorder.Code, "length", recorder.Body.String(), headers...)
+}
+
 // startRaw starts a host with one target of the pool that writes its answers byte by byte.
 func startRaw(t *testing.T, pool string, answer func(w io.Writer, r *http.Request, number int) (keep bool)) (host *testHost, e *rawEngine) {
 	t.Helper()
--- a/io/loopback/endless.go
+++ b/io/loopback/endless.go
@@ -18,6 +18,25 @@
 // and then sends the block again and again until the connection is closed. It stops at the end of the
 // test.
 func ServeEndless(t testing.TB, prefix, block string) (address string) {
+	t.Helper()
+	chunk := []byte(strings.Repeat(block, 1+endlessChunk/len(block)))
+	return serve(t, func(conn net.Conn) { sendEndless(conn, prefix, chunk) })
+}
+
+// ServeBytes starts a server that reads the start of a request on each connection, sends the response
+// as it is and closes the connection. It stops at the end of the test.
+func ServeBytes(t testing.TB, response string) (address string) {
+	t.Helper()
+	return serve(t, func(conn net.Conn) {
+		defer func() { _ = conn.Close() }()
+		if _, err := conn.Read(make([]byte, endlessChunk)); err == nil {
+			_, _ = conn.Write([]byte(response)) // the client may have gone
+		}
+	})
+}
+
+// serve starts a server that handles each connection, and stops it at the end of the test.
+func serve(t testing.TB, handle func(net.Conn)) (address string) {
 	t.Helper()
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -28,7 +47,6 @@
 		_ = listener.Close()
 		<-ended
 	})
-	chunk := []byte(strings.Repeat(block, 1+endlessChunk/len(block)))
 	go func() {
 		defer close(ended)
 		for {
@@ -36,7 +54,7 @@
 			if err != nil {
 				return
 			}
-			go sendEndless(conn, prefix, chunk)
+			go handle(conn)
 		}
 	}()
 	return listener.Addr().String()
--- a/io/order/client.go
+++ b/io/order/client.go
@@ -11,6 +11,7 @@
 	"github.com/zeebo/errs"
 
 	"sassafrasward/core/order"
+	"sassafrasward/io/headcheck"
 	"sassafrasward/io/wire"
 )
 
@@ -35,7 +36,8 @@
 func newClient() *client {
 	// Each call uses a new connection: orders are rare, and a connection that was idle between
 	// two time slots may be dead.
-	return &client{http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}}}
+	transport := &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
+	return &client{http: &http.Client{Transport: headcheck.NewTransport(transport)}}
 }
 
 // report returns the models and the role that the engine reports, and its fencing token.
--- a/io/platform/platform.go
+++ b/io/platform/platform.go
@@ -12,6 +12,7 @@
 	"github.com/zeebo/errs"
 
 	"sassafrasward/core/config"
+	"sassafrasward/io/headcheck"
 	"sassafrasward/io/wire"
 )
 
@@ -34,10 +35,10 @@
 // maxHeadBytes is the maximum size of the headers of an answer.
 const maxHeadBytes = 64 << 10
 
-func newTransport() *http.Transport {
+func newTransport() http.RoundTripper {
 	t := http.DefaultTransport.(*http.Transport).Clone()
 	t.MaxResponseHeaderBytes = maxHeadBytes
-	return t
+	return headcheck.NewTransport(t)
 }
 
 // New returns a client of the platform at address. It counts its calls with calls.
--- a/io/target/command.go
+++ b/io/target/command.go
@@ -15,6 +15,7 @@
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
+	"sassafrasward/io/headcheck"
 	"sassafrasward/io/wire"
 )
 
@@ -61,7 +62,7 @@
 		reply.status = lostAnswerStatus(ctx, err)
 		return reply, err
 	}
-	response, err := readHead(conn, request)
+	response, err := readHead(headcheck.NewConn(conn), request)
 	if err != nil {
 		reply.status = lostAnswerStatus(ctx, err)
 		return reply, err
--- a/io/target/target.go
+++ b/io/target/target.go
@@ -15,6 +15,7 @@
 	"sassafrasward/core/outcome"
 	"sassafrasward/core/reason"
 	"sassafrasward/core/schedule"
+	"sassafrasward/io/headcheck"
 	"sassafrasward/io/wire"
 )
 
@@ -59,7 +60,10 @@
 		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 	noKeepAlive := &http.Transport{DialContext: dialer().DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes}
-	c := &Client{client: &http.Client{Transport: transport}, noKeepAlive: &http.Client{Transport: noKeepAlive}, clock: func() time.Duration { return time.Since(start) }}
+	c := &Client{
+		client: &http.Client{Transport: headcheck.NewTransport(transport)}, noKeepAlive: &http.Client{Transport: headcheck.NewTransport(noKeepAlive)},
+		clock: func() time.Duration { return time.Since(start) },
+	}
 	for _, o := range options {
 		o(c)
 	}
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"sassafrasward/core/httphead"
 )
 
 // Error is the error class of this package. Its messages begin with "link", for searches of logs.
@@ -148,6 +150,8 @@
 	// headLeft is how many bytes of the current head may still be received; negative while a body
 	// is read. Only the goroutine that reads uses it.
 	headLeft int
+	// checker checks the current head.
+	checker httphead.Checker
 	// idleSince is when the connection became idle.
 	idleSince time.Time
 	// keepAlive is the timeout in the target's last Keep-Alive header; zero if none.
@@ -250,14 +254,19 @@
 	return FramedByLength
 }
 
-// readHead reads the head of a response, which has at most maxHeadBytes.
+// readHead reads the head of a response, which has at most maxHeadBytes and is well-formed.
 func (c *conn) readHead(method string) (response *http.Response, err error) {
-	c.headLeft = maxHeadBytes
+	c.headLeft, c.checker = maxHeadBytes, httphead.Checker{}
 	defer func() { c.headLeft = -1 }()
+	received, _ := c.reader.Peek(c.reader.Buffered()) // never fails
+	if _, err := c.checker.Check(received); err != nil {
+		return nil, err
+	}
 	return http.ReadResponse(c.reader, &http.Request{Method: method})
 }
 
-// Read implements io.Reader. It fails with ErrTooLong if a head has more than maxHeadBytes.
+// Read implements io.Reader. It fails with ErrTooLong if a head has more than maxHeadBytes, and with an error
+// of the class httphead.Error if it is malformed.
 func (c *conn) Read(b []byte) (n int, err error) {
 	if c.headLeft < 0 {
 		return c.Conn.Read(b)
@@ -267,6 +276,9 @@
 	}
 	n, err = c.Conn.Read(b[:min(len(b), c.headLeft)])
 	c.headLeft -= n
+	if _, headErr := c.checker.Check(b[:n]); headErr != nil {
+		return 0, headErr // a line that it is part of would be taken for a whole one
+	}
 	return n, err
 }
 
--- a/io/transport/transport_test.go
+++ b/io/transport/transport_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 
+	"sassafrasward/core/httphead"
 	"sassafrasward/io/transport"
 )
 
@@ -270,3 +271,42 @@
 	is.True(errors.Is(err, context.Canceled))
 	<-closed
 }
+
+// TestMalformedHead guards against a response with a malformed head that counts as the response to a request,
+// be it on a new connection, on a kept one, or after responses that are skipped.
+func TestMalformedHead(t *testing.T) {
+	const malformed = "HTTP/1.1 000 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok"
+	for name, test := range map[string]struct {
+		first, second string
+	}{
+		"on a new connection": {"", malformed},
+		"on a kept one":       {"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", malformed},
+		"after a hint":        {"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + malformed},
+		"after a stray":       {"", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok" + malformed},
+		"before a sound one":  {"", "HTTP/1.1 000 \r\n\r\nHTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\n\r\nok"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			address, accepted := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				for _, response := range []string{test.first, test.second} {
+					if response == "" {
+						continue
+					}
+					if _, _, err := readRequest(r); err != nil {
+						return
+					}
+					_, _ = io.WriteString(c, response) // the client may have gone
+				}
+			})
+			p := transport.New(func() {})
+			if test.first != "" {
+				_, err := get(p, address, request("1"))
+				is.NoErr(err)
+			}
+			_, err := get(p, address, request("2"))
+			is.True(httphead.Error.Has(err))
+			is.True(transport.MaybeSent(err)) // it may have run
+			is.Equal(accepted.Load(), int64(1))
+		})
+	}
+}
