httphead: fail on malformed names and line ends in the head of a response

What callers saw: a target in trouble wrote a blank into the name of a field, before, in or after it, or a line feed before it. The caller of an edge host got the answer with the body that was left: with chunk sizes in it if the name was "Transfer-Encoding ", with the field and the rest of the head if it began with a line feed. The daemon's targets, calls of stages, the store and the daemon's platform took such answers, too.

Cause: net/http accepts spaces in names but doesn't know the field then, joins a line that begins with a blank to the one before, and takes a line feed alone for the end of a line. Other control bytes it did refuse.

Change: core/httphead accepts only names that are tokens (RFC 9110, section 5.6.2) and lines that end with CR LF; a line that begins with a blank is an error, as RFC 9112, section 5.2, allows for a gateway. The fix rejects the head before any field is used, so that no reader can frame the body by it.

--- a/core/httphead/checker.go
+++ b/core/httphead/checker.go
@@ -1,6 +1,10 @@
 package httphead
 
-import "github.com/zeebo/errs"
+import (
+	"strings"
+
+	"github.com/zeebo/errs"
+)
 
 // Error is the class of all errors of this package. Each says that a response is malformed.
 var Error = errs.Class("malformed response head")
@@ -23,12 +27,16 @@
 	statusCode
 	// afterStatus is the space or the line end after the status.
 	afterStatus
-	// line is the rest of the status line or of a field line.
-	line
-	// lineStart is the start of a field line or of the empty line that ends the head.
+	// text is the reason phrase or the value of a field.
+	text
+	// lineEnd is the line feed after the carriage return of a line.
+	lineEnd
+	// lineStart is the first byte of a field line or of the empty line that ends the head.
 	lineStart
-	// emptyLine is the rest of a line that began with a carriage return.
-	emptyLine
+	// name is the rest of the name of a field, and the colon after it.
+	name
+	// headEnd is the line feed of the empty line.
+	headEnd
 	// done means that the head of the final response has ended.
 	done
 )
@@ -78,34 +86,60 @@
 		}
 		c.part = afterStatus
 	case afterStatus:
-		if b != ' ' && b != '\r' && b != '\n' {
+		if b != ' ' && b != '\r' {
 			return errs.New("status %d, then the character %q", c.status, b)
 		}
-		c.continueLine(b)
-	case line:
-		c.continueLine(b)
+		return c.checkText(b)
+	case text:
+		return c.checkText(b)
 	case lineStart:
-		switch b {
-		case '\n':
-			c.endHead()
-		case '\r':
-			c.part = emptyLine
+		// A line that begins with a blank was the continuation of the one before in older versions of
+		// HTTP. A gateway may reject it (RFC 9112, section 5.2), and a reader that doesn't join the lines
+		// finds another head.
+		switch {
+		case b == '\r':
+			c.part = headEnd
+		case !isTokenChar(b):
+			return errs.New("line with the first character %q", b)
 		default:
-			c.part = line
+			c.part = name
+		}
+	case name:
+		switch {
+		case b == ':':
+			c.part = text
+		case !isTokenChar(b):
+			return errs.New("name of a field with the character %q", b)
 		}
-	case emptyLine:
-		if c.part = line; b == '\n' {
+	case lineEnd, headEnd:
+		if b != '\n' {
+			return errs.New("carriage return, then the character %q", b)
+		}
+		if c.part == headEnd {
 			c.endHead()
+		} else {
+			c.part = lineStart
 		}
 	}
 	return nil
 }
 
-// continueLine moves to the next line after a line feed.
-func (c *Checker) continueLine(b byte) {
-	if c.part = line; b == '\n' {
-		c.part = lineStart
+// checkText checks the next byte of a reason phrase or a value, or the carriage return after it. A line feed alone
+// may end a line (RFC 9112, section 2.2), but whether its sender meant that can't be told.
+func (c *Checker) checkText(b byte) error {
+	c.part = text
+	switch b {
+	case '\r':
+		c.part = lineEnd
+	case '\n':
+		return errs.New("line feed without a carriage return")
 	}
+	return nil
+}
+
+// isTokenChar reports whether a name may have the character (RFC 9110, section 5.6.2).
+func isTokenChar(b byte) bool {
+	return '0' <= b && b <= '9' || 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
 
 // endHead ends the head of a response. Another one follows an informational response, except for that
--- a/core/httphead/checker_test.go
+++ b/core/httphead/checker_test.go
@@ -30,6 +30,21 @@
 		{"status of two digits", "HTTP/1.1 20 OK\r\n" + fields, 11, ""},
 		{"status of four digits", "HTTP/1.1 2000 OK\r\n" + fields, 12, ""},
 		{"informational, then 000", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n", 36, ""},
+		{"all characters of names", "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09azAZ: \t v\x80: \r\n\r\n", -1, ""},
+		{"space in a name", "HTTP/1.1 200 OK\r\nX Bad: v\r\n\r\n", 18, ""},
+		{"space after a name", "HTTP/1.1 200 OK\r\nX : v\r\n\r\n", 18, ""},
+		{"space before the first name", "HTTP/1.1 200 OK\r\n X: v\r\n\r\n", 17, ""},
+		{"space before another name", "HTTP/1.1 200 OK\r\nX: v\r\n X: v\r\n\r\n", 23, ""},
+		{"tab before another name", "HTTP/1.1 200 OK\r\nX: v\r\n\tX: v\r\n\r\n", 23, ""},
+		{"control byte in a name", "HTTP/1.1 200 OK\r\nX\x01: v\r\n\r\n", 18, ""},
+		{"byte above 127 in a name", "HTTP/1.1 200 OK\r\nX\x80: v\r\n\r\n", 18, ""},
+		{"empty name", "HTTP/1.1 200 OK\r\n: v\r\n\r\n", 17, ""},
+		{"name without a value", "HTTP/1.1 200 OK\r\nX\r\n\r\n", 18, ""},
+		{"CR in a line", "HTTP/1.1 200 OK\r\nX: v\rY: v\r\n\r\n", 22, ""},
+		{"CR before a name", "HTTP/1.1 200 OK\r\n\rX: v\r\n\r\n", 18, ""},
+		{"LF before a name", "HTTP/1.1 200 OK\r\nX: v\r\n\nX: v\r\n\r\n", 23, ""},
+		{"LF in a line", "HTTP/1.1 200 OK\r\nX: v\nY: v\r\n\r\n", 21, ""},
+		{"LF after the status", "HTTP/1.1 200\nX: v\r\n\r\n", 12, ""},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			for size := 1; size <= len(test.head)+len(test.rest); size++ {
--- a/io/edge/head_test.go
+++ b/io/edge/head_test.go
@@ -23,6 +23,26 @@
 	"status 000, then a sound one":  func(sound string) string { return "HTTP/1.1 000 \r\n\r\n" + sound },
 	"status 000, then one with 000": func(sound string) string { return "HTTP/1.1 000 \r\n\r\n" + withStatus("000")(sound) },
 	"status 103, then one with 000": func(sound string) string { return "HTTP/1.1 103 \r\n\r\n" + withStatus("000")(sound) },
+	"space in a name":               withField("X Bad: v"),
+	"space after a name":            withField("X-Bad : v"),
+	"tab in a name":                 withField("X\tBad: v"),
+	"NUL in a name":                 withField("X\x00Bad: v"),
+	"DEL in a name":                 withField("X\x7fBad: v"),
+	"CR before a name":              withField("\rX-Bad: v"),
+	"CR in a name":                  withField("X\rBad: v"),
+	"LF before a name":              withField("\nX-Bad: v"),
+	"LF in a name":                  withField("X\nBad: v"),
+	"space before a name":           withField(" X-Bad: v"),
+	"tab before a name":             withField("\tX-Bad: v"),
+	"empty name":                    withField(": v"),
+	"space before the first name":   func(sound string) string { return strings.Replace(sound, "\r\n", "\r\n X-Bad: v\r\n", 1) },
+	"space after Content-Length":    func(sound string) string { return strings.Replace(sound, "Content-Length:", "Content-Length :", 1) },
+	"space before Content-Length":   func(sound string) string { return strings.Replace(sound, "Content-Length:", " Content-Length:", 1) },
+	"space after Transfer-Encoding": func(sound string) string { return inChunks(sound, "Transfer-Encoding : chunked") },
+	"space before Transfer-Encoding": func(sound string) string {
+		return inChunks(sound, " Transfer-Encoding: chunked")
+	},
+	"space in the name of a hint": func(sound string) string { return "HTTP/1.1 103 Early Hints\r\nX Bad: v\r\n\r\n" + sound },
 }
 
 // withStatus replaces the status of a response.
@@ -30,6 +50,18 @@
 	return func(sound string) string { return strings.Replace(sound, " 200 ", " "+status+" ", 1) }
 }
 
+// withField adds a line to the end of the head of a response.
+func withField(line string) func(sound string) string {
+	return func(sound string) string { return strings.Replace(sound, "\r\n\r\n", "\r\n"+line+"\r\n\r\n", 1) }
+}
+
+// inChunks replaces the length of a response by the line, and its body by one in a chunk.
+func inChunks(sound, line string) (chunked string) {
+	head, body, _ := strings.Cut(sound, "\r\n\r\n")
+	head = strings.Replace(head, fmt.Sprintf("Content-Length: %d", len(body)), line, 1)
+	return fmt.Sprintf("%s\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+}
+
 // TestMalformedHead guards against a response with a malformed head that reaches the caller as the answer,
 // whole or in part, or counts as the answer to the call of a stage.
 func TestMalformedHead(t *testing.T) {
@@ -59,7 +91,7 @@
 							response = malform(response)
 						}
 						_, _ = io.WriteString(w, response)
-						return true
+						return !malformed.Load()
 					})
 					s.RegisterAt(e.Target, e.address, pool, "ready")
 				}
--- a/io/platform/platform_test.go
+++ b/io/platform/platform_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rcrowley/go-metrics"
 
+	"sassafrasward/io/loopback"
 	"sassafrasward/io/platform"
 )
 
@@ -33,6 +34,15 @@
 	is.True(!changed)
 }
 
+// TestMalformedHead guards against a configuration from an answer whose head is malformed.
+func TestMalformedHead(t *testing.T) {
+	is := is.New(t)
+	address := loopback.ServeBytes(t, "HTTP/1.1 200 OK\r\nConfig-Version: 3\r\nX Bad: v\r\nContent-Length: 11\r\n\r\n[document]\n")
+	_, changed, err := platform.New(address, metrics.NewCounter()).Config(context.Background(), 1, 0)
+	is.True(err != nil)
+	is.True(!changed)
+}
+
 // TestWholeDocument guards against the refusal of a document with a length.
 func TestWholeDocument(t *testing.T) {
 	is := is.New(t)
--- a/io/target/head_test.go
+++ b/io/target/head_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"testing"
 	"time"
 
@@ -28,6 +29,11 @@
 	} {
 		answer := framed(test.status, test.contentType, "length", test.body)
 		for head, malformed := range map[string]string{
+			"space in a name":               strings.Replace(answer, "\r\n", "\r\nX Bad: v\r\n", 1),
+			"space after a name":            strings.Replace(answer, "Content-Length:", "Content-Length :", 1),
+			"space before a name":           strings.Replace(answer, "Content-Length:", " Content-Length:", 1),
+			"tab in a name":                 strings.Replace(answer, "\r\n", "\r\nX\tBad: v\r\n", 1),
+			"LF before a name":              strings.Replace(answer, "\r\n\r\n", "\r\n\nX-Bad: v\r\n\r\n", 1),
 			"status 000":                    "HTTP/1.1 000" + answer[len("HTTP/1.1 200"):],
 			"status 600":                    "HTTP/1.1 600" + answer[len("HTTP/1.1 200"):],
 			"status 103, then one with 000": "HTTP/1.1 103 Early Hints\r\n\r\n" + "HTTP/1.1 000" + answer[len("HTTP/1.1 200"):],
