transport: a reset during the upload breaks a body without a length

What callers saw: a target answered a long upload at once with a 200 that had neither a length nor chunks, sent part of its body and reset the connection while the upload was still being written. The caller of an edge host got the part as a complete answer, or a stream of whole events as a complete one.

Cause: the kernel reports a reset to one call on the socket. Bodies of more than 16 KiB are written by a goroutine of their own; if its write got the error, the read of the response saw the end of the connection, as after a proper close.

Change: a body that ends with its connection waits at its end for the result of the write. If that failed, the body is broken off: it goes to another target or ends as a refusal, as after any broken answer. A target that ends its answer early and reads on, or stands still for 500 ms, is believed, as before. Bodies with a length or chunks never depended on this. Ruled out: asking the socket for its state, which can't tell a target that closed from one that was reset a moment later.

Stage calls and the store decode whole JSON; calls of the store have no body.

--- a/io/edge/raw_test.go
+++ b/io/edge/raw_test.go
@@ -27,13 +27,7 @@
 // the request on its connection from 0. It closes the connection if answer returns false.
 func newRawEngine(t *testing.T, id string, answer func(w io.Writer, r *http.Request, number int) (keep bool)) (e *rawEngine) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	e = &rawEngine{Target: newEngine(t, id, signed(eventText(1, 2))), address: listener.Addr().String()}
-	serve := func(conn net.Conn) {
+	return newConnEngine(t, id, func(e *rawEngine, conn net.Conn) {
 		defer func() { _ = conn.Close() }()
 		reader := bufio.NewReader(conn)
 		for number := 0; ; number++ {
@@ -48,7 +42,18 @@
 				return
 			}
 		}
+	})
+}
+
+// newConnEngine starts a target that calls serve for each connection.
+func newConnEngine(t *testing.T, id string, serve func(e *rawEngine, conn net.Conn)) (e *rawEngine) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(func() { _ = listener.Close() })
+	e = &rawEngine{Target: newEngine(t, id, signed(eventText(1, 2))), address: listener.Addr().String()}
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -56,7 +61,7 @@
 				return
 			}
 			e.connections.Add(1)
-			go serve(conn)
+			go serve(e, conn)
 		}
 	}()
 	return e
--- a/io/target/framing_test.go
+++ b/io/target/framing_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"encoding/json"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -47,3 +51,35 @@
 		})
 	}
 }
+
+// TestResetWhileWriting guards against the part of an answer that counts as completed, because its target reset the
+// connection while the call was still being written.
+func TestResetWhileWriting(t *testing.T) {
+	const token = "event: token\ndata: {\"request\":\"r\",\"stage\":\"s\",\"attempt\":1,\"index\":0,\"text\":\"x\"}\n\n"
+	end := answerBody("done")
+	long := call
+	long.Input = json.RawMessage(`"` + strings.Repeat("x", 8<<20) + `"`)
+	for name, answer := range map[string]string{
+		"half a stream":  framed(http.StatusOK, wire.ContentTypeEvents, "close", token),
+		"half an answer": framed(http.StatusOK, wire.ContentTypeJSON, "close", end[:len(end)-1]),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := w.(http.Hijacker).Hijack()
+				if err != nil {
+					panic(err)
+				}
+				_, _ = io.WriteString(conn, answer) // the client may have gone
+				time.Sleep(10 * time.Millisecond)
+				_ = conn.(*net.TCPConn).SetLinger(0)
+				_ = conn.Close()
+			}))
+			defer s.Close()
+			for range 4 {
+				reply, _ := target.New().Run(context.Background(), strings.TrimPrefix(s.URL, "http://"), long, func(wire.Token) error { return nil })
+				is.True(reply.Status() != schedule.Completed)
+			}
+		})
+	}
+}
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -41,6 +41,9 @@
 	// maxInlineBody is the size in bytes up to which a body is written before the response is
 	// read. Larger bodies are written concurrently, because a target may respond early.
 	maxInlineBody = 16 << 10
+	// resetTimeout is how long a reset may follow the end of a connection to whose other side a request is still
+	// being written. It is far above a round trip between availability zones.
+	resetTimeout = 500 * time.Millisecond
 )
 
 // ErrTooLong is returned if a target sends more bytes than a response may have where its head or
@@ -115,7 +118,7 @@
 	mustClose bool
 	// stop detaches the connection from the request's context, see context.AfterFunc.
 	stop func() bool
-	// written receives the result of writing the request.
+	// written receives the result of writing the request, once. Until Close takes it, whoever reads it puts it back.
 	written chan error
 	once    sync.Once
 }
@@ -229,11 +232,7 @@
 			return nil, errUnidentified
 		}
 		if match != Stray {
-			framing := framing(received)
-			return &Response{
-				Status: received.StatusCode, Header: received.Header, Framing: framing, Body: received.Body, conn: c, pool: p, stop: stop, written: written,
-				mustClose: received.Close || framing == FramedByClose,
-			}, nil
+			return p.newResponse(received, c, stop, written), nil
 		}
 		c.sawStray = true
 		if n, err := io.Copy(io.Discard, io.LimitReader(received.Body, maxStrayBody)); err != nil || n == maxStrayBody {
@@ -243,6 +242,46 @@
 	return nil, errors.New("received no response to this request on the connection")
 }
 
+// newResponse returns the response to a request on the connection, with the fields of Response.
+func (p *Pool) newResponse(received *http.Response, c *conn, stop func() bool, written chan error) *Response {
+	framing := framing(received)
+	r := &Response{
+		Status: received.StatusCode, Header: received.Header, Framing: framing, Body: received.Body, conn: c, pool: p, stop: stop, written: written,
+		mustClose: received.Close || framing == FramedByClose,
+	}
+	if framing == FramedByClose {
+		r.Body = &bodyUntilClose{body: received.Body, written: written}
+	}
+	return r
+}
+
+// bodyUntilClose is a body that ends with its connection.
+type bodyUntilClose struct {
+	body io.Reader
+	// written is that of the Response.
+	written chan error
+}
+
+// Read implements io.Reader. The kernel reports a reset once, to the reader or to the writer of the connection; if the
+// writer was told, the reader sees an end in good order. A body therefore only ends well if the request was written.
+func (b *bodyUntilClose) Read(p []byte) (n int, err error) {
+	n, err = b.body.Read(p)
+	if !errors.Is(err, io.EOF) {
+		return n, err
+	}
+	timer := time.NewTimer(resetTimeout)
+	defer timer.Stop()
+	select {
+	case writeErr := <-b.written:
+		b.written <- writeErr
+		if writeErr != nil {
+			return n, fmt.Errorf("the connection ended before the request was written: %w", writeErr)
+		}
+	case <-timer.C: // the target has ended its response, and neither reads on nor closes
+	}
+	return n, err
+}
+
 // framing returns how the response marks the end of its body.
 func framing(r *http.Response) Framing {
 	switch {
--- a/io/transport/transport_test.go
+++ b/io/transport/transport_test.go
@@ -11,6 +11,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -198,7 +199,7 @@
 	})
 	p := transport.New(func() {})
 	long := request("1")
-	long.Method, long.Body = http.MethodPost, []byte(strings.Repeat("x", 32<<20))
+	long.Method, long.Body = http.MethodPost, largeBody
 	body, err := get(p, address, long)
 	is.NoErr(err)
 	is.Equal(body, "early")
@@ -310,3 +311,73 @@
 		})
 	}
 }
+
+// largeBody is more than the buffers of a connection take.
+var largeBody = []byte(strings.Repeat("x", 32<<20))
+
+// TestResetWhileWriting guards against a body without a length that is taken for complete though the connection
+// was reset while the request was still being written, so that the writer was told and the reader was not.
+func TestResetWhileWriting(t *testing.T) {
+	for name, closeConn := range map[string]func(c net.Conn, r *bufio.Reader){
+		"reset": func(c net.Conn, _ *bufio.Reader) { _ = c.(*net.TCPConn).SetLinger(0) },
+		"closed, then reset": func(c net.Conn, r *bufio.Reader) {
+			_, _ = io.CopyN(io.Discard, r, 1<<20)
+			_ = c.(*net.TCPConn).CloseWrite()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			partRead := make(chan struct{})
+			address, _ := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				if _, err := http.ReadRequest(r); err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\npart")
+				<-partRead
+				closeConn(c, r)
+			})
+			long := request("1")
+			long.Method, long.Body = http.MethodPost, largeBody
+			response, err := transport.New(func() {}).Do(context.Background(), address, long)
+			is.NoErr(err)
+			defer response.Close(false)
+			_, err = io.ReadFull(response.Body, make([]byte, len("part")))
+			is.NoErr(err)
+			close(partRead)
+			for !response.Sent() { // the writer has met the reset
+				time.Sleep(time.Millisecond)
+			}
+			_, err = io.ReadAll(response.Body)
+			is.True(err != nil)
+		})
+	}
+}
+
+// TestEarlyEnd guards against a whole body without a length that counts as broken off, because the target ended it
+// before it had read the whole request.
+func TestEarlyEnd(t *testing.T) {
+	for name, read := range map[string]bool{"the rest is read": true, "the rest is not read": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			done := make(chan struct{})
+			t.Cleanup(func() { close(done) })
+			address, _ := startServer(t, func(_ int, c net.Conn, r *bufio.Reader) {
+				request, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nwhole")
+				_ = c.(*net.TCPConn).CloseWrite()
+				if read {
+					_, _ = io.Copy(io.Discard, request.Body)
+				}
+				<-done
+			})
+			long := request("1")
+			long.Method, long.Body = http.MethodPost, largeBody
+			body, err := get(transport.New(func() {}), address, long)
+			is.NoErr(err)
+			is.Equal(body, "whole")
+		})
+	}
+}
