edge: merge reports about targets when they arrive, and ask for a cold time once

What was seen: TestTargetBackWhileStoreDown failed now and then with two health checks at a target that is back instead of one (slowstart_test.go:173).

Cause: the host that gets the first answer of such a target tells the others and asks for its health. A packet that brought this was read at once, but merged at the next tick of the receiver, up to 100 ms later. Two of the three hosts of the test send 99 and 100 ms after one another (their places in the share of the cold target), so that the second took its own answer for the first in the two failures that were traced: back at .906 and 1.006 s, and at .801 and .900 s; each then asked. Ruled out: a refusal that comes after the answer; none was logged.

Change: reports about targets are merged as soon as the packets that wait are read. That also shortens the time until limits, leaving targets and refused connections are known elsewhere. For answers that come at the same time, a host asks only if it has not heard of the cold time before its turn.

After, 0 of 25 and 0 of 10 alone and 0 of 10 beside 8 busy processes; TestAskedOnce shows the second part. All tests passed with -race.

--- a/core/selfreport/cold.go
+++ b/core/selfreport/cold.go
@@ -154,6 +154,9 @@
 	since, until time.Duration
 	// gone is set while the target refuses connections. Its cold time starts when it is back.
 	gone bool
+	// unknown is set while this host is to ask the target, which is back, how long it is cold. It is no longer
+	// once the host has learned of the cold time from the target, its entry or another host.
+	unknown bool
 	// shared is set if the other hosts know of it by records.
 	shared bool
 	// next is the earliest time of the next request, booked the same after the cold time.
@@ -175,7 +178,7 @@
 	if !c.active(now) {
 		c.since = now
 	}
-	c.until, c.gone = now, gone
+	c.until, c.gone, c.unknown = now, gone, false
 	if remaining > 0 {
 		c.until += remaining + coldMargin
 	}
--- a/core/selfreport/cold_test.go
+++ b/core/selfreport/cold_test.go
@@ -449,6 +449,43 @@
 	is.True(tables["b"].ColdFor(31100*time.Millisecond, gone) == 0)
 }
 
+// TestAskedOnce guards against two hosts that ask a target for its cold time, because both got an answer before they
+// heard of each other, and against none that does.
+func TestAskedOnce(t *testing.T) {
+	for name, test := range map[string]struct {
+		// told is what a host learns before it asks.
+		told   func(table *selfreport.Table, back discovery.Target)
+		asking bool
+	}{
+		"nothing": {func(*selfreport.Table, discovery.Target) {}, true},
+		"record of the same answer": {func(table *selfreport.Table, back discovery.Target) {
+			table.Merge(0, back, selfreport.NewRecord("t", 1, 2, false, -1, time.Second, 0))
+		}, true},
+		"record of a health check": {func(table *selfreport.Table, back discovery.Target) {
+			table.Merge(0, back, selfreport.NewRecord("t", 1, 3, false, -1, time.Second, 0))
+		}, false},
+		"statement of the target": {func(table *selfreport.Table, back discovery.Target) {
+			table.Observe(0, back, selfreport.Statement{ColdStated: true, Cold: time.Second})
+		}, false},
+		"another entry": {func(table *selfreport.Table, back discovery.Target) { table.StartCold(0, []discovery.Target{back}) }, false},
+		"refused again": {func(table *selfreport.Table, back discovery.Target) { table.Refused(0, back) }, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := selfreport.New("a", selfreport.WithColdBound(usualBound))
+			table.SetSlowStarts(map[string]route.SlowStart{"p": usualStart})
+			table.SetFleet(selfreport.Fleet{Live: []string{"a", "b"}, Settled: true})
+			back := target("t", 1)
+			is.True(!table.MustAsk(back))
+			table.Refused(0, back)
+			is.True(!table.MustAsk(back))
+			is.True(table.Answered(0, back))
+			test.told(table, back)
+			is.Equal(table.MustAsk(back), test.asking)
+		})
+	}
+}
+
 // TestColdTimes guards against cold times of entries that start again without a new revision, that are
 // shortened by another source, or that last for ever, and against records that end them by mistake.
 func TestColdTimes(t *testing.T) {
--- a/core/selfreport/slowstart.go
+++ b/core/selfreport/slowstart.go
@@ -130,10 +130,18 @@
 		return false
 	}
 	r.setCold(now, s.Duration, false)
+	r.cold.unknown = true
 	t.publish(now, r)
 	return true
 }
 
+// MustAsk reports whether this host is still to ask a target that is back how long it is cold. Another host may
+// have got an answer of the target at the same time, and asked before.
+func (t *Table) MustAsk(target discovery.Target) bool {
+	r, ok := t.reports[incarnationOf(target)]
+	return ok && r.cold.unknown
+}
+
 // ObserveHealth records the remaining cold time that a target has stated in its answer to a health check. Such
 // an answer says nothing about the other facts.
 func (t *Table) ObserveHealth(now time.Duration, target discovery.Target, s Statement) (changes []Change) {
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -74,6 +74,9 @@
 		select {
 		case task := <-c.tasks:
 			task()
+			if len(c.tasks) == 0 { // packets that wait are read before
+				c.mergeNewReports()
+			}
 		case <-c.suspects.changed:
 			c.gossipCrashes()
 		case <-c.reports.Changed():
@@ -99,7 +102,7 @@
 
 // Post implements gossip.EventLoop. It queues f to run on the control goroutine. The changes that f
 // makes to the membership are applied by the next tick: while many hosts start, a new state per
-// packet would cost more than all packets.
+// packet would cost more than all packets. Reports about targets need no new state and are merged at once.
 func (c *control) Post(ctx context.Context, f func()) {
 	select {
 	case c.tasks <- f:
@@ -186,9 +189,7 @@
 	if c.members.CrashesChanged() {
 		c.suspects.merge(c.members.Crashes(c.clock()))
 	}
-	if c.members.ReportsChanged() {
-		c.mergeReports()
-	}
+	c.mergeNewReports()
 	targetsChanged, membersChanged := c.targetSet.Changed(), false
 	if now := c.clock(); servingChanged || now >= c.nextPublish {
 		membersChanged = c.node.Publish()
--- a/io/edge/limit.go
+++ b/io/edge/limit.go
@@ -137,7 +137,7 @@
 	}
 	gate.Take(now, t)
 	sleep(e.ctx, wait)
-	if !e.reports.MaySend(t, now, now+wait) {
+	if !e.reports.MaySend(t, now, now+wait) || !e.reports.MustAsk(t) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(e.ctx, healthTimeout)
--- a/io/edge/report.go
+++ b/io/edge/report.go
@@ -13,6 +13,13 @@
 	c.node.Tick()
 }
 
+// mergeNewReports adds what targets have stated to any host if there is something new.
+func (c *control) mergeNewReports() {
+	if c.members.ReportsChanged() {
+		c.mergeReports()
+	}
+}
+
 // mergeReports adds what the known targets have stated to any host.
 func (c *control) mergeReports() {
 	facts := c.members.Reports(c.clock())
--- a/io/selfreport/registry.go
+++ b/io/selfreport/registry.go
@@ -109,6 +109,13 @@
 	r.onBack(target, senders)
 }
 
+// MustAsk reports whether this host is still to ask a target that is back how long it is cold.
+func (r *Registry) MustAsk(target discovery.Target) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.table.MustAsk(target)
+}
+
 // ObserveHealth records the cold time that a target states in its answer to a health check.
 func (r *Registry) ObserveHealth(target discovery.Target, s selfreport.Statement) {
 	r.update("answer", func(now time.Duration) []selfreport.Change { return r.table.ObserveHealth(now, target, s) })
