--- a/core/httphead/checker.go
+++ b/core/httphead/checker.go
@@ -18,27 +18,29 @@
 	statusDigits       = 3
 )
 
+//go:generate go tool -modfile=../../tools/go.mod stringer -type=part -linecomment -output=part_string.go
+
 // part is the part of a head to which the next byte belongs.
 type part int
 
 const (
 	// version ends with the first space.
-	version part = iota
-	statusCode
-	// afterStatus is the space or the line end after the status.
-	afterStatus
+	version    part = iota // version
+	statusCode             // status code
+	// afterStatus is the space or the line end after the status code.
+	afterStatus // end of the status code
 	// text is the reason phrase or the value of a field.
-	text
+	text // text
 	// lineEnd is the line feed after the carriage return of a line.
-	lineEnd
+	lineEnd // end of a line
 	// lineStart is the first byte of a field line or of the empty line that ends the head.
-	lineStart
+	lineStart // start of a line
 	// name is the rest of the name of a field, and the colon after it.
-	name
+	name // name of a field
 	// headEnd is the line feed of the empty line.
-	headEnd
+	headEnd // end of the head
 	// done means that the head of the final response has ended.
-	done
+	done // body
 )
 
 // Checker checks the head of one response, and of the informational responses before it. The zero value
@@ -55,12 +57,13 @@
 // Check checks the next bytes that were received. Bytes after the head are not checked. If one is not
 // allowed, it returns an error and the number of bytes before it.
 func (c *Checker) Check(b []byte) (valid int, err error) {
+	defer func() { err = Error.Wrap(err) }()
 	for i, next := range b {
 		if c.part == done {
 			break
 		}
 		if err := c.checkByte(next); err != nil {
-			return i, Error.Wrap(err)
+			return i, err
 		}
 	}
 	return len(b), nil
@@ -75,7 +78,7 @@
 		}
 	case statusCode:
 		if b < '0' || b > '9' {
-			return errs.New("status with the character %q", b)
+			return c.unexpected(b)
 		}
 		c.status = 10*c.status + int(b-'0')
 		if c.digits++; c.digits < statusDigits {
@@ -87,7 +90,7 @@
 		c.part = afterStatus
 	case afterStatus:
 		if b != ' ' && b != '\r' {
-			return errs.New("status %d, then the character %q", c.status, b)
+			return c.unexpected(b)
 		}
 		return c.checkText(b)
 	case text:
@@ -100,7 +103,7 @@
 		case b == '\r':
 			c.part = headEnd
 		case !isTokenChar(b):
-			return errs.New("line with the first character %q", b)
+			return c.unexpected(b)
 		default:
 			c.part = name
 		}
@@ -109,11 +112,11 @@
 		case b == ':':
 			c.part = text
 		case !isTokenChar(b):
-			return errs.New("name of a field with the character %q", b)
+			return c.unexpected(b)
 		}
 	case lineEnd, headEnd:
 		if b != '\n' {
-			return errs.New("carriage return, then the character %q", b)
+			return c.unexpected(b)
 		}
 		if c.part == headEnd {
 			c.endHead()
@@ -132,11 +135,14 @@
 	case '\r':
 		c.part = lineEnd
 	case '\n':
-		return errs.New("line feed without a carriage return")
+		return c.unexpected(b)
 	}
 	return nil
 }
 
+// unexpected returns the error of a byte that the current part of the head can't have.
+func (c *Checker) unexpected(b byte) error { return errs.New("character %q in the %s", b, c.part) }
+
 // isTokenChar reports whether a name may have the character (RFC 9110, section 5.6.2).
 func isTokenChar(b byte) bool {
 	return '0' <= b && b <= '9' || 'a' <= b && b <= 'z' || 'A' <= b && b <= 'Z' || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
--- a/io/cli/fetch.go
+++ b/io/cli/fetch.go
@@ -20,6 +20,7 @@
 	maxStatusBytes = 16 << 20 // bytes
 )
 
+// client reads from hosts.
 var client = &http.Client{Transport: headcheck.NewTransport(http.DefaultTransport.(*http.Transport).Clone())}
 
 // fetch reads path from the host at address; limit bounds the answer in bytes.
--- a/io/headcheck/headcheck.go
+++ b/io/headcheck/headcheck.go
@@ -36,8 +36,10 @@
 	return n, err
 }
 
-// Transport is an http.RoundTripper that fails on malformed response heads.
+// Transport is an http.RoundTripper that fails on malformed response heads. It is for http URLs only: of an encrypted
+// connection, it would check the bytes before they are decrypted.
 type Transport struct {
+	// transport opens connections of type Conn.
 	transport *http.Transport
 }
 
@@ -58,7 +60,7 @@
 }
 
 // RoundTrip implements http.RoundTripper.
-func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+func (t *Transport) RoundTrip(r *http.Request) (response *http.Response, err error) {
 	// The connection can't tell by itself where the body of its previous response ends.
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if c, ok := info.Conn.(*Conn); ok {
--- a/io/transport/pool.go
+++ b/io/transport/pool.go
@@ -41,8 +41,8 @@
 	// maxInlineBody is the size in bytes up to which a body is written before the response is
 	// read. Larger bodies are written concurrently, because a target may respond early.
 	maxInlineBody = 16 << 10
-	// resetTimeout is how long a reset may follow the end of a connection to whose other side a request is still
-	// being written. It is far above a round trip between availability zones.
+	// resetTimeout is how long after the end of a response a reset may arrive if the request is still being
+	// written. It is far above a round trip between availability zones.
 	resetTimeout = 500 * time.Millisecond
 )
 
