Refuse to run case 11 without enough open files

Cause: with too few open files the clients of the case would not connect, and it would count as held.

--- a/review/lab3/heads.go
+++ b/review/lab3/heads.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -84,6 +85,10 @@
 // heads plays clients outside control: many chunked bodies that stop short of their end, behind long heads.
 func heads() {
 	const connections = 1600
+	var files syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &files); err != nil || files.Max < 2*connections+200 {
+		cannotRun("the case needs %d open files", 2*connections+200)
+	}
 	s := newStore()
 	s.put("op/config", configOf(10, []string{"alpha"}, routeOf("pay", "/pay/", "non_idempotent", "alpha", plainRest)))
 	for _, id := range []string{"a1", "a2", "a3"} {
