Take a configuration that a restored store gave a known revision

Cause: a restored store gives out the revisions of lost changes again, and hosts ordered what they read by revision alone. The new version had the revision of a lost one and counted as read. Nothing read the header Store-Era.

Change: core/revision orders changes by era and number; platform tells the era of each answer; the watch of the configuration orders by both and reads the newest entry after a restore. Versions still decide what is applied, so a version in force is not replaced by that of the backup.

--- a/io/edge/configwatch.go
+++ b/io/edge/configwatch.go
@@ -8,6 +8,7 @@
 	"github.com/go-logr/logr"
 
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
 	"sassafrasward/platform"
@@ -34,7 +35,7 @@
 
 	// revision is the revision of the store up to which the configuration is known, entryRevision that of the
 	// configuration itself.
-	revision, entryRevision uint64
+	revision, entryRevision revision.Revision
 	// newestOnly is set if the next read asks for the newest configuration instead of each one since the
 	// revision: after a failure, and while configurations come faster than they are read.
 	newestOnly bool
@@ -56,7 +57,7 @@
 		w.lastRead = w.clock()
 		if err != nil {
 			if !failing && ctx.Err() == nil && !errors.Is(err, platform.ErrCompacted) {
-				event.LogError(w.log, event.StoreReadFailed, err, "entries", "configuration", "revision", w.revision)
+				event.LogError(w.log, event.StoreReadFailed, err, "entries", "configuration", "revision", w.revision.Number())
 			}
 			failing, w.newestOnly = true, true
 			sleep(ctx, backoff)
@@ -68,7 +69,7 @@
 		case raw != nil:
 			w.apply(ctx, raw)
 			sleep(ctx, w.coalesce)
-		case w.revision == 0:
+		case w.revision.IsZero():
 			sleep(ctx, maxBackoff) // there is no configuration yet, and no revision to wait from
 		}
 	}
@@ -89,19 +90,22 @@
 
 // read returns the newest configuration if it has changed since the last read.
 func (w *configWatcher) read(ctx context.Context) (raw []byte, err error) {
-	if w.revision == 0 || w.newestOnly {
+	if w.revision.IsZero() || w.newestOnly {
 		return w.readNewest(ctx)
 	}
 	ctx, end := w.store.begin(ctx, w.wait+watchSlack)
 	defer end()
-	items, revision, err := w.store.Watch(ctx, platform.KeyConfig, w.revision, w.wait)
+	items, at, err := w.store.Watch(ctx, platform.KeyConfig, w.revision, w.wait)
 	if err != nil {
 		return nil, err
 	}
-	w.revision = max(w.revision, revision)
+	if restored, err := w.advance(at); err != nil || restored {
+		w.newestOnly = true // the changes since the restore are not known
+		return nil, err
+	}
 	w.newestOnly = len(items) > 1
 	for _, i := range items {
-		if i.Key == platform.KeyConfig && !i.Deleted && i.Revision > w.entryRevision {
+		if i.Key == platform.KeyConfig && !i.Deleted && i.Revision.After(w.entryRevision) {
 			raw, w.entryRevision = i.Value, i.Revision
 		}
 	}
@@ -113,19 +117,35 @@
 	ctx, end := w.store.begin(ctx, readTimeout)
 	defer end()
 	targetRevision := w.hub.Revision()
-	item, revision, ok, err := w.store.Get(ctx, platform.KeyConfig)
+	item, at, ok, err := w.store.Get(ctx, platform.KeyConfig)
 	if err != nil {
 		return nil, err
 	}
 	if !ok {
-		revision = targetRevision // the answer has none; it is not older than this one
+		at = revision.New(at.Era(), targetRevision) // the answer has only its era; it is not older than this one
+	}
+	if _, err := w.advance(at); err != nil {
+		return nil, err
 	}
-	changed := ok && item.Revision > w.entryRevision
-	w.newestOnly = w.newestOnly && changed && w.entryRevision > 0
-	w.revision = max(w.revision, revision)
+	changed := ok && item.Revision.After(w.entryRevision)
+	w.newestOnly = w.newestOnly && changed && !w.entryRevision.IsZero()
 	if !changed {
 		return nil, nil
 	}
 	w.entryRevision = item.Revision
 	return item.Value, nil
 }
+
+// advance records the revision of an answer of the store. It reports whether the store was restored from a backup
+// since the answer before; the configuration that is in force then stays until a later version is published.
+func (w *configWatcher) advance(at revision.Revision) (restored bool, err error) {
+	switch {
+	case at.Era() < w.revision.Era():
+		return false, errEarlierEra
+	case at.Era() > w.revision.Era() && !w.revision.IsZero():
+		event.Log(w.log, event.StoreRestored, "entries", "configuration", "era", w.revision.Era(), "revision", w.revision.Number(), "newera", at.Era(), "newrevision", at.Number())
+		restored = true
+	}
+	w.revision = revision.Max(w.revision, at)
+	return restored, nil
+}
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -12,12 +12,16 @@
 
 	"sassafrasward/core/discovery"
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	"sassafrasward/io/event"
 	iofeed "sassafrasward/io/feed"
 	"sassafrasward/io/setting"
 	"sassafrasward/platform"
 )
 
+// errEarlierEra is returned for an answer of the store from before its last restore.
+var errEarlierEra = errors.New("the answer of the store is older than its last restore")
+
 const (
 	// maxWait is the longest time that a long poll waits for changes. Hosts that follow this one
 	// rely on it to know how current their copy is.
@@ -137,7 +141,7 @@
 		return w.readAll(ctx, p, after)
 	}
 	readCtx, end := p.store.begin(ctx, w.wait+watchSlack)
-	items, revision, err := p.store.Watch(readCtx, p.prefix, after, w.wait)
+	items, at, err := p.store.Watch(readCtx, p.prefix, revision.New(0, after), w.wait)
 	end()
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
@@ -150,7 +154,7 @@
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	complete := w.watches.Read(p.watch, w.clock(), max(revision, after), w.hub.Revision())
+	complete := w.watches.Read(p.watch, w.clock(), max(at.Number(), after), w.hub.Revision())
 	w.add(ctx, feed.Update{Items: entries(items), Revision: complete})
 	return delay, nil
 }
@@ -174,13 +178,13 @@
 	u := feed.Update{Full: true}
 	for _, other := range w.prefixes {
 		readCtx, end := p.store.begin(ctx, readTimeout)
-		items, revision, err := p.store.List(readCtx, other.prefix)
+		items, at, err := p.store.List(readCtx, other.prefix)
 		end()
 		if err != nil {
 			return 0, err
 		}
-		if u.Items = append(u.Items, entries(items)...); u.Revision == 0 || revision < u.Revision {
-			u.Revision = revision
+		if u.Items = append(u.Items, entries(items)...); u.Revision == 0 || at.Number() < u.Revision {
+			u.Revision = at.Number()
 		}
 	}
 	w.watches.ReadAll(w.clock(), u.Revision)
@@ -212,7 +216,7 @@
 // entries converts the items of the store to entries of the copy.
 func entries(items []platform.Item) (list []feed.Item) {
 	for _, i := range items {
-		list = append(list, feed.Item(i))
+		list = append(list, feed.Item{Key: i.Key, Value: i.Value, Revision: i.Revision.Number(), Deleted: i.Deleted})
 	}
 	return list
 }
@@ -247,7 +251,7 @@
 		c.targetSet.Remove(now, id, item.Revision)
 		return
 	}
-	t, err := platform.DecodeTarget(platform.Item(item))
+	t, err := platform.DecodeTarget(platform.Item{Key: item.Key, Value: item.Value, Revision: revision.New(0, item.Revision), Deleted: item.Deleted})
 	if err != nil {
 		event.LogError(c.log, event.EntryIgnored, err, "key", item.Key, "revision", item.Revision)
 		c.targetSet.Remove(now, id, item.Revision)
