--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"sassafrasward/core/revision"
 	"sassafrasward/core/sortedmap"
 )
 
@@ -22,7 +23,7 @@
 	// StartID identifies the start of the target's process; zero if it is not published.
 	StartID int64
 	// Revision orders the versions of the entry of one target.
-	Revision uint64
+	Revision revision.Revision
 	// ColdFor is how long the target still took few requests only when its entry was written.
 	ColdFor time.Duration
 }
@@ -44,25 +45,39 @@
 	targets *sortedmap.Map[string, Target]
 	// evacuated has the evacuated availability zones, also those without targets.
 	evacuated map[string]bool
-	// removalDue holds when a target whose entry lapsed is removed, by ID.
-	removalDue map[string]time.Duration
+	// lapsed has the targets whose entries lapsed, by ID.
+	lapsed map[string]lapse
+	// departures has what binds the set if the store is restored from a backup.
+	departures departures
+	// restoreDue holds when the evacuation of an availability zone ends that a restore of the store has taken back.
+	restoreDue map[string]time.Duration
 	// storeDown is set while the store does not answer; storeUpSince is when the last outage ended.
 	storeDown    bool
 	storeUpSince time.Duration
 	// hadOutage is set after the first outage of the store.
 	hadOutage bool
 	// revision is the newest store revision that the set reflects.
-	revision uint64
+	revision revision.Revision
 	changed  bool
 }
 
+// lapse is a target whose entry lapsed.
+type lapse struct {
+	// due is when the target is removed, at the revision of the removal of its entry.
+	due time.Duration
+	at  revision.Revision
+}
+
 // New returns an empty set.
 func New() *Set {
-	return &Set{targets: sortedmap.New[string, Target](), evacuated: make(map[string]bool), removalDue: make(map[string]time.Duration)}
+	return &Set{
+		targets: sortedmap.New[string, Target](), evacuated: make(map[string]bool), lapsed: make(map[string]lapse),
+		departures: newDepartures(), restoreDue: make(map[string]time.Duration),
+	}
 }
 
 // Revision returns the newest store revision that the set reflects.
-func (s *Set) Revision() uint64 { return s.revision }
+func (s *Set) Revision() revision.Revision { return s.revision }
 
 // Changed reports whether the targets or the evacuated zones changed since the last call.
 func (s *Set) Changed() bool {
@@ -83,19 +98,45 @@
 
 // Evacuate records that an availability zone is evacuated, and returns the number of its targets.
 func (s *Set) Evacuate(zone string) (targets int) {
+	delete(s.restoreDue, zone)
 	s.evacuated[zone], s.changed = true, true
 	return len(s.setEvacuated(zone, true))
 }
 
-// Restore records that an availability zone is no longer evacuated, and returns its targets. It reports false
-// if the zone was not evacuated.
-func (s *Set) Restore(zone string) (targets []Target, ok bool) {
-	if !s.evacuated[zone] {
+// EndEvacuation records that the entry of an evacuated availability zone was removed at a revision, and returns the
+// targets of the zone. It reports false if the zone was not evacuated, or stays so for now because only a restore of the
+// store has taken the entry back.
+func (s *Set) EndEvacuation(zone string, at revision.Revision) (targets []Target, ok bool) {
+	switch {
+	case !s.evacuated[zone]:
 		return nil, false
+	case at == s.departures.restoredAt:
+		s.restoreDue[zone] = s.departures.heldUntil
+		return nil, false
+	}
+	return s.endEvacuation(zone), true
+}
+
+// EndedEvacuations returns the targets of the availability zones whose evacuation a restore of the store has taken back
+// and that were not evacuated again in time, by zone.
+func (s *Set) EndedEvacuations(now time.Duration) (zones map[string][]Target) {
+	for zone, due := range s.restoreDue {
+		if now < due {
+			continue
+		}
+		if zones == nil {
+			zones = make(map[string][]Target)
+		}
+		zones[zone] = s.endEvacuation(zone)
 	}
+	return zones
+}
+
+func (s *Set) endEvacuation(zone string) (targets []Target) {
+	delete(s.restoreDue, zone)
 	delete(s.evacuated, zone)
 	s.changed = true
-	return s.setEvacuated(zone, false), true
+	return s.setEvacuated(zone, false)
 }
 
 // EvacuatedZones returns the number of evacuated availability zones.
@@ -113,62 +154,91 @@
 	return targets
 }
 
-// Put adds or replaces a target. An entry that is older than the known one is ignored.
-func (s *Set) Put(t Target) {
+// Restored records that the store was restored from a backup. The next entries are those of the restored store, as of a
+// revision.
+func (s *Set) Restored(now time.Duration, at revision.Revision) {
+	s.hadOutage, s.storeUpSince = true, now
+	s.departures.restored(now, at)
+}
+
+// Put adds or replaces a target. An entry that is older than the known one is ignored. It reports whether the target
+// counts as leaving although the entry does not say so, because the entry may be that of a backup.
+func (s *Set) Put(now time.Duration, t Target) (held bool) {
+	s.revision = revision.Max(s.revision, t.Revision)
+	delete(s.lapsed, t.ID)
+	old, known := s.targets.Get(t.ID)
+	if known && old.Revision.After(t.Revision) {
+		return false
+	}
+	published := t
+	if held = s.departures.bind(now, t); held {
+		t.Leaving = true
+	}
 	t.Evacuated = s.evacuated[t.Zone]
-	s.revision = max(s.revision, t.Revision)
-	delete(s.removalDue, t.ID)
-	if old, ok := s.targets.Get(t.ID); ok && (old == t || old.Revision > t.Revision) {
-		return
+	if known && old == t {
+		return held
 	}
 	s.targets.Put(t.ID, t)
 	s.changed = true
+	if published.Leaving {
+		s.departures.add(now, published, published.Revision)
+	}
+	return held
 }
 
 // Remove removes a target whose entry was removed from the store at the revision. Right after an
 // outage, the target stays for the grace period unless it is leaving.
-func (s *Set) Remove(now time.Duration, id string, revision uint64) {
-	s.revision = max(s.revision, revision)
+func (s *Set) Remove(now time.Duration, id string, at revision.Revision) {
+	s.revision = revision.Max(s.revision, at)
 	t, ok := s.targets.Get(id)
-	if !ok || t.Revision > revision {
+	if !ok || t.Revision.After(at) {
 		return
 	}
 	if s.hadOutage && now < s.storeUpSince+gracePeriod && !t.Leaving {
-		if _, ok := s.removalDue[id]; !ok {
-			s.removalDue[id] = s.storeUpSince + gracePeriod
+		if _, ok := s.lapsed[id]; !ok {
+			s.lapsed[id] = lapse{due: s.storeUpSince + gracePeriod, at: at}
 		}
 		return
 	}
-	s.drop(id)
+	s.drop(now, t, at)
 }
 
 // Replace replaces all targets with those of a complete list read at the revision.
-func (s *Set) Replace(now time.Duration, list []Target, revision uint64) {
+func (s *Set) Replace(now time.Duration, list []Target, at revision.Revision) {
 	listed := make(map[string]bool, len(list))
 	for _, t := range list {
 		listed[t.ID] = true
-		s.Put(t)
+		s.Put(now, t)
 	}
 	for _, id := range s.targets.Keys() {
 		if !listed[id] {
-			s.Remove(now, id, revision)
+			s.Remove(now, id, at)
 		}
 	}
-	s.revision = max(s.revision, revision)
+	s.revision = revision.Max(s.revision, at)
 }
 
-// Tick removes targets whose entries were not published again in time.
+// Tick removes targets whose entries were not published again in time, and ends what binds the set after a restore.
 func (s *Set) Tick(now time.Duration) {
-	for id, due := range s.removalDue {
-		if now >= due {
-			s.drop(id)
+	for id, l := range s.lapsed {
+		if t, ok := s.targets.Get(id); ok && now >= l.due {
+			s.drop(now, t, l.at)
+		}
+	}
+	for _, t := range s.departures.released(now) {
+		if old, ok := s.targets.Get(t.ID); ok && old.Revision == t.Revision {
+			t.Evacuated = old.Evacuated
+			s.targets.Put(t.ID, t)
+			s.changed = true
 		}
 	}
 }
 
-func (s *Set) drop(id string) {
-	delete(s.removalDue, id)
-	s.targets.Delete(id)
+// drop removes a target whose entry was removed at a revision.
+func (s *Set) drop(now time.Duration, t Target, at revision.Revision) {
+	s.departures.add(now, t, at)
+	delete(s.lapsed, t.ID)
+	s.targets.Delete(t.ID)
 	s.changed = true
 }
 
--- a/core/feed/log.go
+++ b/core/feed/log.go
@@ -1,6 +1,9 @@
 package feed
 
-import "sassafrasward/core/sortedmap"
+import (
+	"sassafrasward/core/revision"
+	"sassafrasward/core/sortedmap"
+)
 
 // maxRemoved is the number of removed entries that a Log remembers.
 const maxRemoved = 2048
@@ -10,7 +13,7 @@
 	Key   string
 	Value []byte
 	// Revision is the revision of the store at which the entry last changed.
-	Revision uint64
+	Revision revision.Revision
 	// Deleted marks a removed entry; it has no value.
 	Deleted bool
 }
@@ -21,7 +24,7 @@
 	// Full is set if Items has all entries. Entries that it lacks were removed.
 	Full bool
 	// Revision is the revision of the store up to which the receiver is then complete.
-	Revision uint64
+	Revision revision.Revision
 }
 
 // Log is a copy of the published entries that can tell what changed since a revision. It is not
@@ -33,8 +36,9 @@
 	// published again may still be listed.
 	removed []string
 	// complete is the oldest revision since which all removals are known.
-	complete uint64
-	revision uint64
+	complete revision.Revision
+	// revision is of the era of all present entries.
+	revision revision.Revision
 	// changes counts what changes the result of Since other than the revision.
 	changes uint64
 }
@@ -42,24 +46,28 @@
 // NewLog returns an empty log.
 func NewLog() *Log { return &Log{items: sortedmap.New[string, Item]()} }
 
-// Revision returns the revision of the store up to which the log is complete; zero if it is empty. The log
+// Revision returns the revision of the store up to which the log is complete; the zero value if it is empty. The log
 // may have newer items, because the prefixes of the keys are read apart.
-func (l *Log) Revision() uint64 { return l.revision }
+func (l *Log) Revision() revision.Revision { return l.revision }
 
 // Changes returns a number that grows when items or known removals change, also while the revision stays.
 func (l *Log) Changes() uint64 { return l.changes }
 
-// Apply adds the changes that are newer than the log, and returns these.
+// Apply adds the changes that are newer than the log, and returns these. After a restore of the store, only a full
+// update leads to the new era: what the restore has taken back is in no list of changes.
 func (l *Log) Apply(u Update) (changes []Item) {
+	if !u.Full && u.Revision.Era() > l.revision.Era() {
+		return nil
+	}
 	// The missing items of an older full update tell nothing; its newer items still do.
-	u.Full = u.Full && u.Revision >= l.revision
+	u.Full = u.Full && !u.Revision.Before(l.revision)
 	complete := l.complete
 	if u.Full {
 		u.Items = append(l.missing(u), u.Items...)
 	}
 	for _, item := range u.Items {
 		old, known := l.items.Get(item.Key)
-		if known && old.Revision >= item.Revision || !(u.Full && known) && item.Revision <= l.complete {
+		if known && !item.Revision.After(old.Revision) || !(u.Full && known) && !item.Revision.After(l.complete) {
 			continue // known, or replaced or removed since
 		}
 		l.items.Put(item.Key, item)
@@ -70,9 +78,9 @@
 	}
 	if u.Full {
 		// Entries that were published and removed before the full read are not known.
-		l.complete = max(l.complete, u.Revision)
+		l.complete = revision.Max(l.complete, u.Revision)
 	}
-	l.revision = max(l.revision, u.Revision)
+	l.revision = revision.Max(l.revision, u.Revision)
 	l.forget()
 	if len(changes) > 0 || l.complete != complete {
 		l.changes++
@@ -87,7 +95,7 @@
 		listed[item.Key] = true
 	}
 	for key, item := range l.items.All() {
-		if !listed[key] && !item.Deleted && item.Revision < u.Revision {
+		if !listed[key] && !item.Deleted && item.Revision.Before(u.Revision) {
 			removals = append(removals, Item{Key: key, Revision: u.Revision, Deleted: true})
 		}
 	}
@@ -100,12 +108,12 @@
 	for len(l.removed) > maxRemoved {
 		key := l.removed[0]
 		item, ok := l.items.Get(key)
-		if ok && item.Deleted && item.Revision > l.revision {
+		if ok && item.Deleted && item.Revision.After(l.revision) {
 			return
 		}
 		l.removed = l.removed[1:]
 		if ok && item.Deleted {
-			l.complete = max(l.complete, item.Revision)
+			l.complete = revision.Max(l.complete, item.Revision)
 			l.items.Delete(key)
 		}
 	}
@@ -113,10 +121,10 @@
 
 // Since returns the changes after a revision. They are all entries, and the removals that are newer than the
 // log's revision, if the removals since then are not known any more.
-func (l *Log) Since(revision uint64) (u Update) {
-	u = Update{Revision: l.revision, Full: revision < l.complete}
+func (l *Log) Since(at revision.Revision) (u Update) {
+	u = Update{Revision: l.revision, Full: at.Before(l.complete)}
 	for _, item := range l.items.All() {
-		if u.Full && (!item.Deleted || item.Revision > l.revision) || !u.Full && item.Revision > revision {
+		if u.Full && (!item.Deleted || item.Revision.After(l.revision)) || !u.Full && item.Revision.After(at) {
 			u.Items = append(u.Items, item)
 		}
 	}
--- a/core/feed/log_test.go
+++ b/core/feed/log_test.go
@@ -3,38 +3,62 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 )
 
 // store is a model of the store: its entries, and all changes since the start.
 type store struct {
-	revision uint64
+	revision revision.Revision
 	entries  map[string]feed.Item
 	history  []feed.Item
+	// writes is the number of changes, also of those that a restore took back.
+	writes int
+}
+
+// backup returns a copy of the store.
+func (s *store) backup() *store {
+	return &store{revision: s.revision, entries: maps.Clone(s.entries), history: slices.Clone(s.history)}
+}
+
+// restore makes the store come back from a backup in a new era.
+func (s *store) restore(b *store) {
+	era := s.revision.Era() + 1
+	s.revision, s.entries, s.history = revision.New(era, b.revision.Number()), make(map[string]feed.Item), nil
+	for key, item := range b.entries {
+		item.Revision = revision.New(era, item.Revision.Number())
+		s.entries[key] = item
+	}
+	for _, item := range b.history {
+		item.Revision = revision.New(era, item.Revision.Number())
+		s.history = append(s.history, item)
+	}
 }
 
 func (s *store) put(key string, deleted bool) {
-	s.revision++
+	s.writes++
+	s.revision = revision.New(s.revision.Era(), s.revision.Number()+1)
 	item := feed.Item{Key: key, Revision: s.revision, Deleted: deleted}
 	if deleted {
 		delete(s.entries, key)
 	} else {
-		item.Value = fmt.Append(nil, s.revision)
+		item.Value = fmt.Append(nil, s.writes)
 		s.entries[key] = item
 	}
 	s.history = append(s.history, item)
 }
 
 // since returns what a long poll returns, and list what a full read returns.
-func (s *store) since(revision uint64) feed.Update {
+func (s *store) since(after revision.Revision) feed.Update {
 	u := feed.Update{Revision: s.revision}
 	for _, item := range s.history {
-		if item.Revision > revision {
+		if item.Revision.Number() > after.Number() {
 			u.Items = append(u.Items, item)
 		}
 	}
@@ -68,7 +92,8 @@
 }
 
 // TestReplicasConverge guards against a host that brings back a removed entry or keeps an old one,
-// whatever it receives from the store and from other hosts, in whatever order and however late.
+// whatever it receives from the store and from other hosts, in whatever order and however late, also while the store is
+// restored from backups.
 func TestReplicasConverge(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{entries: make(map[string]feed.Item)}
@@ -77,10 +102,11 @@
 		// late has what each replica may still receive: the changes that were sent to it, and all full
 		// updates. Changes since a revision say nothing to a replica that has not reached it.
 		var late [3][]feed.Update
+		backup := s.backup()
 		for range rapid.IntRange(5, 60).Draw(t, "steps") {
 			to := rapid.IntRange(0, 2).Draw(t, "replica")
 			r := replicas[to]
-			switch rapid.IntRange(0, 5).Draw(t, "step") {
+			switch rapid.IntRange(0, 7).Draw(t, "step") {
 			case 0, 1:
 				s.put(rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "key"), rapid.Bool().Draw(t, "deleted"))
 			case 2:
@@ -89,22 +115,26 @@
 				}
 				r.apply(s.list())
 			case 3:
-				if r.log.Revision() > 0 {
+				if !r.log.Revision().IsZero() {
 					u := s.since(r.log.Revision())
 					late[to] = append(late[to], u)
 					r.apply(u)
 				}
 			case 4:
 				from := replicas[rapid.IntRange(0, 2).Draw(t, "from")]
-				if from.log.Revision() > 0 {
+				if !from.log.Revision().IsZero() {
 					u := from.log.Since(r.log.Revision())
 					late[to] = append(late[to], u)
 					r.apply(u)
 				}
 			case 5:
-				if len(late[to]) > 0 && r.log.Revision() > 0 {
+				if len(late[to]) > 0 && !r.log.Revision().IsZero() {
 					r.apply(rapid.SampledFrom(late[to]).Draw(t, "late"))
 				}
+			case 6:
+				backup = s.backup()
+			case 7:
+				s.restore(backup)
 			}
 		}
 		replicas[0].apply(s.list())
@@ -132,7 +162,7 @@
 	s.put("early", false)
 	reader.apply(s.list())
 	behind := newReplica()
-	behind.apply(reader.log.Since(0))
+	behind.apply(reader.log.Since(revision.Revision{}))
 	s.put("early", true)
 	for i := range 5000 {
 		key := fmt.Sprintf("target%d", i)
@@ -145,5 +175,5 @@
 	is.Equal(len(u.Items), 1)
 	behind.apply(u)
 	is.Equal(behind.entries, map[string]string{"kept": "1"})
-	is.True(len(reader.log.Since(s.revision-10).Items) < 11) // the newest removals are known
+	is.True(len(reader.log.Since(revision.New(0, s.revision.Number()-10)).Items) < 11) // the newest removals are known
 }
--- a/core/feed/watches.go
+++ b/core/feed/watches.go
@@ -1,6 +1,10 @@
 package feed
 
-import "time"
+import (
+	"time"
+
+	"sassafrasward/core/revision"
+)
 
 // Watch is one of the watches of a reader, each of which reads the keys with one prefix.
 type Watch int
@@ -27,7 +31,7 @@
 // watchState is the state of one watch.
 type watchState struct {
 	// revision is the revision of the store up to which the copy has all changes of the prefix.
-	revision uint64
+	revision revision.Revision
 	// currentAt is when the store last responded.
 	currentAt time.Duration
 	// err is the error of the last read; nil if it succeeded.
@@ -38,27 +42,27 @@
 func NewWatches(count Watch) *Watches { return &Watches{count: count} }
 
 // After returns the revision from which a watch continues, given that of the copy.
-func (w *Watches) After(watch Watch, copyRevision uint64) (revision uint64) {
-	return max(w.state[watch].revision, copyRevision)
+func (w *Watches) After(watch Watch, copyRevision revision.Revision) (after revision.Revision) {
+	return revision.Max(w.state[watch].revision, copyRevision)
 }
 
-// Read records an answer of the store to a watch that continued from a revision of After. It returns the
-// revision up to which the copy is complete once the changes of the answer are added.
-func (w *Watches) Read(watch Watch, now time.Duration, revision, copyRevision uint64) (complete uint64) {
+// Read records an answer of the store to a watch that continued from a revision of After, in the era of that revision.
+// It returns the revision up to which the copy is complete once the changes of the answer are added.
+func (w *Watches) Read(watch Watch, now time.Duration, at, copyRevision revision.Revision) (complete revision.Revision) {
 	s := &w.state[watch]
-	s.revision, s.currentAt, s.err = max(s.revision, revision), now, nil
+	s.revision, s.currentAt, s.err = revision.Max(s.revision, at), now, nil
 	complete = w.After(0, copyRevision)
 	for i := range w.count {
-		complete = min(complete, w.After(i, copyRevision))
+		complete = revision.Min(complete, w.After(i, copyRevision))
 	}
 	return complete
 }
 
 // ReadAll records a full read of all prefixes, which is complete up to a revision.
-func (w *Watches) ReadAll(now time.Duration, revision uint64) {
+func (w *Watches) ReadAll(now time.Duration, at revision.Revision) {
 	for i := range w.count {
 		s := &w.state[i]
-		s.revision, s.currentAt, s.err = max(s.revision, revision), now, nil
+		s.revision, s.currentAt, s.err = revision.Max(s.revision, at), now, nil
 	}
 }
 
--- a/core/feed/watches_test.go
+++ b/core/feed/watches_test.go
@@ -11,6 +11,7 @@
 	"pgregory.net/rapid"
 
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 )
 
 // prefixes are those of the two watches in the model.
@@ -38,16 +39,17 @@
 type link struct {
 	from *reader
 	// revision is that of the follower, sent the number of changes as of the last update.
-	revision, sent uint64
+	revision revision.Revision
+	sent     uint64
 }
 
 func newReader() *reader { return &reader{replica: newReplica(), watches: feed.NewWatches(2)} }
 
-// read does one read of a watch. It lists both prefixes if the store has dropped the changes up to a revision; the
-// function between is called between both lists.
-func (r *reader) read(s *store, watch feed.Watch, compacted uint64, between func()) {
+// read does one read of a watch. It lists both prefixes if the store has dropped the changes up to a revision or was
+// restored; the function between is called between both lists.
+func (r *reader) read(s *store, watch feed.Watch, compacted revision.Revision, between func()) {
 	after := r.watches.After(watch, r.log.Revision())
-	if after == 0 || after < compacted {
+	if after.IsZero() || after.Before(compacted) || after.Era() != s.revision.Era() {
 		targets := s.list()
 		u := feed.Update{Full: true, Revision: targets.Revision, Items: withPrefix(targets.Items, prefixes[feed.Targets])}
 		between()
@@ -70,24 +72,25 @@
 // receive gets one update of the followed host, as the stream of io/feed sends it.
 func (r *reader) receive() {
 	l := r.link
-	if l == nil || l.from.log.Revision() == 0 {
+	if l == nil || l.from.log.Revision().IsZero() {
 		return
 	}
 	u := feed.Update{Revision: l.from.log.Revision()}
 	if changes := l.from.log.Changes(); l.sent != changes {
 		u, l.sent = l.from.log.Since(l.revision), changes
 	}
-	l.revision = max(l.revision, u.Revision)
+	l.revision = revision.Max(l.revision, u.Revision)
 	r.apply(u)
 }
 
 // TestTwoWatches guards against a follower that misses a change, or brings back a removed entry, because the two
-// watches of its reader advance at different rates, the reader changes, or the store drops old changes.
+// watches of its reader advance at different rates, the reader changes, or the store drops old changes or is restored
+// from a backup.
 func TestTwoWatches(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := &store{entries: make(map[string]feed.Item)}
 		s.put("servers/x", false)
-		compacted := uint64(0)
+		compacted := revision.Revision{}
 		put := func() {
 			key := rapid.SampledFrom([]string{"servers/x", "servers/y", "op/evacuate/a", "op/evacuate/b"}).Draw(t, "key")
 			s.put(key, rapid.Bool().Draw(t, "deleted"))
@@ -98,9 +101,10 @@
 			}
 		}
 		hosts := []*reader{newReader(), newReader(), newReader()}
+		backup := s.backup()
 		for range rapid.IntRange(5, 80).Draw(t, "steps") {
 			r := hosts[rapid.IntRange(0, 2).Draw(t, "host")]
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
 				put()
 			case 2:
@@ -113,6 +117,10 @@
 				r.receive()
 			case 6:
 				compacted = s.revision
+			case 7:
+				backup = s.backup()
+			case 8:
+				s.restore(backup)
 			}
 		}
 		for _, watch := range []feed.Watch{feed.Targets, feed.Evacuations, feed.Targets, feed.Evacuations} {
@@ -130,7 +138,7 @@
 				r.receive()
 			}
 			if !maps.Equal(r.entries, want) || r.log.Revision() != s.revision {
-				t.Fatalf("host %d has %v at %d, the store %v at %d", i, r.entries, r.log.Revision(), want, s.revision)
+				t.Fatalf("host %d has %v at %v, the store %v at %v", i, r.entries, r.log.Revision(), want, s.revision)
 			}
 		}
 	})
@@ -144,24 +152,24 @@
 	s.put("servers/x", false)
 	first, second, follower := newReader(), newReader(), newReader()
 	for _, r := range []*reader{first, second} {
-		r.read(s, feed.Targets, 0, func() {})
+		r.read(s, feed.Targets, revision.Revision{}, func() {})
 	}
 	follower.follow(first)
 	follower.receive()
 	s.put("servers/x", true)
 	s.put("op/evacuate/a", false)
-	first.read(s, feed.Evacuations, 0, nil)
+	first.read(s, feed.Evacuations, revision.Revision{}, nil)
 	follower.receive()
 	is.Equal(follower.entries, map[string]string{"servers/x": "1", "op/evacuate/a": "3"})
-	is.Equal(follower.log.Revision(), uint64(1)) // the removal is still to come
-	second.read(s, feed.Targets, 0, nil)
+	is.Equal(follower.log.Revision().Number(), uint64(1)) // the removal is still to come
+	second.read(s, feed.Targets, revision.Revision{}, nil)
 	follower.follow(second)
 	follower.receive()
 	is.Equal(follower.entries, map[string]string{"op/evacuate/a": "3"})
-	is.Equal(follower.log.Revision(), uint64(1)) // the second reader has not read the evacuations
-	follower.read(s, feed.Targets, 0, nil)
-	follower.read(s, feed.Evacuations, 0, nil) // it has become a reader itself
-	is.Equal(follower.log.Revision(), uint64(3))
+	is.Equal(follower.log.Revision().Number(), uint64(1)) // the second reader has not read the evacuations
+	follower.read(s, feed.Targets, revision.Revision{}, nil)
+	follower.read(s, feed.Evacuations, revision.Revision{}, nil) // it has become a reader itself
+	is.Equal(follower.log.Revision().Number(), uint64(3))
 }
 
 // TestRemovalAheadOfRevision guards against a follower that keeps a removed entry because the reader, whose other
@@ -171,9 +179,9 @@
 	s := &store{entries: make(map[string]feed.Item)}
 	s.put("servers/x", false)
 	reader, follower := newReader(), newReader()
-	reader.read(s, feed.Targets, 0, func() {})
+	reader.read(s, feed.Targets, revision.Revision{}, func() {})
 	s.put("op/evacuate/a", false)
-	reader.read(s, feed.Evacuations, 0, nil)
+	reader.read(s, feed.Evacuations, revision.Revision{}, nil)
 	follower.follow(reader)
 	follower.receive()
 	s.put("op/evacuate/a", true)
@@ -181,12 +189,12 @@
 		s.put("op/evacuate/b", false)
 		s.put("op/evacuate/b", true)
 	}
-	reader.read(s, feed.Evacuations, 0, nil)
-	is.Equal(reader.log.Revision(), uint64(1))
+	reader.read(s, feed.Evacuations, revision.Revision{}, nil)
+	is.Equal(reader.log.Revision().Number(), uint64(1))
 	follower.receive()
 	is.Equal(follower.entries, map[string]string{"servers/x": "1"})
 	fresh := newReader()
-	fresh.apply(feed.Update{Items: []feed.Item{{Key: "op/evacuate/a", Revision: 2}}})
+	fresh.apply(feed.Update{Items: []feed.Item{{Key: "op/evacuate/a", Revision: revision.New(0, 2)}}})
 	fresh.follow(reader) // a full update
 	fresh.receive()
 	is.Equal(fresh.entries, map[string]string{"servers/x": "1"})
@@ -197,14 +205,14 @@
 func TestWatchesFreshness(t *testing.T) {
 	is := is.New(t)
 	w, errDown := feed.NewWatches(2), errors.New("down")
-	w.ReadAll(time.Second, 5)
-	w.Read(feed.Targets, 3*time.Second, 6, 5)
+	w.ReadAll(time.Second, revision.New(0, 5))
+	w.Read(feed.Targets, 3*time.Second, revision.New(0, 6), revision.New(0, 5))
 	is.Equal(w.CurrentAt(), time.Second)
 	w.Failed(feed.Evacuations, errDown)
-	w.Read(feed.Targets, 5*time.Second, 7, 5)
+	w.Read(feed.Targets, 5*time.Second, revision.New(0, 7), revision.New(0, 5))
 	is.Equal(w.Err(), errDown)
 	is.Equal(w.CurrentAt(), time.Second)
-	is.Equal(w.Read(feed.Evacuations, 6*time.Second, 8, 5), uint64(7))
+	is.Equal(w.Read(feed.Evacuations, 6*time.Second, revision.New(0, 8), revision.New(0, 5)).Number(), uint64(7))
 	is.NoErr(w.Err())
 	is.Equal(w.CurrentAt(), 5*time.Second)
 }
@@ -213,7 +221,7 @@
 func TestOneWatch(t *testing.T) {
 	is := is.New(t)
 	w := feed.NewWatches(1)
-	w.ReadAll(time.Second, 5)
-	is.Equal(w.Read(feed.Targets, 2*time.Second, 9, 5), uint64(9))
+	w.ReadAll(time.Second, revision.New(0, 5))
+	is.Equal(w.Read(feed.Targets, 2*time.Second, revision.New(0, 9), revision.New(0, 5)).Number(), uint64(9))
 	is.Equal(w.CurrentAt(), 2*time.Second)
 }
--- a/core/selfreport/cold_test.go
+++ b/core/selfreport/cold_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/revision"
 	"sassafrasward/core/route"
 	"sassafrasward/core/selfreport"
 )
@@ -136,7 +137,7 @@
 func (f *coldFleet) makeCold(now, delay time.Duration, before bool) {
 	for i := range f.targets {
 		f.targets[i].ColdFor = f.start.Duration
-		f.targets[i].Revision++
+		f.targets[i].Revision = revision.New(0, f.targets[i].Revision.Number()+1)
 		f.coldUntil[f.targets[i].ID] = now + f.start.Duration
 		if !before {
 			f.sent[f.targets[i].ID] = nil
@@ -343,7 +344,7 @@
 	table.SetSlowStarts(map[string]route.SlowStart{"p": usualStart})
 	table.SetFleet(selfreport.Fleet{Settled: true})
 	cold := target("t", 1)
-	cold.ColdFor, cold.Revision = time.Minute, 1
+	cold.ColdFor, cold.Revision = time.Minute, revision.New(0, 1)
 	table.StartEntries(0, map[string][]discovery.Target{"p": {cold}})
 	for now := time.Duration(0); now < 2*time.Second; now += 50 * time.Millisecond {
 		if table.Wait(now, cold, selfreport.AllHosts) == 0 {
@@ -377,7 +378,7 @@
 	table := selfreport.New("a", selfreport.WithColdBound(usualBound))
 	table.SetSlowStarts(map[string]route.SlowStart{"p": usualStart})
 	cold := target("t", 1)
-	cold.ColdFor, cold.Revision = time.Second, 1
+	cold.ColdFor, cold.Revision = time.Second, revision.New(0, 1)
 	table.StartEntries(0, map[string][]discovery.Target{"p": {cold}})
 	is.Equal(table.Wait(0, cold, selfreport.AllHosts), selfreport.Never)
 	is.Equal(table.Wait(0, cold, selfreport.OneHost), selfreport.Never)
@@ -399,7 +400,7 @@
 		}
 		table.SetSlowStarts(pools)
 		cold := target("t", 1)
-		cold.ColdFor, cold.Revision = time.Second, 1
+		cold.ColdFor, cold.Revision = time.Second, revision.New(0, 1)
 		table.StartEntries(0, map[string][]discovery.Target{"p": {cold}})
 		table.Observe(0, cold, selfreport.Statement{ColdStated: true, Cold: time.Second})
 		table.Refused(0, cold)
@@ -494,7 +495,7 @@
 	table.SetSlowStarts(map[string]route.SlowStart{"p": usualStart})
 	table.SetFleet(selfreport.Fleet{Settled: true})
 	cold := target("t", 1)
-	cold.ColdFor, cold.Revision = 2*time.Second, 4
+	cold.ColdFor, cold.Revision = 2*time.Second, revision.New(0, 4)
 	entries := map[string][]discovery.Target{"p": {cold}}
 	is.Equal(describe(table.StartEntries(0, entries)), []string{"cold"})
 	table.StartEntries(time.Second, entries)
@@ -502,7 +503,7 @@
 	table.Merge(time.Second, cold, selfreport.NewRecord("t", 1, 1, false, 5, 0, 0))
 	is.True(table.ColdFor(time.Second, cold) > 0) // a record without a cold time ends none
 	is.Equal(table.ColdFor(2100*time.Millisecond, cold), time.Duration(0))
-	entries["p"][0].Revision++
+	entries["p"][0].Revision = revision.New(0, 5)
 	entries["p"][0].ColdFor = 1000 * time.Hour
 	table.StartEntries(3*time.Second, entries)
 	is.True(table.ColdFor(3*time.Second, cold) <= selfreport.MaxCold+time.Second)
--- a/core/selfreport/slowstart.go
+++ b/core/selfreport/slowstart.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sassafrasward/core/discovery"
+	"sassafrasward/core/revision"
 	"sassafrasward/core/route"
 )
 
@@ -22,11 +23,11 @@
 	// pools has the pools whose targets start slowly.
 	pools map[string]route.SlowStart
 	// entries has the newest revisions of entries whose cold time was taken over.
-	entries map[incarnation]uint64
+	entries map[incarnation]revision.Revision
 }
 
 func newSlowStarts(self string, bound ColdBound) slowStarts {
-	return slowStarts{bound: bound, fleet: newColdFleet(self, Fleet{}), version: 1, entries: make(map[incarnation]uint64)}
+	return slowStarts{bound: bound, fleet: newColdFleet(self, Fleet{}), version: 1, entries: make(map[incarnation]revision.Revision)}
 }
 
 // enabled reports whether there is a bound on the requests to cold targets.
@@ -54,7 +55,7 @@
 	if !t.slow.enabled() {
 		return nil
 	}
-	entries := make(map[incarnation]uint64)
+	entries := make(map[incarnation]revision.Revision)
 	for _, list := range targets {
 		for _, target := range list {
 			if target.ColdFor <= 0 {
@@ -62,7 +63,7 @@
 			}
 			key := incarnationOf(target)
 			entries[key] = target.Revision
-			if seen, ok := t.slow.entries[key]; !ok || target.Revision > seen {
+			if seen, ok := t.slow.entries[key]; !ok || target.Revision.After(seen) {
 				changes = append(changes, t.extendCold(now, target, min(target.ColdFor, MaxCold))...)
 			}
 		}
--- a/io/edge/configwatch.go
+++ b/io/edge/configwatch.go
@@ -122,7 +122,11 @@
 		return nil, err
 	}
 	if !ok {
-		at = revision.New(at.Era(), targetRevision) // the answer has only its era; it is not older than this one
+		if at.Era() != targetRevision.Era() {
+			w.revision = revision.Revision{}
+			return nil, nil // there is no revision to wait from until the targets are read
+		}
+		at = targetRevision // the answer has only its era; it is not older than this one
 	}
 	if _, err := w.advance(at); err != nil {
 		return nil, err
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -10,6 +10,7 @@
 	"sassafrasward/core/feed"
 	"sassafrasward/core/hostselect"
 	"sassafrasward/core/member"
+	"sassafrasward/core/revision"
 	"sassafrasward/core/route"
 	"sassafrasward/core/selfreport"
 	"sassafrasward/io/dispatch"
@@ -55,7 +56,7 @@
 	maxHosts int
 	// storeRevision is the newest revision of the store that the targets reflect, publishedRevision that of
 	// the published ones.
-	storeRevision, publishedRevision uint64
+	storeRevision, publishedRevision revision.Revision
 	// settled is set from settleTime on.
 	settled  bool
 	draining bool
@@ -94,6 +95,9 @@
 func (c *control) tick() {
 	c.pauses.Tick(wallClock())
 	c.targetSet.Tick(c.clock())
+	for zone, targets := range c.targetSet.EndedEvacuations(c.clock()) {
+		c.zoneRestored(zone, targets, c.storeRevision)
+	}
 	c.exchangeEstimates()
 	c.node.Tick()
 	c.publishChanges()
@@ -124,9 +128,13 @@
 }
 
 // OnChanges implements feed.Handler.
-func (c *control) OnChanges(ctx context.Context, changes []feed.Item, revision uint64) {
+func (c *control) OnChanges(ctx context.Context, changes []feed.Item, at revision.Revision) {
 	c.Post(ctx, func() {
-		c.storeRevision = max(c.storeRevision, revision)
+		if known := c.storeRevision; known.Era() < at.Era() && !known.IsZero() {
+			c.announcements.Add(event.StoreRestored, "entries", "targets", "era", known.Era(), "revision", known.Number(), "newera", at.Era(), "newrevision", at.Number())
+			c.targetSet.Restored(c.clock(), at)
+		}
+		c.storeRevision = revision.Max(c.storeRevision, at)
 		c.applyChanges(changes)
 		c.publishChanges()
 	})
@@ -136,7 +144,7 @@
 func (c *control) OnStoreUp(ctx context.Context) {
 	c.Post(ctx, func() {
 		c.targetSet.StoreUp(c.clock())
-		event.Log(c.log, event.StoreRecovered, "revision", c.storeRevision)
+		event.Log(c.log, event.StoreRecovered, "revision", c.storeRevision.Number())
 	})
 }
 
@@ -179,7 +187,7 @@
 // publishChanges updates the serving state of this host, and publishes a new state if targets or
 // members have changed.
 func (c *control) publishChanges() {
-	serving := c.table != nil && c.storeRevision > 0 && !c.draining
+	serving := c.table != nil && !c.storeRevision.IsZero() && !c.draining
 	servingChanged := serving != c.serving
 	if servingChanged {
 		c.serving = serving
@@ -302,14 +310,14 @@
 	}
 	if c.publishedRevision != c.storeRevision {
 		c.publishedRevision = c.storeRevision
-		c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision)
+		c.announcements.Add(event.TargetsChanged, "targets", len(c.zones), "revision", c.storeRevision.Number())
 	}
 	c.publishState()
 }
 
 // publishState publishes a new state with the targets of the last publishTargets.
 func (c *control) publishState() {
-	s := &state{table: c.table, targets: c.targets, zones: c.zones, targetsKnown: c.storeRevision > 0, draining: c.draining}
+	s := &state{table: c.table, targets: c.targets, zones: c.zones, targetsKnown: !c.storeRevision.IsZero(), draining: c.draining}
 	var senders []string
 	for _, m := range c.node.Snapshot().Members() {
 		if m.Liveness == member.Dead || m.Lifecycle == member.Joining {
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -19,8 +19,12 @@
 	"sassafrasward/platform"
 )
 
-// errEarlierEra is returned for an answer of the store from before its last restore.
-var errEarlierEra = errors.New("the answer of the store is older than its last restore")
+var (
+	// errEarlierEra is returned for an answer of the store from before its last restore.
+	errEarlierEra = errors.New("the answer of the store is older than its last restore")
+	// errRestored is returned if the store was restored between the reads of two prefixes.
+	errRestored = errors.New("the store was restored during the read")
+)
 
 const (
 	// maxWait is the longest time that a long poll waits for changes. Hosts that follow this one
@@ -111,7 +115,7 @@
 		lastRead = w.clock()
 		if err != nil {
 			if !failing && ctx.Err() == nil {
-				event.LogError(w.log, event.StoreReadFailed, err, "entries", p.name, "revision", w.hub.Revision())
+				event.LogError(w.log, event.StoreReadFailed, err, "entries", p.name, "revision", w.hub.Revision().Number())
 			}
 			failing = true
 			w.failed(ctx, p, err)
@@ -129,7 +133,7 @@
 // readIn returns the time after which the store has to be read, zero for now.
 func (w *watcher) readIn(lastRead time.Duration) time.Duration {
 	return feed.ReadState{
-		Reader: w.reader.Load(), Empty: w.hub.Revision() == 0, Down: w.hub.DownElsewhere(), Age: w.hub.Age(), SinceRead: w.clock() - lastRead, Jitter: w.jitter,
+		Reader: w.reader.Load(), Empty: w.hub.Revision().IsZero(), Down: w.hub.DownElsewhere(), Age: w.hub.Age(), SinceRead: w.clock() - lastRead, Jitter: w.jitter,
 	}.ReadIn()
 }
 
@@ -137,30 +141,34 @@
 // all prefixes if there is no copy or the store no longer has the changes. It returns the delay of the next read.
 func (w *watcher) read(ctx context.Context, p prefixWatch) (delay time.Duration, err error) {
 	after := w.after(p)
-	if after == 0 {
+	if after.IsZero() {
 		return w.readAll(ctx, p, after)
 	}
 	readCtx, end := p.store.begin(ctx, w.wait+watchSlack)
-	items, at, err := p.store.Watch(readCtx, p.prefix, revision.New(0, after), w.wait)
+	items, at, err := p.store.Watch(readCtx, p.prefix, after, w.wait)
 	end()
 	switch {
 	case errors.Is(err, platform.ErrCompacted):
 		return w.readAll(ctx, p, after)
 	case err != nil:
 		return 0, err
+	case at.Era() < after.Era():
+		return 0, errEarlierEra
+	case at.Era() > after.Era():
+		return w.readAll(ctx, p, after)
 	}
 	if len(items) > 0 {
 		delay = p.coalesce
 	}
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	complete := w.watches.Read(p.watch, w.clock(), max(at.Number(), after), w.hub.Revision())
+	complete := w.watches.Read(p.watch, w.clock(), revision.Max(at, after), w.hub.Revision())
 	w.add(ctx, feed.Update{Items: entries(items), Revision: complete})
 	return delay, nil
 }
 
-// after returns the revision from which a prefix is read; zero without a copy.
-func (w *watcher) after(p prefixWatch) (revision uint64) {
+// after returns the revision from which a prefix is read; the zero value without a copy.
+func (w *watcher) after(p prefixWatch) (after revision.Revision) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	return w.watches.After(p.watch, w.hub.Revision())
@@ -169,23 +177,28 @@
 // readAll adds all entries of all prefixes, unless another watch has done so since the revision after was found.
 // It returns the delay of the next read, which keeps a store that has dropped the changes since this very read from
 // being read without a pause.
-func (w *watcher) readAll(ctx context.Context, p prefixWatch, after uint64) (delay time.Duration, err error) {
+func (w *watcher) readAll(ctx context.Context, p prefixWatch, after revision.Revision) (delay time.Duration, err error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.watches.After(p.watch, w.hub.Revision()) > after {
+	if w.watches.After(p.watch, w.hub.Revision()).After(after) {
 		return 0, nil
 	}
 	u := feed.Update{Full: true}
-	for _, other := range w.prefixes {
+	for i, other := range w.prefixes {
 		readCtx, end := p.store.begin(ctx, readTimeout)
 		items, at, err := p.store.List(readCtx, other.prefix)
 		end()
-		if err != nil {
+		switch {
+		case err != nil:
 			return 0, err
+		case at.Era() < after.Era():
+			return 0, errEarlierEra
+		case i > 0 && at.Era() != u.Revision.Era():
+			return 0, errRestored
+		case i == 0 || at.Before(u.Revision):
+			u.Revision = at
 		}
-		if u.Items = append(u.Items, entries(items)...); u.Revision == 0 || at.Number() < u.Revision {
-			u.Revision = at.Number()
-		}
+		u.Items = append(u.Items, entries(items)...)
 	}
 	w.watches.ReadAll(w.clock(), u.Revision)
 	w.add(ctx, u)
@@ -216,7 +229,7 @@
 // entries converts the items of the store to entries of the copy.
 func entries(items []platform.Item) (list []feed.Item) {
 	for _, i := range items {
-		list = append(list, feed.Item{Key: i.Key, Value: i.Value, Revision: i.Revision.Number(), Deleted: i.Deleted})
+		list = append(list, feed.Item(i))
 	}
 	return list
 }
@@ -234,7 +247,7 @@
 // applyChanges applies changed entries of the copy.
 func (c *control) applyChanges(changes []feed.Item) {
 	for _, item := range changes {
-		c.storeRevision = max(c.storeRevision, item.Revision)
+		c.storeRevision = revision.Max(c.storeRevision, item.Revision)
 		switch {
 		case strings.HasPrefix(item.Key, platform.PrefixTargets):
 			c.applyTarget(item)
@@ -251,35 +264,38 @@
 		c.targetSet.Remove(now, id, item.Revision)
 		return
 	}
-	t, err := platform.DecodeTarget(platform.Item{Key: item.Key, Value: item.Value, Revision: revision.New(0, item.Revision), Deleted: item.Deleted})
+	t, err := platform.DecodeTarget(platform.Item(item))
 	if err != nil {
-		event.LogError(c.log, event.EntryIgnored, err, "key", item.Key, "revision", item.Revision)
+		event.LogError(c.log, event.EntryIgnored, err, "key", item.Key, "revision", item.Revision.Number())
 		c.targetSet.Remove(now, id, item.Revision)
 		return
 	}
-	c.targetSet.Put(t)
+	if c.targetSet.Put(now, t) {
+		c.announcements.Add(event.EntryHeld, "key", item.Key, "revision", item.Revision.Number())
+	}
 }
 
 // applyEvacuation applies the begin or the end of the evacuation of an availability zone.
 func (c *control) applyEvacuation(item feed.Item) {
 	zone, err := platform.EvacuatedZone(item.Key)
 	if err != nil {
-		event.LogError(c.log, event.EvacuationIgnored, err, "revision", item.Revision)
+		event.LogError(c.log, event.EvacuationIgnored, err, "revision", item.Revision.Number())
 		return
 	}
 	if !item.Deleted {
 		targets := c.targetSet.Evacuate(zone)
-		c.announcements.Add(event.ZoneEvacuated, "zone", zone, "targets", targets, "revision", item.Revision)
-	} else if targets, ok := c.targetSet.Restore(zone); ok {
-		c.zoneRestored(targets)
-		c.announcements.Add(event.ZoneRestored, "zone", zone, "targets", len(targets), "revision", item.Revision)
+		c.announcements.Add(event.ZoneEvacuated, "zone", zone, "targets", targets, "revision", item.Revision.Number())
+	} else if targets, ok := c.targetSet.EndEvacuation(zone, item.Revision); ok {
+		c.zoneRestored(zone, targets, item.Revision)
 	}
 	c.metrics.Gauge("zones.evacuated").Update(int64(c.targetSet.EvacuatedZones()))
 }
 
 // zoneRestored is called on the control goroutine with the targets of an availability zone whose evacuation has
-// ended, before they get work. They may be cold before their entries say so.
-func (c *control) zoneRestored(targets []discovery.Target) {
+// ended at a revision, before they get work. They may be cold before their entries say so.
+func (c *control) zoneRestored(zone string, targets []discovery.Target, at revision.Revision) {
 	c.reports.StartCold(targets)
 	c.metrics.Counter("targets.restored").Inc(int64(len(targets)))
+	c.metrics.Gauge("zones.evacuated").Update(int64(c.targetSet.EvacuatedZones()))
+	c.announcements.Add(event.ZoneRestored, "zone", zone, "targets", len(targets), "revision", at.Number())
 }
--- a/io/feed/feed_test.go
+++ b/io/feed/feed_test.go
@@ -16,6 +16,7 @@
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	iofeed "sassafrasward/io/feed"
 	"sassafrasward/io/feed/message"
 	"sassafrasward/io/peer"
@@ -29,7 +30,7 @@
 	versions  []config.Version
 }
 
-func (r *recorder) OnChanges(_ context.Context, changes []feed.Item, _ uint64) {
+func (r *recorder) OnChanges(_ context.Context, changes []feed.Item, _ revision.Revision) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for _, item := range changes {
@@ -145,8 +146,9 @@
 }
 
 // publish adds an entry as if the host had read it from the store.
-func (h *testHost) publish(key, value string, revision uint64) {
-	h.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: key, Value: []byte(value), Revision: revision}}, Revision: revision, Full: h.hub.Revision() == 0})
+func (h *testHost) publish(key, value string, number uint64) {
+	at := revision.New(0, number)
+	h.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: key, Value: []byte(value), Revision: at}}, Revision: at, Full: h.hub.Revision().IsZero()})
 }
 
 func wait(t *testing.T, condition func() bool) {
@@ -176,7 +178,7 @@
 	a.server.Stop()
 	b.publish("x", "3", 3)
 	wait(t, func() bool { return c.get("x") == "3" })
-	is.Equal(c.hub.Revision(), uint64(3))
+	is.Equal(c.hub.Revision().Number(), uint64(3))
 }
 
 // slowHandler is a recorder that is busy when the first change arrives. Like the control loop of a host,
@@ -193,9 +195,9 @@
 	return ctx.Err() == nil
 }
 
-func (h slowHandler) OnChanges(ctx context.Context, changes []feed.Item, revision uint64) {
+func (h slowHandler) OnChanges(ctx context.Context, changes []feed.Item, at revision.Revision) {
 	if h.await(ctx) {
-		h.recorder.OnChanges(ctx, changes, revision)
+		h.recorder.OnChanges(ctx, changes, at)
 	}
 }
 
@@ -255,7 +257,7 @@
 		follower.SetPlan(iofeed.Plan{Upstreams: []string{step.upstream.address}})
 		h.pass(endLink)
 		wait(t, step.handled)
-		is.Equal(hub.Revision(), uint64(1)) // no later update brings the change again
+		is.Equal(hub.Revision().Number(), uint64(1)) // no later update brings the change again
 	}
 }
 
@@ -345,7 +347,7 @@
 	a, b := startHost(t), startHost(t)
 	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
 	time.Sleep(300 * time.Millisecond)
-	is.Equal(b.hub.Revision(), uint64(0))
+	is.True(b.hub.Revision().IsZero())
 	a.publish("x", "1", 1)
 	wait(t, func() bool { return b.get("x") == "1" })
 }
@@ -420,17 +422,17 @@
 	t.Parallel()
 	is := is.New(t)
 	a, b := startHost(t), startHost(t)
-	u := feed.Update{Full: true, Revision: 500}
+	u := feed.Update{Full: true, Revision: revision.New(0, 500)}
 	for n := range 500 {
-		u.Items = append(u.Items, feed.Item{Key: fmt.Sprintf("x%d", n), Value: []byte(fmt.Sprint(n)), Revision: uint64(n + 1)})
+		u.Items = append(u.Items, feed.Item{Key: fmt.Sprintf("x%d", n), Value: []byte(fmt.Sprint(n)), Revision: revision.New(0, uint64(n+1))})
 	}
 	a.hub.StoreResponded(context.Background(), u)
 	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
-	wait(t, func() bool { return b.hub.Revision() == 500 })
+	wait(t, func() bool { return b.hub.Revision() == revision.New(0, 500) })
 	for _, item := range u.Items {
 		wait(t, func() bool { return b.get(item.Key) == string(item.Value) })
 	}
-	is.Equal(b.hub.Revision(), uint64(500))
+	is.Equal(b.hub.Revision().Number(), uint64(500))
 }
 
 // TestChangeAtSameRevision guards against a follower that gets a change only once the revision of the copy moves:
@@ -442,17 +444,47 @@
 	a.publish("x", "1", 1)
 	b.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
 	wait(t, func() bool { return b.get("x") == "1" })
-	ahead := func(value string, revision uint64) {
-		a.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: "y", Value: []byte(value), Revision: revision}}, Revision: 1})
+	ahead := func(value string, number uint64) {
+		a.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: "y", Value: []byte(value), Revision: revision.New(0, number)}}, Revision: revision.New(0, 1)})
 	}
 	ahead("5", 5)
 	wait(t, func() bool { return b.get("y") == "5" })
 	ahead("6", 6)
 	wait(t, func() bool { return b.get("y") == "6" })
-	is.Equal(b.hub.Revision(), uint64(1))
+	is.Equal(b.hub.Revision().Number(), uint64(1))
 	is.Equal(a.followed.Load(), int64(1)) // all on one link
 	c := startHost(t)
 	c.publish("x", "1", 1)
 	c.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address}})
 	wait(t, func() bool { return c.get("y") == "6" }) // a follower that begins at the same revision
 }
+
+// restore replaces the copy of a host by that of a restored store, with one entry, as if the host had read it.
+func (h *testHost) restore(key, value string, at revision.Revision) {
+	h.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: key, Value: []byte(value), Revision: at}}, Revision: at, Full: true})
+}
+
+// TestFollowAcrossRestore guards against a follower that keeps the entries of before a restore of the store, or is taught
+// them again by a host that has not heard of the restore or runs a version that tells no era, and against one that counts
+// such a host's copy as current.
+func TestFollowAcrossRestore(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	a, b, c := startHost(t), startHost(t), startHost(t)
+	before, after := revision.New(1, 9), revision.New(2, 5)
+	a.restore("x", "before", before)
+	b.restore("x", "before", before)
+	c.follower.SetPlan(iofeed.Plan{Upstreams: []string{a.address, b.address}})
+	wait(t, func() bool { return c.get("x") == "before" })
+	a.restore("y", "after", after)
+	wait(t, func() bool { return c.get("y") == "after" && c.get("x") == "" })
+	b.publish("x", "of no era", 11)
+	b.hub.StoreResponded(context.Background(), feed.Update{Items: []feed.Item{{Key: "x", Value: []byte("late"), Revision: revision.New(1, 10)}}, Revision: revision.New(1, 10)})
+	a.server.Stop()
+	time.Sleep(2500 * time.Millisecond) // two heartbeats of the host that is left
+	is.Equal(c.get("x"), "")
+	is.Equal(c.hub.Revision(), after)
+	is.True(c.hub.Age() > 1500*time.Millisecond)
+	b.restore("y", "later", revision.New(2, 6))
+	wait(t, func() bool { return c.get("y") == "later" })
+}
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -12,6 +12,7 @@
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	"sassafrasward/io/event"
 	"sassafrasward/io/feed/message"
 	"sassafrasward/io/peer"
@@ -142,7 +143,7 @@
 
 // delay returns the time after which the links are looked at again.
 func (f *Follower) delay() time.Duration {
-	if f.hub.Revision() == 0 {
+	if f.hub.Revision().IsZero() {
 		return startRetryDelay
 	}
 	return retryDelay
@@ -236,7 +237,8 @@
 	callCtx, cancel := context.WithCancel(linkCtx)
 	defer cancel()
 	dog := watchdog.New(timeout, cancel)
-	stream, err := message.NewFeedClient(conn).Follow(callCtx, &message.Position{Revision: f.hub.Revision()})
+	known := f.hub.Revision()
+	stream, err := message.NewFeedClient(conn).Follow(callCtx, &message.Position{Revision: known.Number(), Era: known.Era()})
 	for err == nil {
 		var m *message.Update
 		if m, err = stream.Recv(); err != nil {
@@ -248,7 +250,7 @@
 	}
 	end.slow = !dog.Stop() && !end.accepted
 	if linkCtx.Err() == nil {
-		event.LogError(f.log, event.LinkEnded, err, "address", address, "revision", f.hub.Revision(), "accepted", end.accepted)
+		event.LogError(f.log, event.LinkEnded, err, "address", address, "revision", f.hub.Revision().Number(), "accepted", end.accepted)
 		// The connection may be dead while new ones to the host work.
 		f.peers.Drop(address, conn)
 	}
@@ -261,7 +263,7 @@
 	if err != nil {
 		return err
 	}
-	u := feed.Update{Items: items, Full: m.GetFull(), Revision: m.GetRevision()}
+	u := feed.Update{Items: items, Full: m.GetFull(), Revision: revision.New(m.GetEra(), m.GetRevision())}
 	var down error
 	if m.GetDown() {
 		down = errStoreDown
--- a/io/feed/hub.go
+++ b/io/feed/hub.go
@@ -9,6 +9,7 @@
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	"sassafrasward/io/feed/message"
 )
 
@@ -22,8 +23,8 @@
 // the context ends with the process, not with the connection that brought the change.
 type Handler interface {
 	// OnChanges is called with the entries that changed, and the revision of the copy. There may be none in
-	// the first copy.
-	OnChanges(ctx context.Context, changes []feed.Item, revision uint64)
+	// the first copy and in that of a new era.
+	OnChanges(ctx context.Context, changes []feed.Item, at revision.Revision)
 	// OnStoreDown is called when the store responds neither to this host any more nor to those that
 	// it follows, and OnStoreUp when it responds again.
 	OnStoreDown(ctx context.Context, err error)
@@ -49,7 +50,7 @@
 	version config.Version
 	// encodings has the encoded changes since the revisions that followers have, as of the number of changes
 	// of the log encodedChanges.
-	encodings      map[uint64]*encoding
+	encodings      map[revision.Revision]*encoding
 	encodedChanges uint64
 }
 
@@ -65,11 +66,11 @@
 
 // NewHub returns a hub without entries.
 func NewHub(clock func() time.Duration, handler Handler) *Hub {
-	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), changed: make(chan struct{}), encodings: make(map[uint64]*encoding)}
+	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), changed: make(chan struct{}), encodings: make(map[revision.Revision]*encoding)}
 }
 
-// Revision returns the revision of the store up to which the copy is complete; zero if it is empty.
-func (h *Hub) Revision() uint64 {
+// Revision returns the revision of the store up to which the copy is complete; the zero value if it is empty.
+func (h *Hub) Revision() revision.Revision {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	return h.log.Revision()
@@ -143,11 +144,12 @@
 	h.order.Lock()
 	defer h.order.Unlock()
 	h.mutex.Lock()
-	empty := h.log.Revision() == 0
+	before := h.log.Revision()
 	changes := h.log.Apply(u)
-	revision := h.log.Revision()
-	changed := len(changes) > 0 || empty && revision > 0
-	recovered := err == nil && h.freshness.Succeeded(source, h.clock()-age)
+	at := h.log.Revision()
+	changed := len(changes) > 0 || before.Era() != at.Era() || before.IsZero() && !at.IsZero()
+	// A source that is still in an earlier era tells nothing of the present one.
+	recovered := err == nil && u.Revision.Era() == at.Era() && h.freshness.Succeeded(source, h.clock()-age)
 	if changed || recovered {
 		h.notify()
 	}
@@ -156,7 +158,7 @@
 		h.handler.OnStoreUp(ctx)
 	}
 	if changed {
-		h.handler.OnChanges(ctx, changes, revision)
+		h.handler.OnChanges(ctx, changes, at)
 	}
 	if err != nil {
 		h.fail(ctx, source, err)
--- a/io/feed/pack.go
+++ b/io/feed/pack.go
@@ -4,6 +4,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	"sassafrasward/io/compress"
 	"sassafrasward/io/feed/message"
 )
@@ -19,7 +20,7 @@
 func encode(u *message.Update, items []feed.Item) (err error) {
 	m := &message.Entries{}
 	for _, i := range items {
-		m.Entries = append(m.Entries, &message.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision, Deleted: i.Deleted})
+		m.Entries = append(m.Entries, &message.Entry{Key: i.Key, Value: i.Value, Revision: i.Revision.Number(), Deleted: i.Deleted})
 	}
 	if proto.Size(m) < minPackedBytes {
 		u.Entries = m.GetEntries()
@@ -42,7 +43,7 @@
 		}
 	}
 	for _, e := range entries {
-		items = append(items, feed.Item{Key: e.GetKey(), Value: e.GetValue(), Revision: e.GetRevision(), Deleted: e.GetDeleted()})
+		items = append(items, feed.Item{Key: e.GetKey(), Value: e.GetValue(), Revision: revision.New(u.GetEra(), e.GetRevision()), Deleted: e.GetDeleted()})
 	}
 	return items, nil
 }
--- a/io/feed/server.go
+++ b/io/feed/server.go
@@ -9,6 +9,7 @@
 
 	"sassafrasward/core/config"
 	"sassafrasward/core/feed"
+	"sassafrasward/core/revision"
 	"sassafrasward/io/feed/message"
 )
 
@@ -30,22 +31,22 @@
 
 // Follow implements message.FeedServer.
 func (s service) Follow(p *message.Position, stream grpc.ServerStreamingServer[message.Update]) (err error) {
-	revision := p.GetRevision()
-	if s.hub.Revision() == 0 {
+	known := revision.New(p.GetEra(), p.GetRevision())
+	if s.hub.Revision().IsZero() {
 		return status.Error(codes.Unavailable, "this host has no copy yet")
 	}
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
 	sent := nothingSent
 	for {
-		update, changed, err := s.hub.update(revision, &sent)
+		update, changed, err := s.hub.update(known, &sent)
 		if err != nil {
 			return Error.Wrap(err)
 		}
 		if err := stream.Send(update); err != nil {
 			return Error.Wrap(err)
 		}
-		revision = max(revision, update.GetRevision())
+		known = revision.Max(known, revision.New(update.GetEra(), update.GetRevision()))
 		timer.Reset(heartbeatInterval)
 		select {
 		case <-changed:
@@ -58,10 +59,10 @@
 
 // update returns the changes after a revision, and a channel that is closed at the next change. There are none
 // if nothing has changed since the last update to the follower; sent is the number of changes as of that update.
-func (h *Hub) update(revision uint64, sent *uint64) (m *message.Update, changed <-chan struct{}, err error) {
+func (h *Hub) update(known revision.Revision, sent *uint64) (m *message.Update, changed <-chan struct{}, err error) {
 	h.mutex.Lock()
 	m = &message.Update{
-		Revision: h.log.Revision(), Age: h.freshness.Age(h.clock()).Milliseconds(), Down: h.freshness.Down(), Number: h.version.Number(),
+		Revision: h.log.Revision().Number(), Era: h.log.Revision().Era(), Age: h.freshness.Age(h.clock()).Milliseconds(), Down: h.freshness.Down(), Number: h.version.Number(),
 	}
 	if h.version != (config.Version{}) {
 		hash := h.version.Hash()
@@ -70,7 +71,7 @@
 	changed = h.changed
 	var e *encoding
 	if changes := h.log.Changes(); *sent != changes {
-		*sent, e = changes, h.encodingSince(revision)
+		*sent, e = changes, h.encodingSince(known)
 	}
 	h.mutex.Unlock()
 	if e == nil {
@@ -87,15 +88,15 @@
 
 // encodingSince returns the encoding of the changes after a revision. The mutex is held; the changes are
 // encoded without it.
-func (h *Hub) encodingSince(revision uint64) *encoding {
+func (h *Hub) encodingSince(known revision.Revision) *encoding {
 	if current := h.log.Changes(); h.encodedChanges != current {
 		h.encodedChanges = current
 		clear(h.encodings)
 	}
-	e, ok := h.encodings[revision]
+	e, ok := h.encodings[known]
 	if !ok {
-		e = &encoding{changes: h.log.Since(revision)}
-		h.encodings[revision] = e
+		e = &encoding{changes: h.log.Since(known)}
+		h.encodings[known] = e
 	}
 	return e
 }
