Read the store in time when the readers are cut off from it

Cause: a reader's copy counted as current until its long poll ended, a follower read the store itself only once its copy was 3.5 to 4.5 s old, and every 8 to 10 s while its readers said that the store is down; the configuration counted as current while any host sent gossip; and the end of a cut counted as that of an outage, after which removed entries stay in use for 1.8 s.

Change: readers with followers ask the store by reads that may be stale, three times within the bound, and pass each answer on. A host reads the store once its copy is older than three quarters of the bound, whatever others say; only its own failures make it wait. The age of the configuration is kept likewise. There was an outage only if the store did not respond to the host itself or a followed host reports its end.

--- a/core/discovery/discovery.go
+++ b/core/discovery/discovery.go
@@ -89,6 +89,10 @@
 // StoreDown records that the store does not answer.
 func (s *Set) StoreDown() { s.storeDown = true }
 
+// StoreReached records that the store answers, and did all the time, though other hosts were cut off from it: no entry
+// lapsed because of that.
+func (s *Set) StoreReached() { s.storeDown = false }
+
 // StoreUp records that the store answers.
 func (s *Set) StoreUp(now time.Duration) {
 	if s.storeDown {
--- a/core/discovery/discovery_test.go
+++ b/core/discovery/discovery_test.go
@@ -24,6 +24,21 @@
 	is.Equal(len(set.Targets()), 0)
 }
 
+// TestCutIsNoOutage guards against new work for a target that left while other hosts were cut off from the store.
+func TestCutIsNoOutage(t *testing.T) {
+	is := is.New(t)
+	set := discovery.New()
+	set.Put(0, target("i", 5))
+	set.StoreDown()
+	set.StoreReached()
+	set.Remove(time.Second, "i", revision.New(1, 6))
+	is.Equal(len(set.Targets()), 0)
+	set.StoreUp(time.Second) // of an outage that is already over
+	set.Put(time.Second, target("i", 7))
+	set.Remove(time.Second, "i", revision.New(1, 8))
+	is.Equal(len(set.Targets()), 0)
+}
+
 // TestLapseDuringOutage guards against the removal of live targets whose entries lapsed during a
 // store outage, and against keeping those that are not published again.
 func TestLapseDuringOutage(t *testing.T) {
--- a/core/feed/freshness.go
+++ b/core/feed/freshness.go
@@ -44,15 +44,6 @@
 // Down reports whether the store responds to none of the sources.
 func (f *Freshness) Down() bool { return f.down }
 
-// Followed reports whether the copy has a source other than the given one.
-func (f *Freshness) Followed(store string) bool {
-	n := len(f.sources)
-	if _, ok := f.sources[store]; ok {
-		n--
-	}
-	return n > 0
-}
-
 // Failing reports whether the store does not respond to the source.
 func (f *Freshness) Failing(source string) bool {
 	up, ok := f.sources[source]
--- a/io/edge/control.go
+++ b/io/edge/control.go
@@ -141,10 +141,14 @@
 }
 
 // OnStoreUp implements feed.Handler.
-func (c *control) OnStoreUp(ctx context.Context) {
+func (c *control) OnStoreUp(ctx context.Context, outage bool) {
 	c.Post(ctx, func() {
-		c.targetSet.StoreUp(c.clock())
-		event.Log(c.log, event.StoreRecovered, "revision", c.storeRevision.Number())
+		if outage {
+			c.targetSet.StoreUp(c.clock())
+		} else {
+			c.targetSet.StoreReached()
+		}
+		event.Log(c.log, event.StoreRecovered, "revision", c.storeRevision.Number(), "outage", outage)
 	})
 }
 
--- a/io/edge/edge.go
+++ b/io/edge/edge.go
@@ -82,6 +82,7 @@
 	suspects      *suspects
 	watcher       *watcher
 	configWatcher *configWatcher
+	prober        *prober
 	hub           *iofeed.Hub
 	follower      *iofeed.Follower
 	// running is the number of requests in progress. lastArrival is when the last request arrived,
@@ -163,21 +164,35 @@
 	e.follower = iofeed.NewFollower(e.hub, e.feedPeers, iofeed.WithLog(e.log))
 	calls := e.metrics.Counter("platform.calls")
 	countCall := func() { calls.Inc(1) }
+	limits := feed.Limits{Change: s.Limits().MaxChangeDelay(), Recovery: s.Limits().RecoveryTime}
+	e.prober = &prober{
+		store: newStoreClient(s.PlatformAddress(), countCall), interval: limits.ProbeInterval(), clock: e.clock, due: make(chan struct{}, 1),
+		needed: func() bool { return e.watcher.reader.Load() && e.hub.Followed() },
+		reached: func(ctx context.Context, sentAt time.Duration) {
+			e.configWatcher.reached(sentAt)
+			e.watcher.reached(ctx, sentAt)
+		},
+	}
 	e.watcher = &watcher{
-		hub: e.hub, clock: e.clock, log: e.log, jitter: rand.Float64(),
+		hub: e.hub, clock: e.clock, log: e.log, jitter: rand.Float64(), limits: limits, reopened: e.prober.wake,
 		wait:     min(s.Limits().RecoveryTime-watchSlack-watchMargin, maxWait),
 		prefixes: newPrefixWatches(s, countCall),
 	}
 	e.watcher.watches = feed.NewWatches(feed.Watch(len(e.watcher.prefixes)))
 	e.configWatcher = &configWatcher{
-		hub: e.hub, clock: e.clock, log: e.log, jitter: e.watcher.jitter, wait: e.watcher.wait, coalesce: s.Limits().CoalesceDelay(),
-		store:   newStoreClient(s.PlatformAddress(), countCall),
-		reader:  e.watcher.reader.Load,
-		known:   func() bool { return e.state.Load().table != nil },
-		heardAt: e.node.HeardAt,
-		apply: func(ctx context.Context, raw []byte) {
-			apply := c.prepareConfig(raw, "store")
-			c.Post(ctx, func() { apply() })
+		hub: e.hub, clock: e.clock, log: e.log, jitter: e.watcher.jitter, limits: limits, reopened: e.prober.wake, wait: e.watcher.wait, coalesce: s.Limits().CoalesceDelay(),
+		store:  newStoreClient(s.PlatformAddress(), countCall),
+		reader: e.watcher.reader.Load,
+		known:  func() bool { return e.state.Load().table != nil },
+		apply: func(ctx context.Context, raw []byte, at time.Duration) {
+			apply := func() bool { return true }
+			if raw != nil {
+				apply = c.prepareConfig(raw, "store")
+			}
+			c.Post(ctx, func() {
+				apply()
+				c.hub.ConfigCurrent(at)
+			})
 		},
 	}
 	c.updatePlan()
@@ -217,8 +232,8 @@
 	}
 	servers := e.servers()
 	// ends receives one value each from the HTTP servers, the peer server, the control goroutine,
-	// the watchers, the follower and the dispatcher. It is buffered for all of them, so that none blocks.
-	ends := make(chan error, len(servers)+6)
+	// the watchers, the prober, the follower and the dispatcher. It is buffered for all of them, so that none blocks.
+	ends := make(chan error, len(servers)+7)
 	for _, s := range servers {
 		l, err := transport.Listen(ctx, s.Addr)
 		if err != nil {
@@ -230,6 +245,7 @@
 	go e.control.run(e.ctx, ends)
 	go e.watcher.run(e.ctx, ends)
 	go e.configWatcher.run(e.ctx, ends)
+	go e.prober.run(e.ctx, ends)
 	go e.follower.Run(e.ctx, ends)
 	go e.dispatcher.Run(e.ctx, ends)
 	select {
--- a/io/edge/watch.go
+++ b/io/edge/watch.go
@@ -55,8 +55,11 @@
 	reader atomic.Bool
 	// jitter is a random number of this host in [0, 1).
 	jitter float64
+	limits feed.Limits
 	// wait is how long a long poll waits for changes.
 	wait time.Duration
+	// reopened is called when a prefix is about to be read after a delay.
+	reopened func()
 	// prefixes has the prefixes that are read, the first of which is that of the targets.
 	prefixes []prefixWatch
 
@@ -104,9 +107,13 @@
 
 // poll reads one prefix until the context ends.
 func (w *watcher) poll(ctx context.Context, p prefixWatch) {
-	backoff, failing, lastRead := minBackoff, false, time.Duration(0)
+	backoff, failures, lastRead := minBackoff, 0, time.Duration(0)
 	for ctx.Err() == nil {
-		if wait := w.readIn(lastRead); wait > 0 {
+		if wait := w.readIn(lastRead, failures); wait > 0 {
+			if failures > 0 && w.hub.Age() < w.limits.MaxAge()/2 {
+				failures = 0 // a followed host has the changes since then
+				w.hub.StoreUnread()
+			}
 			w.stopped(p)
 			sleep(ctx, min(wait, idleCheck))
 			continue
@@ -114,33 +121,35 @@
 		delay, err := w.read(ctx, p)
 		lastRead = w.clock()
 		if err != nil {
-			if !failing && ctx.Err() == nil {
+			if failures == 0 && ctx.Err() == nil {
 				event.LogError(w.log, event.StoreReadFailed, err, "entries", p.name, "revision", w.hub.Revision().Number())
 			}
-			failing = true
+			failures++
 			w.failed(ctx, p, err)
 			sleep(ctx, backoff)
 			backoff = min(2*backoff, maxBackoff)
 			continue
 		}
-		backoff, failing = minBackoff, false
+		backoff, failures = minBackoff, 0
 		if delay > 0 {
 			sleep(ctx, delay)
+			w.reopened()
 		}
 	}
 }
 
 // readIn returns the time after which the store has to be read, zero for now.
-func (w *watcher) readIn(lastRead time.Duration) time.Duration {
+func (w *watcher) readIn(lastRead time.Duration, failures int) time.Duration {
 	return feed.ReadState{
-		Reader: w.reader.Load(), Empty: w.hub.Revision().IsZero(), Down: w.hub.DownElsewhere(), Age: w.hub.Age(), SinceRead: w.clock() - lastRead, Jitter: w.jitter,
+		Reader: w.reader.Load(), Empty: w.hub.Revision().IsZero(), Failures: failures, Age: w.hub.Age(), SinceRead: w.clock() - lastRead,
+		Limits: w.limits, Jitter: w.jitter,
 	}.ReadIn()
 }
 
 // read adds the changes of a prefix after the revision up to which it is known to the copy, or all entries of
 // all prefixes if there is no copy or the store no longer has the changes. It returns the delay of the next read.
 func (w *watcher) read(ctx context.Context, p prefixWatch) (delay time.Duration, err error) {
-	after := w.after(p)
+	after := w.open(p)
 	if after.IsZero() {
 		return w.readAll(ctx, p, after)
 	}
@@ -167,10 +176,11 @@
 	return delay, nil
 }
 
-// after returns the revision from which a prefix is read; the zero value without a copy.
-func (w *watcher) after(p prefixWatch) (after revision.Revision) {
+// open returns the revision from which a prefix is read from now on; the zero value without a copy.
+func (w *watcher) open(p prefixWatch) (after revision.Revision) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	w.watches.Opened(p.watch, w.clock())
 	return w.watches.After(p.watch, w.hub.Revision())
 }
 
@@ -223,7 +233,14 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.watches.Stopped(p.watch)
-	w.hub.StoreUnread()
+}
+
+// reached records that the store answered a probe that was sent at a time.
+func (w *watcher) reached(ctx context.Context, sentAt time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.watches.Reached(sentAt)
+	w.hub.StoreReached(ctx, w.watches.CurrentAt(), w.watches.Err())
 }
 
 // entries converts the items of the store to entries of the copy.
--- a/io/event/event.go
+++ b/io/event/event.go
@@ -61,7 +61,7 @@
 	WatchStopped       = register(1604, 1, "platform watch stopped", "Other hosts watch the platform; this one learns from them.")
 	SettingsReloaded   = register(1007, 0, "settings reloaded", "The settings file was read again; the new seeds are in force. Other changes need a restart.")
 	StoreLost          = register(1203, 0, "store lost", "The metadata store does not answer; the last configuration and targets stay in force, and other hosts spread newer configurations.")
-	StoreRecovered     = register(1204, 0, "store found", "The metadata store answers again.")
+	StoreRecovered     = register(1204, 0, "store found", "The metadata store answers again. There was no outage if it is the followed hosts that were cut off from it.")
 	TargetsChanged     = register(1205, 0, "targets changed", "The targets of a newer revision of the store are in force.")
 	EntryIgnored       = register(1206, 1, "entry ignored", "An entry of the store is not used as a target, because a field is missing or wrong.")
 	StoreReadFailed    = register(1207, 0, "store read failed", "A read of the metadata store failed after one that did not; this host reads again, or follows other hosts. The line has what was read (entries): the targets or the configuration.")
--- a/io/feed/follower.go
+++ b/io/feed/follower.go
@@ -27,7 +27,7 @@
 	acceptTimeout = 700 * time.Millisecond
 	maxDoublings  = 3
 	// heartbeatTimeout is the time without an update after which the other host counts as gone.
-	heartbeatTimeout = heartbeatInterval + 1500*time.Millisecond
+	heartbeatTimeout = heartbeatInterval + 1000*time.Millisecond
 	// retryDelay is the time after which a host that could not be followed is tried again, and
 	// startRetryDelay that time while there is no copy.
 	retryDelay      = 1500 * time.Millisecond
@@ -269,6 +269,9 @@
 		down = errStoreDown
 	}
 	f.hub.apply(ctx, address, time.Duration(m.GetAge())*time.Millisecond, down, u)
+	if m.ConfigAge != nil {
+		f.hub.ConfigCurrent(f.hub.clock() - time.Duration(m.GetConfigAge())*time.Millisecond)
+	}
 	if hash := m.GetHash(); len(hash) == sha256.Size {
 		f.hub.announced(ctx, address, config.NewVersion(m.GetNumber(), [sha256.Size]byte(hash)))
 	}
--- a/io/feed/hub.go
+++ b/io/feed/hub.go
@@ -26,9 +26,10 @@
 	// the first copy and in that of a new era.
 	OnChanges(ctx context.Context, changes []feed.Item, at revision.Revision)
 	// OnStoreDown is called when the store responds neither to this host any more nor to those that
-	// it follows, and OnStoreUp when it responds again.
+	// it follows, and OnStoreUp when it responds again. There was no outage if it responded to this host as soon as
+	// that asked: the followed hosts were cut off from it.
 	OnStoreDown(ctx context.Context, err error)
-	OnStoreUp(ctx context.Context)
+	OnStoreUp(ctx context.Context, outage bool)
 	// OnVersion is called when the followed host at an address has a newer configuration in force than
 	// this one. It is called again by later updates until SetVersion is called with that version.
 	OnVersion(ctx context.Context, address string, v config.Version)
@@ -46,8 +47,11 @@
 	freshness *feed.Freshness
 	// changed is closed and replaced when the copy changes or the store goes down.
 	changed chan struct{}
-	// version is that of the configuration in force on this host.
-	version config.Version
+	// version is that of the configuration in force on this host, which was known to be current at configAt.
+	version  config.Version
+	configAt time.Duration
+	// followers is the number of hosts that follow this one.
+	followers int
 	// encodings has the encoded changes since the revisions that followers have, as of the number of changes
 	// of the log encodedChanges.
 	encodings      map[revision.Revision]*encoding
@@ -66,7 +70,7 @@
 
 // NewHub returns a hub without entries.
 func NewHub(clock func() time.Duration, handler Handler) *Hub {
-	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), changed: make(chan struct{}), encodings: make(map[revision.Revision]*encoding)}
+	return &Hub{clock: clock, handler: handler, log: feed.NewLog(), freshness: feed.NewFreshness(clock()), configAt: clock(), changed: make(chan struct{}), encodings: make(map[revision.Revision]*encoding)}
 }
 
 // Revision returns the revision of the store up to which the copy is complete; the zero value if it is empty.
@@ -83,11 +87,32 @@
 	return h.freshness.Age(h.clock())
 }
 
-// DownElsewhere reports whether this host follows others and the store responds to none of them.
-func (h *Hub) DownElsewhere() bool {
+// ConfigAge returns how long ago this host last knew the newest version of the configuration.
+func (h *Hub) ConfigAge() time.Duration {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	return h.freshness.Down() && h.freshness.Followed(storeSource)
+	return h.clock() - h.configAt
+}
+
+// ConfigCurrent records that the newest version of the configuration was known at a time.
+func (h *Hub) ConfigCurrent(at time.Duration) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.configAt = max(h.configAt, at)
+}
+
+// Followed reports whether other hosts follow this one.
+func (h *Hub) Followed() bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.followers > 0
+}
+
+// addFollowers adds to the number of hosts that follow this one.
+func (h *Hub) addFollowers(n int) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.followers += n
 }
 
 // failing reports whether the store does not respond to a source.
@@ -135,8 +160,23 @@
 	h.fail(ctx, storeSource, err)
 }
 
-// StoreUnread records that this host does not read the store at present.
-func (h *Hub) StoreUnread() { h.gone(storeSource) }
+// StoreUnread records that this host does not read the store any more, so that a failure of its last read tells nothing.
+func (h *Hub) StoreUnread() {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if h.freshness.Failing(storeSource) {
+		h.freshness.Gone(storeSource)
+	}
+}
+
+// StoreReached records that the store answered a probe of this host, whose copy was then current at a time, and tells the
+// followers.
+func (h *Hub) StoreReached(ctx context.Context, currentAt time.Duration, err error) {
+	h.StoreRead(ctx, currentAt, err, feed.Update{Revision: h.Revision()})
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	h.notify()
+}
 
 // apply adds an update of a source whose copy was current age ago. err is set if the store does not respond
 // to the source.
@@ -149,13 +189,14 @@
 	at := h.log.Revision()
 	changed := len(changes) > 0 || before.Era() != at.Era() || before.IsZero() && !at.IsZero()
 	// A source that is still in an earlier era tells nothing of the present one.
+	outage := source != storeSource || h.freshness.Failing(storeSource)
 	recovered := err == nil && u.Revision.Era() == at.Era() && h.freshness.Succeeded(source, h.clock()-age)
 	if changed || recovered {
 		h.notify()
 	}
 	h.mutex.Unlock()
 	if recovered {
-		h.handler.OnStoreUp(ctx)
+		h.handler.OnStoreUp(ctx, outage)
 	}
 	if changed {
 		h.handler.OnChanges(ctx, changes, at)
--- a/io/feed/server.go
+++ b/io/feed/server.go
@@ -13,8 +13,9 @@
 	"sassafrasward/io/feed/message"
 )
 
-// heartbeatInterval is the time between two updates to a follower while there are no changes.
-const heartbeatInterval = 1 * time.Second
+// heartbeatInterval is the time between two updates to a follower while there are no changes and the store answers no
+// probe.
+const heartbeatInterval = 1500 * time.Millisecond
 
 // nothingSent is the number of changes of a follower that got no update yet. Logs count from zero.
 const nothingSent = ^uint64(0)
@@ -35,6 +36,8 @@
 	if s.hub.Revision().IsZero() {
 		return status.Error(codes.Unavailable, "this host has no copy yet")
 	}
+	s.hub.addFollowers(1)
+	defer s.hub.addFollowers(-1)
 	timer := time.NewTimer(heartbeatInterval)
 	defer timer.Stop()
 	sent := nothingSent
@@ -68,6 +71,8 @@
 		hash := h.version.Hash()
 		m.Hash = hash[:]
 	}
+	configAge := (h.clock() - h.configAt).Milliseconds()
+	m.ConfigAge = &configAge
 	changed = h.changed
 	var e *encoding
 	if changes := h.log.Changes(); *sent != changes {
--- a/io/gossip/node.go
+++ b/io/gossip/node.go
@@ -62,9 +62,6 @@
 	document atomic.Pointer[document]
 	// pulled is the document that is being put in force after a pull. Only the loop uses it.
 	pulled *document
-	// heardAt is when the last packet from another host arrived, in nanoseconds on the clock of the loop; zero
-	// for none.
-	heardAt atomic.Int64
 	// slowPulls is the number of pulls in a row that timed out.
 	slowPulls atomic.Int32
 	// snapshot is the published snapshot.
@@ -149,9 +146,6 @@
 	n.loop.Post(n.ctx, func() { n.runStep(step) })
 }
 
-// HeardAt returns when the last packet from another host arrived, on the clock of the loop; zero if none has.
-func (n *Node) HeardAt() time.Duration { return time.Duration(n.heardAt.Load()) }
-
 // perform makes one call and reports its result to the state.
 func (n *Node) perform(call member.Call) {
 	switch call.Kind() {
@@ -187,9 +181,6 @@
 	if ok {
 		p, ok = decode(answer)
 	}
-	if ok {
-		n.heardAt.Store(int64(n.loop.Clock()))
-	}
 	n.postStep(func(now time.Duration) []member.Call {
 		if !ok {
 			return n.state.Failed(now, call)
@@ -220,7 +211,6 @@
 	if !ok {
 		return nil, Error.New("malformed packet")
 	}
-	n.heardAt.Store(int64(n.loop.Clock()))
 	answers := make(chan member.Packet, 1)
 	n.loop.Post(ctx, func() {
 		n.runStep(func(now time.Duration) []member.Call {
--- a/io/setting/setting.go
+++ b/io/setting/setting.go
@@ -68,6 +68,15 @@
 	ColdFactor, ColdSlack float64
 }
 
+// MaxChangeDelay returns the time after which any change in the store must be in force.
+func (l Limits) MaxChangeDelay() (delay time.Duration) {
+	delay = min(l.MaxLeaveDelay, l.MaxApplyDelay)
+	if l.MaxEvacuationDelay > 0 {
+		delay = min(delay, l.MaxEvacuationDelay)
+	}
+	return delay
+}
+
 // coalesceFraction is the fraction of the time limit for applying a change that is spent on
 // coalescing changes. The rest leaves time to repeat a failed read.
 const coalesceFraction = 0.4
