Restore the store from backups in the soak of the edge hosts

Cause: no test played restores together with the other faults.

Change: the soak makes backups, restores the store from the last one at random, and writes again what was lost up to 1.5 s later. At the end, after a restore that lost ten versions, a new configuration has to come into force at every host and a removed engine has to get no more requests. The draws of the older faults stay as they were.

--- a/io/integration/edge_soak_test.go
+++ b/io/integration/edge_soak_test.go
@@ -35,7 +35,8 @@
 // TestEdgeSoak runs edge hosts as separate processes, injects overlapping faults from outside,
 // and checks the guarantees against what callers and engines see: commands run at most once, a
 // request answered as not run has not run, answers are complete and belong to their request,
-// and the hosts serve again once the faults end. SOAK_SEEDS sets the number of seeds beginning
+// the hosts serve again once the faults end, and they then follow what is written to the store, which was restored from
+// backups meanwhile. SOAK_SEEDS sets the number of seeds beginning
 // with SOAK_FIRST, and SOAK_HOSTS the number of hosts.
 func TestEdgeSoak(t *testing.T) {
 	first, count := envUint("SOAK_FIRST", 1), envUint("SOAK_SEEDS", 2)
@@ -66,8 +67,17 @@
 	// statements draws what engines state about themselves. It is separate, so that the faults of the
 	// regression seeds stay as they were.
 	statements *rand.Rand
-	seed       uint64
-	store      *standin.Store
+	// restores draws when the store is restored from a backup, for the same reason.
+	restores *rand.Rand
+	seed     uint64
+	store    *standin.Store
+	// backup is the last backup of the store. rewriteAt is when what a restore has lost is written again, zero if
+	// nothing was lost.
+	backup    standin.Backup
+	rewriteAt time.Time
+	// version is the newest version of the configuration, firstState the published state of the first engine.
+	version    int
+	firstState string
 	// proxies lead to the store (index 0) and the engines.
 	proxies []*proxy
 	engines []*standin.Target
@@ -95,26 +105,33 @@
 const (
 	// defaultSoakHosts is the number of hosts without SOAK_HOSTS.
 	defaultSoakHosts = 3
+	// leaveBound is the time after which a leaving engine must get no new work, with a second for a busy machine.
+	leaveBound = 3 * time.Second
 	// joinSeeds is the largest number of seed addresses through which a host joins the fleet.
 	joinSeeds = 3
 )
 
+// enginePools has the pools of the engines.
+var enginePools = []string{"plain", "plain", "model", "model", "pieces", "pieces"}
+
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		t: t, seed: seed, random: rand.New(rand.NewPCG(seed, 7)), statements: rand.New(rand.NewPCG(seed, 8)), store: standin.NewStore(),
+		restores: rand.New(rand.NewPCG(seed, 9)), firstState: "ready",
 		runs: make(map[string]int), responses: make(map[string]string),
 	}
 	t.Cleanup(s.store.Close)
 	storeProxy := newProxy(t, s.store.Address())
 	s.proxies = append(s.proxies, storeProxy)
-	for i, pool := range []string{"plain", "plain", "model", "model", "pieces", "pieces"} {
+	for i := range enginePools {
 		e := standin.NewTarget(fmt.Sprintf("i-%d", i), s.serveEngine)
 		t.Cleanup(e.Stop)
 		engineProxy := newProxy(t, e.Address())
 		s.engines, s.proxies = append(s.engines, e), append(s.proxies, engineProxy)
-		s.store.RegisterAt(e, engineProxy.address(), pool, "ready")
 	}
-	s.store.PublishConfig(1)
+	s.publish(1)
+	s.registerAll()
+	s.backup = s.store.Backup()
 	var seeds []string
 	for i := range envUint("SOAK_HOSTS", defaultSoakHosts) {
 		h := &soakHost{name: fmt.Sprintf("e%d", i), caller: loopback.FreeAddress(), peer: loopback.FreeAddress()}
@@ -142,7 +159,7 @@
 	s.runs[id]++
 	s.mutex.Unlock()
 	standin.Sign(w)
-	if strings.HasPrefix(r.URL.Path, "/write/") || strings.HasPrefix(r.URL.Path, "/read/") {
+	if !isStream(r.URL.Path) {
 		_, _ = io.WriteString(w, "answer of "+id)
 		return
 	}
@@ -194,12 +211,14 @@
 			s.inject()
 		}
 		s.state()
+		s.drill()
 		time.Sleep(time.Duration(50+s.random.IntN(400)) * time.Millisecond)
 	}
 	s.clearFaults()
 	close(stop)
 	callers.Wait()
 	s.awaitServing("after the faults")
+	s.checkFollowing()
 	s.checkRuns()
 }
 
@@ -228,7 +247,7 @@
 		{"cut next", func() { p.set(faults{closeNext: true}) }},
 		{"store fails", func() { s.store.SetBroken(true) }},
 		{"store works", func() { s.store.SetBroken(false) }},
-		{"configure", func() { s.store.PublishConfig(len(s.injected) + 2) }},
+		{"configure", func() { s.publish(len(s.injected) + 2) }},
 		{"leave", func() { s.registerFirst("draining") }},
 		{"return", func() { s.registerFirst("ready") }},
 	}
@@ -258,7 +277,70 @@
 
 // registerFirst registers the first engine with the state.
 func (s *soak) registerFirst(state string) {
-	s.store.RegisterAt(s.engines[0], s.proxies[1].address(), "plain", state)
+	s.firstState = state
+	s.store.RegisterAt(s.engines[0], s.proxies[1].address(), enginePools[0], state)
+}
+
+// registerAll registers all engines.
+func (s *soak) registerAll() {
+	s.registerFirst(s.firstState)
+	for i, e := range s.engines[1:] {
+		s.store.RegisterAt(e, s.proxies[2+i].address(), enginePools[1+i], "ready")
+	}
+}
+
+// publish publishes a version of the configuration.
+func (s *soak) publish(version int, extra ...string) {
+	s.version = version
+	s.store.PublishConfig(version, extra...)
+}
+
+// drill makes a backup of the store, restores it from the last one, or writes again what the last restore has lost.
+func (s *soak) drill() {
+	draw, delay := s.restores.IntN(8), time.Duration(s.restores.IntN(1500))*time.Millisecond
+	switch {
+	case !s.rewriteAt.IsZero() && time.Now().After(s.rewriteAt):
+		s.writeAgain()
+	case draw < 2:
+		s.backup = s.store.Backup()
+	case draw == 2:
+		s.store.Restore(s.backup)
+		s.rewriteAt = time.Now().Add(delay)
+		s.injected = append(s.injected, "restore")
+	}
+}
+
+// writeAgain writes what a restore of the store has lost: what holds, and not what held in between.
+func (s *soak) writeAgain() {
+	s.rewriteAt = time.Time{}
+	s.publish(s.version)
+	s.registerAll()
+}
+
+// checkFollowing checks that the hosts take up a new configuration, and send nothing to an engine that has left, after a
+// restore that has lost more changes than are written from then on.
+func (s *soak) checkFollowing() {
+	s.backup = s.store.Backup()
+	for range 10 {
+		s.publish(s.version + 1)
+	}
+	time.Sleep(leaveBound) // the hosts have read this
+	s.store.Restore(s.backup)
+	s.publish(s.version+1000, `{"name":"last","host":"h.example","prefix":"/last/","kind":"idempotent","timeoutMs":2000,"sloMs":300,"service":"plain","maxAttempts":2}`)
+	s.await("after the last configuration", "/last/")
+	time.Sleep(leaveBound) // a target that a backup lacks stays in use for a moment
+	s.store.Put("servers/i-0", "")
+	time.Sleep(leaveBound)
+	received := len(s.engines[0].Received())
+	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
+	for i, h := range s.hosts {
+		for n := range 10 {
+			s.send(client, h, "/read/", fmt.Sprintf("l.%d.%d.read.", i, n))
+		}
+	}
+	if late := len(s.engines[0].Received()) - received; late > 0 {
+		s.t.Errorf("seed %d: %d requests reached an engine that had left; faults: %v", s.seed, late, s.injected)
+	}
 }
 
 func (s *soak) signal(h *soakHost, signal syscall.Signal) {
@@ -295,6 +377,7 @@
 	}
 	s.store.SetBroken(false)
 	s.registerFirst("ready")
+	s.writeAgain()
 }
 
 // runCaller sends requests of all kinds to random hosts until stop is closed.
@@ -348,9 +431,14 @@
 	return ok
 }
 
+// isStream reports whether the responses to a path are streams.
+func isStream(path string) bool {
+	return strings.HasPrefix(path, "/chat/") || strings.HasPrefix(path, "/talk/")
+}
+
 // wholeBody returns the complete response body of a request.
 func wholeBody(path, id string) string {
-	if path == "/write/" || path == "/read/" {
+	if !isStream(path) {
 		return "answer of " + id
 	}
 	var b strings.Builder
@@ -362,10 +450,13 @@
 
 // awaitServing waits until each host serves each kind of request. It limits the number of
 // tries and not the wall time, so that a slow machine does not fail it.
-func (s *soak) awaitServing(when string) {
+func (s *soak) awaitServing(when string) { s.await(when, "/write/", "/read/", "/chat/", "/talk/") }
+
+// await does so for some kinds of requests.
+func (s *soak) await(when string, paths ...string) {
 	client := &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true, DisableCompression: true}}
 	for _, h := range s.hosts {
-		for _, path := range []string{"/write/", "/read/", "/chat/", "/talk/"} {
+		for _, path := range paths {
 			served := false
 			for n := 0; n < 400 && !served; n++ {
 				if h.process.hasEnded() {
