Forget failed reads of the configuration once another host has it

Cause: found when the change was read again: a host that follows others kept the failures of its reads of the configuration after the followed hosts had it, so that the first failure of a later cut was not logged (event 1207) and the next read waited up to the whole recovery time. The targets' reads forget them.

Change: the same for the configuration.

Measured: the tests of io/edge on restores, cut readers and configurations passed with the race detector; no test shows the cause.

--- a/core/feed/read.go
+++ b/core/feed/read.go
@@ -13,6 +13,8 @@
 	startLimit = 1500 * time.Millisecond
 	// firstRetry is the time after a failed read until the next one. It doubles with each further one.
 	firstRetry = 400 * time.Millisecond
+	// maxDoublings bounds the doublings of firstRetry, which then exceeds any limit of the settings.
+	maxDoublings = 16
 	// spread is the random part of these times, so that hosts don't read all at once.
 	spread = 0.25
 )
@@ -64,6 +66,3 @@
 	}
 	return max(wait, 0)
 }
-
-// maxDoublings bounds the doublings of firstRetry, which then exceeds any limit of the settings.
-const maxDoublings = 16
--- a/io/edge/configwatch.go
+++ b/io/edge/configwatch.go
@@ -55,6 +55,9 @@
 	for ctx.Err() == nil {
 		if wait := w.readIn(); wait > 0 {
 			w.newestOnly = w.newestOnly || w.clock()-w.lastRead > 2*w.limits.MaxAge()
+			if w.hub.ConfigAge() < w.limits.MaxAge()/2 {
+				w.failures = 0 // a followed host has the newest version
+			}
 			sleep(ctx, min(wait, idleCheck))
 			continue
 		}
