--- a/io/edge/restore_test.go
+++ b/io/edge/restore_test.go
@@ -17,13 +17,7 @@
 // startFew starts hosts that know each other and waits until they serve.
 func startFew(t *testing.T, s *standin.Store, count int) (hosts []*testHost) {
 	t.Helper()
-	var seeds []string
-	for i := range count {
-		h, peer := startHost(t, s, "e"+strconv.Itoa(i), seeds...)
-		if hosts = append(hosts, h); i == 0 {
-			seeds = []string{peer}
-		}
-	}
+	hosts, _ = startFleet(t, s, count)
 	for _, h := range hosts {
 		h.waitServed("/read/")
 	}
